The whole path, thin: a job from the caller to backend servers and back

Cause: nothing was there. This is the frame in which everything later hangs: dispatcher, operators' command, stand-ins and load tool as separate processes, the two tables on the platform's log, tickets that name the one incarnation that may start a job, and process tests by testscript.

--- /dev/null
+++ b/event/event_test.go
@@ -0,0 +1,36 @@
+package event
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+// TestCatalogue holds docs/EVENTS.md equal to the table. Run it with
+// UPDATE_DOCS=1 to write the page.
+func TestCatalogue(t *testing.T) {
+	const path = "../docs/EVENTS.md"
+	var b strings.Builder
+	b.WriteString("# Events\n\nEvery log line of a process carries the number of its event as `event`.\nThis page follows the table in `event/table.go`.\n")
+	last := ID(0)
+	for _, e := range All() {
+		if e.ID <= last {
+			t.Errorf("event %d does not follow %d", e.ID, last)
+		}
+		last = e.ID
+		fmt.Fprintf(&b, "\n## %d %s\n\n%s, since %s. %s\n", e.ID, e.Title, e.Level, e.Since, e.Text)
+	}
+	if os.Getenv("UPDATE_DOCS") != "" {
+		if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	have, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(have) != b.String() {
+		t.Errorf("%s differs from the table; run UPDATE_DOCS=1 go test ./event", path)
+	}
+}
--- /dev/null
+++ b/hub/script_test.go
@@ -0,0 +1,148 @@
+package hub_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"snipehub.example/hub"
+	"snipehub.example/internal/program"
+	"snipehub.example/load"
+	"snipehub.example/operator"
+	"snipehub.example/stand"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"snipehubd":  func() { os.Exit(program.Run(hub.Command())) },
+		"snipectl":   func() { os.Exit(program.Run(operator.Command())) },
+		"snipestand": func() { os.Exit(program.Run(stand.Command())) },
+		"snipeload":  func() { os.Exit(program.Run(load.Command())) },
+	})
+}
+
+// TestScript runs the binaries as processes. Each script gets free ports as
+// $A0 to $A11.
+func TestScript(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/script",
+		Setup: freeAddresses,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"call":   call,
+			"await":  await,
+			"subst":  subst,
+			"keep":   keep,
+			"signal": signalProcess,
+		},
+	})
+}
+
+func freeAddresses(e *testscript.Env) error {
+	for i := range 12 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = ln.Close() }()
+		e.Setenv(fmt.Sprintf("A%d", i), ln.Addr().String())
+	}
+	return nil
+}
+
+// call METHOD URL STATUS [BODYFILE [HEADER:VALUE...]] makes a request and
+// writes the answer to stdout.
+func call(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 3 {
+		ts.Fatalf("usage: call METHOD URL STATUS [BODYFILE [HEADER:VALUE...]]")
+	}
+	status, body, err := request(ts, args)
+	ts.Check(err)
+	_, _ = ts.Stdout().Write(body)
+	if fmt.Sprint(status) != args[2] {
+		ts.Fatalf("status %d, want %s: %s", status, args[2], body)
+	}
+}
+
+func request(ts *testscript.TestScript, args []string) (int, []byte, error) {
+	var in []byte
+	if len(args) > 3 && args[3] != "-" {
+		in = []byte(ts.ReadFile(args[3]))
+	}
+	req, err := http.NewRequest(args[0], args[1], bytes.NewReader(in))
+	if err != nil {
+		return 0, nil, err
+	}
+	for _, h := range args[min(4, len(args)):] {
+		k, v, _ := strings.Cut(h, ":")
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, out, err
+}
+
+// await URL [TEXT] asks until the answer is 200 and contains the text.
+func await(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 1 {
+		ts.Fatalf("usage: await URL [TEXT]")
+	}
+	for range 400 {
+		status, body, err := request(ts, []string{http.MethodGet, args[0], "200"})
+		if err == nil && status == http.StatusOK && (len(args) < 2 || strings.Contains(string(body), args[1])) {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("%s: not as awaited after 20 s", args[0])
+}
+
+// subst FILE... replaces the environment's variables in files.
+func subst(ts *testscript.TestScript, _ bool, args []string) {
+	for _, f := range args {
+		out := os.Expand(ts.ReadFile(f), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(f), []byte(out), 0o600))
+	}
+}
+
+var signals = map[string]syscall.Signal{
+	"TERM": syscall.SIGTERM,
+	"KILL": syscall.SIGKILL,
+	"STOP": syscall.SIGSTOP,
+	"CONT": syscall.SIGCONT,
+}
+
+// signal NAME TEXT sends the signal to the background process that has TEXT
+// among its arguments.
+func signalProcess(ts *testscript.TestScript, _ bool, args []string) {
+	for _, c := range ts.BackgroundCmds() {
+		if slices.Contains(c.Args, args[1]) {
+			ts.Check(c.Process.Signal(signals[args[0]]))
+			return
+		}
+	}
+	ts.Fatalf("no background process with the argument %s", args[1])
+}
+
+// keep VAR KEY takes the string value of a JSON key in stdout.
+func keep(ts *testscript.TestScript, _ bool, args []string) {
+	_, rest, ok := strings.Cut(ts.ReadFile("stdout"), `"`+args[1]+`":"`)
+	if !ok {
+		ts.Fatalf("no key %s in stdout", args[1])
+	}
+	v, _, _ := strings.Cut(rest, `"`)
+	ts.Setenv(args[0], v)
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,136 @@
+// Package ledger speaks to the platform: its append-only log and its VM list.
+//
+// The log keeps numbered records in named streams, for a limited time. An
+// append can take effect although its answer is lost, so every record that we
+// append carries an id of its own, and whoever is in doubt reads the stream.
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Offset numbers the records of a stream from 0.
+type Offset int64
+
+// None is the offset before the first record.
+const None Offset = -1
+
+// Record is one entry of a stream.
+type Record struct {
+	Offset Offset    `json:"offset"`
+	At     time.Time `json:"at"`
+	Data   []byte    `json:"data"`
+}
+
+// Page is what one read returns.
+type Page struct {
+	// First is the oldest offset that the log still has.
+	First Offset `json:"first"`
+	// Next is the offset to read from next time.
+	Next    Offset   `json:"next"`
+	Records []Record `json:"records"`
+}
+
+// VM is one entry of the platform's VM list.
+type VM struct {
+	Name       string     `json:"name"`
+	Address    netip.Addr `json:"address"`
+	DataCenter string     `json:"data_center"`
+	// Leaving tells that the VM will be taken away.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Errors of this layer.
+var (
+	// ErrDown means that nothing was heard: an append may have taken effect.
+	ErrDown = errors.New("ledger: no answer from the platform")
+	// ErrRate means that the log refused the append: it took no effect.
+	ErrRate = errors.New("ledger: over the append rate")
+)
+
+const maxAnswer = 64 << 20
+
+// Client is a client of the platform's HTTP services.
+type Client struct {
+	log, vms netip.AddrPort
+	hc       *http.Client
+	timeout  time.Duration
+}
+
+// New makes a client of the services at the two addresses.
+func New(log, vms netip.AddrPort, timeout time.Duration) *Client {
+	tr := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 4}
+	return &Client{log: log, vms: vms, hc: &http.Client{Transport: tr}, timeout: timeout}
+}
+
+// Append puts data on the stream and returns its offset. After ErrDown the
+// record may or may not be there.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var out struct {
+		Offset Offset `json:"offset"`
+	}
+	u := fmt.Sprintf("http://%s/v1/streams/%s", c.log, url.PathEscape(stream))
+	if err := c.do(ctx, http.MethodPost, u, data, &out); err != nil {
+		return None, err
+	}
+	return out.Offset, nil
+}
+
+// Read returns the records from the offset on, waiting up to wait for the
+// first one.
+func (c *Client) Read(ctx context.Context, stream string, from Offset, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
+	var p Page
+	u := fmt.Sprintf("http://%s/v1/streams/%s?from=%d&wait=%s", c.log, url.PathEscape(stream), from, wait)
+	err := c.do(ctx, http.MethodGet, u, nil, &p)
+	return p, err
+}
+
+// VMs returns the platform's list of VMs.
+func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var out struct {
+		VMs []VM `json:"vms"`
+	}
+	err := c.do(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/vms", c.vms), nil, &out)
+	return out.VMs, err
+}
+
+func (c *Client) do(ctx context.Context, method, u string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "ledger")
+	}
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return errors.Wrap(ErrDown, err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	switch {
+	case err != nil:
+		return errors.Wrap(ErrDown, err.Error())
+	case resp.StatusCode == http.StatusTooManyRequests:
+		return ErrRate
+	case resp.StatusCode != http.StatusOK:
+		return errors.Wrapf(ErrDown, "status %d", resp.StatusCode)
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return errors.Wrap(ErrDown, err.Error())
+	}
+	return nil
+}
