--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -193,6 +193,8 @@
 	switch {
 	case e.o.Kind == delivery.Done:
 		e.t.b.Done(e.t.index, Result{Ran: refusal.RanYes, Done: true, Answer: e.o.Body, Status: e.o.Status, Type: e.o.Type})
+	case e.o.Kind == delivery.Ran:
+		e.t.b.Done(e.t.index, Result{Ran: refusal.RanYes, Done: e.t.b.Request, Answer: e.o.Body, Error: e.o.Reason, Status: e.o.Status, Type: e.o.Type})
 	case e.o.Kind == delivery.NotRun && e.t.attempt < 10:
 		e.t.attempt++
 		d.queue = append(d.queue, e.t)
@@ -254,6 +256,7 @@
 		Kind:    t.b.Kind,
 		Task:    delivery.TaskID(t.b.Job, t.index, t.attempt),
 		Body:    t.b.Tasks[t.index],
+		Type:    t.b.Type,
 		Expires: earlier(now.Add(limit), t.b.Expires),
 	}
 	go func() { d.ended <- ending{t, server, d.c.Deliver(ctx, a)} }()
