dispatch: placement as a pure planner, four policies, guards and health

Cause: the first version kept one slice that every event walked through: cost per task grew with the queue, one caller's jobs stood before everybody's, a cancellation looked at all tasks, a refused task was tried ten times at once, and a server that failed everything got its full part of the work. Submit blocked without bound, and Done was called by the goroutine that answers Submit, which deadlocks with an owner that holds its lock.

Ruled out: one heap over tasks (memory and cost for each task); cancelling by index in the heap (log n for each of a wave; marking is O(1) and swept when the marked outnumber the rest); an average for each kind and server (most pairs are never seen; the product of two averages needs few samples).

Change: dispatch/plan decides (events and times in, actions out), dispatch/queue orders (weighted fair queueing between teams and callers, fewest waiting tasks first with ageing), dispatch/pool knows servers (speed, health, room), dispatch/policy lists the policies with one folder each; dispatch is the shell. hub gets hub/placing.go and one line of wiring, roster.Member a size, settings dispatch.attempts and checks of the section, ticket.Owner a String.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,18 +1,27 @@
 // Package dispatch places tasks on backend servers.
 //
-// Tasks wait in one queue and get a backend server only when a connection of
-// this dispatcher and a slot of the server are free (late binding). One
-// goroutine owns the queue; the attempts themselves run in goroutines of their
-// own, at most as many as there are connections.
+// Tasks wait in queues and get a backend server only when a connection of this
+// dispatcher and a slot of the server are free (late binding). What starts when
+// and where is decided in package plan, which is a plain value; this package is
+// the shell around it. One goroutine owns the planner and never waits for
+// anybody; the attempts run in goroutines of their own, at most as many as there
+// are connections; one more goroutine tells the owners of jobs what became of
+// their tasks.
 package dispatch
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"snipehub.example/clock"
 	"snipehub.example/delivery"
+	"snipehub.example/dispatch/plan"
+	"snipehub.example/event"
 	"snipehub.example/refusal"
 	"snipehub.example/roster"
 	"snipehub.example/tables"
@@ -69,69 +78,87 @@
 	Deliver(ctx context.Context, a delivery.Attempt) delivery.Outcome
 }
 
+// gauges is what the dispatcher tells the metrics.
+type gauges interface {
+	Count(name string, n int64)
+	Gauge(name string, v float64)
+}
+
 // Config sets the bounds of a dispatcher.
 type Config struct {
-	DataCenter  string
-	Connections int
-	QueuedTasks int
-	TaskTimeout time.Duration
+	plan.Config
+	// Self names this process among Directory.Members.
+	Self roster.Member
 }
 
-// Dispatcher owns the queue. It is a suture service.
+const (
+	// period is how often time works on the planner.
+	period = 50 * time.Millisecond
+	// ring is how many submissions and cancellations wait for the planner.
+	ring = 1024
+	// submitTimeout is how long a submission waits for the planner.
+	submitTimeout = 2 * time.Second
+	// quiet is the least time between two log lines about a full queue.
+	quiet = 10 * time.Second
+)
+
+// Dispatcher is the shell around the planner. It is a suture service.
 type Dispatcher struct {
-	cfg    Config
-	c      courier
-	dir    Directory
-	submit chan submission
-	cancel chan string
-	ended  chan ending
-	wake   chan struct{}
+	cfg   Config
+	c     courier
+	dir   Directory
+	clock *clock.Service
+	log   *slog.Logger
+	m     gauges
 
-	queue    []*task
-	busy     int
-	inFlight map[netip.AddrPort]int
-}
+	requests chan request
+	ended    chan ending
+	wake     chan struct{}
+	stopped  chan struct{}
+	stop     sync.Once
+	reports  reports
+	free     atomic.Int64
 
-type submission struct {
-	b      Batch
-	answer chan error
+	p        *plan.Planner
+	world    plan.World
+	batches  map[string]*batch
+	acts     plan.Actions
+	complain time.Time
 }
 
-type task struct {
-	b       *Batch
-	index   int
-	attempt int
+// batch is a batch with tasks that have not ended.
+type batch struct {
+	Batch
+	left int
 }
 
+// ending is the outcome of an attempt.
 type ending struct {
-	t      *task
-	server netip.AddrPort
+	number uint64
 	o      delivery.Outcome
 }
 
 // New makes a dispatcher.
-func New(cfg Config, c courier, dir Directory) *Dispatcher {
+func New(cfg Config, c courier, dir Directory, ticks *clock.Service, log *slog.Logger, m gauges) *Dispatcher {
 	return &Dispatcher{
 		cfg:      cfg,
 		c:        c,
 		dir:      dir,
-		submit:   make(chan submission),
-		cancel:   make(chan string, 64),
+		clock:    ticks,
+		log:      log,
+		m:        m,
+		requests: make(chan request, ring),
 		ended:    make(chan ending, cfg.Connections),
 		wake:     make(chan struct{}, 1),
-		inFlight: make(map[netip.AddrPort]int),
+		stopped:  make(chan struct{}),
+		reports:  newReports(),
+		p:        plan.New(cfg.Config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		batches:  make(map[string]*batch),
 	}
 }
 
-// Submit takes all tasks of the batch, or refuses it whole.
-func (d *Dispatcher) Submit(b Batch) error {
-	s := submission{b: b, answer: make(chan error, 1)}
-	d.submit <- s
-	return <-s.answer
-}
-
-// Cancel drops the tasks of a job that have not started.
-func (d *Dispatcher) Cancel(job string) { d.cancel <- job }
+// Free returns how many more tasks could start now.
+func (d *Dispatcher) Free() int { return int(d.free.Load()) }
 
 // Wake tells that the tables have changed.
 func (d *Dispatcher) Wake() {
@@ -141,130 +168,98 @@
 	}
 }
 
-// Serve runs the queue until ctx ends.
+// Serve runs the planner until ctx ends.
 func (d *Dispatcher) Serve(ctx context.Context) error {
-	t := time.NewTicker(100 * time.Millisecond)
-	defer t.Stop()
+	sub := d.clock.Subscribe(period)
+	defer sub.Stop()
+	var reporting sync.WaitGroup
+	reporting.Go(func() { d.reports.run(ctx) })
+	defer reporting.Wait()
+	d.look(d.clock.Now())
 	for {
 		select {
 		case <-ctx.Done():
+			d.stop.Do(func() { close(d.stopped) })
 			return ctx.Err()
-		case s := <-d.submit:
-			s.answer <- d.admit(s.b)
-		case job := <-d.cancel:
-			d.drop(job)
+		case r := <-d.requests:
+			d.take(r)
 		case e := <-d.ended:
-			d.settle(e)
+			d.p.Ended(d.clock.Now(), e.number, e.o)
 		case <-d.wake:
-		case <-t.C:
+			d.look(d.clock.Now())
+		case <-sub.C:
+			d.tick(d.clock.Now())
 		}
-		d.place(ctx)
+		d.act(ctx)
 	}
 }
 
-func (d *Dispatcher) admit(b Batch) error {
-	if _, ok := d.dir.State().Route(b.Kind); !ok {
-		return refusal.New(refusal.NoRoute, b.Kind)
-	}
-	if len(d.queue)+len(b.Tasks) > d.cfg.QueuedTasks {
-		return refusal.New(refusal.Overloaded, "").After(time.Second)
-	}
-	for i := range b.Tasks {
-		d.queue = append(d.queue, &task{b: &b, index: i})
-	}
-	return nil
+func (d *Dispatcher) tick(now time.Time) {
+	d.look(now)
+	d.p.Tick(now)
+	d.free.Store(int64(d.p.Free()))
+	d.m.Gauge("dispatch_waiting", float64(d.p.Waiting()))
+	d.m.Gauge("dispatch_busy", float64(d.p.Busy()))
+	d.m.Gauge("dispatch_reports", float64(d.reports.len()))
 }
 
-func (d *Dispatcher) drop(job string) {
-	kept := d.queue[:0]
-	for _, t := range d.queue {
-		if t.b.Job != job {
-			kept = append(kept, t)
-			continue
-		}
-		t.b.Done(t.index, Result{Ran: refusal.RanNo, Error: "cancelled"})
+// act asks the planner what to do, and does it.
+func (d *Dispatcher) act(ctx context.Context) {
+	now := d.clock.Now()
+	d.p.Allow(d.dir.MayPlace(now))
+	d.p.Take(now, &d.acts)
+	for _, e := range d.acts.Ends {
+		d.end(e)
 	}
-	d.queue = kept
-}
-
-func (d *Dispatcher) settle(e ending) {
-	d.busy--
-	d.inFlight[e.server]--
-	switch {
-	case e.o.Kind == delivery.Done:
-		e.t.b.Done(e.t.index, Result{Ran: refusal.RanYes, Done: true, Answer: e.o.Body, Status: e.o.Status, Type: e.o.Type})
-	case e.o.Kind == delivery.Ran:
-		e.t.b.Done(e.t.index, Result{Ran: refusal.RanYes, Done: e.t.b.Request, Answer: e.o.Body, Error: e.o.Reason, Status: e.o.Status, Type: e.o.Type})
-	case e.o.Kind == delivery.NotRun && e.t.attempt < 10:
-		e.t.attempt++
-		d.queue = append(d.queue, e.t)
-	case e.o.Kind == delivery.NotRun:
-		e.t.b.Done(e.t.index, Result{Ran: refusal.RanNo, Error: e.o.Reason})
-	default:
-		e.t.b.Done(e.t.index, Result{Ran: refusal.RanUnknown, Error: e.o.Reason})
+	for _, s := range d.acts.Starts {
+		d.start(ctx, s)
 	}
-}
-
-func (d *Dispatcher) place(ctx context.Context) {
-	now := time.Now()
-	kept := d.queue[:0]
-	for _, t := range d.queue {
-		if now.After(t.b.Expires) {
-			t.b.Done(t.index, Result{Ran: refusal.RanNo, Error: "the job's time is over"})
-			continue
-		}
-		server, route, ok := d.pick(now, t)
-		if !ok {
-			kept = append(kept, t)
-			continue
+	for _, n := range d.acts.News {
+		switch {
+		case n.Capped:
+			event.AsideFull.Log(d.log, "server", n.Server, "reason", string(n.Why))
+		case n.Aside:
+			event.ServerAside.Log(d.log, "server", n.Server, "reason", string(n.Why))
+		default:
+			event.ServerBack.Log(d.log, "server", n.Server)
 		}
-		d.start(ctx, now, t, server, route)
 	}
-	d.queue = kept
 }
 
-func (d *Dispatcher) pick(now time.Time, t *task) (netip.AddrPort, tables.Route, bool) {
-	if d.busy >= d.cfg.Connections || !d.dir.MayPlace(now) {
-		return netip.AddrPort{}, tables.Route{}, false
-	}
-	st := d.dir.State()
-	route, ok := st.Route(t.b.Kind)
-	if !ok {
-		return netip.AddrPort{}, route, false
-	}
-	var free []netip.AddrPort
-	for _, s := range st.Servers(route.Pool) {
-		if !s.Leaving && d.dir.Usable(now, s.Address) && s.DataCenter == d.cfg.DataCenter && d.inFlight[s.Address] < s.Slots {
-			free = append(free, s.Address)
-		}
+func (d *Dispatcher) start(ctx context.Context, s plan.Start) {
+	b := d.batches[s.Job]
+	a := delivery.Attempt{
+		Server:  s.Server,
+		Kind:    b.Kind,
+		Task:    delivery.TaskID(s.Job, s.Task, s.Attempt),
+		Body:    b.Tasks[s.Task],
+		Type:    b.Type,
+		Expires: s.Expires,
 	}
-	if len(free) == 0 {
-		return netip.AddrPort{}, route, false
+	d.m.Count("dispatch_starts", 1)
+	if s.Attempt > 0 {
+		d.m.Count("dispatch_retries", 1)
 	}
-	return free[rand.IntN(len(free))], route, true
+	go func() { d.ended <- ending{s.Number, d.c.Deliver(ctx, a)} }()
 }
 
-func (d *Dispatcher) start(ctx context.Context, now time.Time, t *task, server netip.AddrPort, r tables.Route) {
-	d.busy++
-	d.inFlight[server]++
-	limit := d.cfg.TaskTimeout
-	if r.Timeout > 0 {
-		limit = r.Timeout
+func (d *Dispatcher) end(e plan.End) {
+	b := d.batches[e.Job]
+	r := Result{Ran: e.Ran, Status: e.Outcome.Status, Error: e.Reason}
+	switch e.Outcome.Kind {
+	case delivery.Done:
+		r.Done = true
+	case delivery.Ran:
+		r.Done = b.Request
 	}
-	a := delivery.Attempt{
-		Server:  server,
-		Kind:    t.b.Kind,
-		Task:    delivery.TaskID(t.b.Job, t.index, t.attempt),
-		Body:    t.b.Tasks[t.index],
-		Type:    t.b.Type,
-		Expires: earlier(now.Add(limit), t.b.Expires),
+	if r.Done {
+		r.Answer = e.Outcome.Body
+		r.Type = e.Outcome.Type
+		r.Error = ""
 	}
-	go func() { d.ended <- ending{t, server, d.c.Deliver(ctx, a)} }()
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+	d.reports.add(report{b.Done, e.From, e.To, r})
+	b.left -= e.To - e.From
+	if b.left == 0 {
+		delete(d.batches, e.Job)
 	}
-	return b
 }
--- /dev/null
+++ b/dispatch/plan/plan_test.go
@@ -0,0 +1,298 @@
+package plan
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"snipehub.example/delivery"
+	"snipehub.example/dispatch/policy"
+	"snipehub.example/dispatch/pool"
+	"snipehub.example/refusal"
+	"snipehub.example/tables"
+)
+
+// TestMain fixes the seed, so that a run's verdict is always the same. A long
+// run: go test ./dispatch/plan -run Oracle -rapid.seed=0 -rapid.checks=100000.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1000")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 80)
+}
+
+// state is tables with one pool of n servers, in dc1.
+func state(t testing.TB, n, slots int, teams ...tables.Team) *tables.State {
+	t.Helper()
+	r := tables.Rows{
+		Routes: []tables.Route{
+			{Kind: "price", Half: "north", Pool: "quick"},
+			{Kind: "check", Half: "north", Pool: "quick", Repeatable: true},
+		},
+		Pools: []tables.Pool{{Name: "quick", Half: "north"}},
+		Teams: teams,
+	}
+	for i := range n {
+		r.Servers = append(r.Servers, tables.Server{Pool: "quick", Address: address(i), DataCenter: "dc1", Slots: slots})
+	}
+	st, err := tables.Build(1, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return st
+}
+
+func config(name string) Config {
+	e, _ := policy.Find(name)
+	return Config{
+		DataCenter: "dc1", Policy: e.Policy, Connections: 64, QueuedTasks: 1 << 20, Attempts: 4,
+		TaskTimeout: 10 * time.Second, MaxWait: 10 * time.Second, RetryBudget: 0.1, AsideShare: 0.3,
+	}
+}
+
+func planner(cfg Config, st *tables.State) *Planner {
+	p := New(cfg, rand.New(rand.NewPCG(1, 2)))
+	p.SetWorld(epoch, world(st))
+	return p
+}
+
+func world(st *tables.State) World {
+	return World{
+		Tables: st, MayPlace: true, Dispatchers: 1,
+		Members: pool.Members{Self: "a", Sizes: map[string]int{"a": 1}},
+		Usable:  func(netip.AddrPort) bool { return true },
+	}
+}
+
+// model is the oracle: what a task may do, told without any of the planner's
+// means.
+type model struct {
+	p       *Planner
+	cfg     Config
+	now     time.Time
+	st      *tables.State
+	n       int
+	jobs    map[string]*modelJob
+	flights map[uint64]Start
+	busy    map[netip.AddrPort]int
+	out     Actions
+}
+
+type modelJob struct {
+	Job
+	stopped bool
+	flying  []bool
+	ended   []bool
+	notRun  []int
+	unknown []bool
+}
+
+func (m *model) check(t *rapid.T) {
+	m.p.Take(m.now, &m.out)
+	for _, e := range m.out.Ends {
+		m.end(t, e)
+	}
+	for _, s := range m.out.Starts {
+		m.start(t, s)
+	}
+	if len(m.flights) > m.cfg.Connections {
+		t.Fatalf("%d attempts at once", len(m.flights))
+	}
+}
+
+func (m *model) start(t *rapid.T, s Start) {
+	j := m.jobs[s.Job]
+	switch {
+	case j == nil || j.stopped:
+		t.Fatalf("%s/%d starts after its end or cancellation", s.Job, s.Task)
+	case j.flying[s.Task] || j.ended[s.Task]:
+		t.Fatalf("%s/%d starts twice", s.Job, s.Task)
+	case s.Attempt >= m.cfg.Attempts:
+		t.Fatalf("attempt %d", s.Attempt)
+	case !j.Request && s.Attempt != j.notRun[s.Task]:
+		t.Fatalf("%s/%d: attempt %d after %d not run", s.Job, s.Task, s.Attempt, j.notRun[s.Task])
+	case !m.now.Before(s.Expires) || s.Expires.After(j.Expires):
+		t.Fatalf("lease %v outside the job's time", s.Expires)
+	}
+	var row *tables.Server
+	for _, v := range m.st.Servers("quick") {
+		if v.Address == s.Server {
+			row = &v
+		}
+	}
+	if row == nil || row.Leaving || row.DataCenter != m.cfg.DataCenter {
+		t.Fatalf("%v gets work", s.Server)
+	}
+	m.busy[s.Server]++
+	if m.busy[s.Server] > row.Slots {
+		t.Fatalf("%v has %d tasks, %d slots", s.Server, m.busy[s.Server], row.Slots)
+	}
+	j.flying[s.Task] = true
+	m.flights[s.Number] = s
+}
+
+func (m *model) end(t *rapid.T, e End) {
+	j := m.jobs[e.Job]
+	for i := e.From; i < e.To; i++ {
+		switch {
+		case j == nil || j.ended[i]:
+			t.Fatalf("%s/%d ends twice", e.Job, i)
+		case j.flying[i]:
+			t.Fatalf("%s/%d ends while it runs", e.Job, i)
+		case e.Ran == refusal.RanNo && j.unknown[i]:
+			t.Fatalf("%s/%d: \"not run\" although it may have run", e.Job, i)
+		}
+		j.ended[i] = true
+	}
+}
+
+func (m *model) submit(t *rapid.T) {
+	m.n++
+	j := Job{
+		ID:     fmt.Sprint("j", m.n),
+		Kind:   rapid.SampledFrom([]string{"price", "check", "none"}).Draw(t, "kind"),
+		Caller: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "caller"),
+		Team:   rapid.SampledFrom([]string{"", "red", "blue"}).Draw(t, "team"),
+		Tasks:  rapid.SampledFrom([]int{1, 1, 2, 5, 40}).Draw(t, "tasks"),
+	}
+	j.Request = j.Tasks == 1 && rapid.Bool().Draw(t, "request")
+	j.Expires = m.now.Add(time.Duration(rapid.IntRange(-1, 20000).Draw(t, "ms")) * time.Millisecond)
+	if m.p.Submit(m.now, j) != nil {
+		return
+	}
+	if j.Kind == "none" || !m.now.Before(j.Expires) {
+		t.Fatal("a job that can't run was taken")
+	}
+	m.jobs[j.ID] = &modelJob{
+		Job: j, flying: make([]bool, j.Tasks), ended: make([]bool, j.Tasks),
+		notRun: make([]int, j.Tasks), unknown: make([]bool, j.Tasks),
+	}
+}
+
+func (m *model) cancel(t *rapid.T) {
+	id := fmt.Sprint("j", rapid.IntRange(1, m.n+1).Draw(t, "job"))
+	m.p.Cancel(id)
+	if j := m.jobs[id]; j != nil {
+		j.stopped = true
+	}
+}
+
+func (m *model) finish(t *rapid.T) {
+	numbers := slices.Sorted(maps.Keys(m.flights))
+	if len(numbers) == 0 {
+		return
+	}
+	s := m.flights[rapid.SampledFrom(numbers).Draw(t, "which")]
+	o := rapid.SampledFrom([]delivery.Outcome{
+		{Kind: delivery.Done},
+		{Kind: delivery.Done},
+		{Kind: delivery.Ran, Cause: delivery.Status, Status: 500},
+		{Kind: delivery.NotRun, Cause: delivery.Refused},
+		{Kind: delivery.NotRun, Cause: delivery.NoConnection},
+		{Kind: delivery.Unknown, Cause: delivery.Broken},
+	}).Draw(t, "outcome")
+	m.settle(s, o)
+}
+
+func (m *model) settle(s Start, o delivery.Outcome) {
+	delete(m.flights, s.Number)
+	m.busy[s.Server]--
+	j := m.jobs[s.Job]
+	j.flying[s.Task] = false
+	switch o.Kind {
+	case delivery.NotRun:
+		j.notRun[s.Task]++
+	default:
+		j.unknown[s.Task] = true
+	}
+	m.p.Ended(m.now, s.Number, o)
+}
+
+func (m *model) tick(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 10, 100, 100, 3000}).Draw(t, "ms")) * time.Millisecond)
+	m.p.Tick(m.now)
+}
+
+func (m *model) tables(t *rapid.T) {
+	rows := m.st.Rows
+	rows.Servers = append([]tables.Server(nil), rows.Servers...)
+	i := rapid.IntRange(0, len(rows.Servers)-1).Draw(t, "server")
+	rows.Servers[i].Leaving = !rows.Servers[i].Leaving
+	rows.Servers[(i+1)%len(rows.Servers)].DataCenter = rapid.SampledFrom([]string{"dc1", "dc2"}).Draw(t, "dc")
+	st, err := tables.Build(m.st.Version+1, rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.st = st
+	m.p.SetWorld(m.now, world(st))
+}
+
+// drain ends everything, and nothing may be left.
+func (m *model) drain(t *rapid.T) {
+	for len(m.flights) > 0 {
+		first := slices.Min(slices.Collect(maps.Keys(m.flights)))
+		m.settle(m.flights[first], delivery.Outcome{Kind: delivery.Done})
+		m.check(t)
+	}
+	m.now = m.now.Add(time.Hour)
+	m.p.Tick(m.now)
+	m.check(t)
+	for id, j := range m.jobs {
+		for i, ended := range j.ended {
+			if !ended {
+				t.Fatalf("%s/%d never ends", id, i)
+			}
+		}
+	}
+	if n := len(m.p.jobs) + len(m.p.flights) + len(m.p.teams) + len(m.p.expiry) + m.p.waiting + m.p.busy + m.p.open; n != 0 {
+		t.Fatalf("%d things are left", n)
+	}
+}
+
+// TestOracle drives a planner through submissions, cancellations, outcomes,
+// passing time and changes of the tables, against a model that knows only what
+// a task may do: never on two servers, never after its end, never over slots or
+// connections, and exactly one end for each.
+func TestOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := config(rapid.SampledFrom([]string{"random", "two", "share", "hand"}).Draw(t, "policy"))
+		cfg.Connections = rapid.IntRange(1, 12).Draw(t, "connections")
+		cfg.JobSlots = rapid.IntRange(0, 3).Draw(t, "job slots")
+		cfg.RetryBudget = rapid.SampledFrom([]float64{0, 0.1, 1}).Draw(t, "budget")
+		m := &model{
+			cfg: cfg, now: epoch, jobs: make(map[string]*modelJob),
+			flights: make(map[uint64]Start), busy: make(map[netip.AddrPort]int),
+		}
+		rows := state(zeroT{}, 4, rapid.IntRange(1, 3).Draw(t, "slots"), tables.Team{Name: "red", Quota: 2, Weight: 3})
+		m.st = rows
+		m.p = planner(cfg, rows)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": m.submit,
+			"cancel": m.cancel,
+			"finish": m.finish,
+			"tick":   m.tick,
+			"tables": m.tables,
+			"":       m.check,
+		})
+		m.drain(t)
+	})
+}
+
+// zeroT stands for a testing.TB that is never failed.
+type zeroT struct{ testing.TB }
+
+func (zeroT) Helper() {}
--- /dev/null
+++ b/dispatch/policy/random/random.go
@@ -0,0 +1,24 @@
+// Package random is the baseline: any server that has a slot left by this
+// dispatcher's own count. Other dispatchers' tasks show only as refusals.
+package random
+
+import (
+	"math/rand/v2"
+	"net/netip"
+
+	"snipehub.example/dispatch/pool"
+)
+
+// Policy is the policy.
+type Policy struct{}
+
+// Limit returns all slots.
+func (Policy) Limit(_ netip.AddrPort, slots int, _ pool.Members) int { return slots }
+
+// Choose returns any server with room.
+func (Policy) Choose(free *pool.Free, r *rand.Rand) *pool.Seat {
+	return free.At(r.IntN(free.Len()))
+}
+
+// HandsOver returns false.
+func (Policy) HandsOver() bool { return false }
--- /dev/null
+++ b/dispatch/policy/two/two.go
@@ -0,0 +1,30 @@
+// Package two is power of two choices on own counts: of two random servers the
+// one on which the task should end first, by the load that this dispatcher put
+// there and the server's learned speed.
+package two
+
+import (
+	"math/rand/v2"
+	"net/netip"
+
+	"snipehub.example/dispatch/pool"
+)
+
+// Policy is the policy.
+type Policy struct{}
+
+// Limit returns all slots.
+func (Policy) Limit(_ netip.AddrPort, slots int, _ pool.Members) int { return slots }
+
+// Choose returns the better of two.
+func (Policy) Choose(free *pool.Free, r *rand.Rand) *pool.Seat {
+	a := free.At(r.IntN(free.Len()))
+	b := free.At(r.IntN(free.Len()))
+	if b.Server.Load() < a.Server.Load() {
+		return b
+	}
+	return a
+}
+
+// HandsOver returns false.
+func (Policy) HandsOver() bool { return false }
--- /dev/null
+++ b/dispatch/pool/server.go
@@ -0,0 +1,121 @@
+package pool
+
+import (
+	"math"
+	"net/netip"
+	"time"
+)
+
+const (
+	// classes is the number of classes of speed; each spans a factor of
+	// classFactor, and the middle one holds servers of average speed.
+	classes = 17
+	middle  = classes / 2
+
+	// warm is after how many samples an average stops being a plain mean and
+	// starts to forget.
+	warm = 16
+
+	// slowest bounds the learned slowness, and 1/slowest from below.
+	slowest = 64
+)
+
+var classFactor = math.Log(math.Sqrt2)
+
+// average is an exponentially weighted mean that starts as a plain one.
+type average struct {
+	value float64
+	n     int
+}
+
+func (a *average) add(v float64) {
+	a.n = min(a.n+1, warm)
+	a.value += (v - a.value) / float64(a.n)
+}
+
+// Server is a backend server as this dispatcher sees it.
+type Server struct {
+	Address netip.AddrPort
+
+	slots   int
+	limit   int
+	leaving bool
+	busy    int
+	seats   []*Seat
+	// working is the server's place in the list of those with tasks, or -1.
+	working int
+
+	slow    average
+	failing float64
+
+	strikes  int
+	refusals int
+	restTill time.Time
+	resting  bool
+	progress time.Time
+	state    state
+	probeAt  time.Time
+	backOff  time.Duration
+}
+
+// Busy returns how many of this dispatcher's tasks are there.
+func (s *Server) Busy() int { return s.busy }
+
+// Limit returns how many tasks this dispatcher may have there.
+func (s *Server) Limit() int { return s.limit }
+
+// Aside tells whether the server is set aside.
+func (s *Server) Aside() bool { return s.state != inUse }
+
+// Slowness returns the server's service time as a multiple of the usual one.
+func (s *Server) Slowness() float64 {
+	if s.slow.n == 0 {
+		return 1
+	}
+	return s.slow.value
+}
+
+// Load says how late the next task would end there, in no particular unit:
+// the learned slowness, more for each task that is there already, and more for
+// recent failures.
+func (s *Server) Load() float64 {
+	used := float64(s.busy) / float64(max(s.limit, 1))
+	return s.Slowness() * (1 + used) * (1 + failurePrice*s.failing)
+}
+
+// failurePrice is by how much a server that always fails looks slower.
+const failurePrice = 4
+
+func (s *Server) class() int {
+	v := s.Slowness() * (1 + failurePrice*s.failing)
+	c := middle + int(math.Round(math.Log(v)/classFactor))
+	return min(max(c, 0), classes-1)
+}
+
+// learn takes a service time as a multiple of the usual one.
+func (s *Server) learn(ratio float64) {
+	s.slow.add(min(max(ratio, 1.0/slowest), slowest))
+}
+
+// Usual is the learned service time of a kind, corrected by the slowness of the
+// servers on which it ran.
+//
+// Time of a kind on a server is taken as the product of the two. An average for
+// each pair would need every pair to be seen often; with thousands of servers
+// most never would.
+type Usual struct{ mean average }
+
+// Known tells whether enough tasks were seen to rely on the mean.
+func (u *Usual) Known() bool { return u.mean.n >= warm }
+
+// Mean returns the service time on a server of usual speed, or 0 while nothing
+// is known.
+func (u *Usual) Mean() time.Duration { return time.Duration(u.mean.value) }
+
+func (u *Usual) learn(d time.Duration, s *Server) {
+	slowness := s.Slowness()
+	if u.mean.n > 0 && u.mean.value > 0 {
+		s.learn(float64(d) / u.mean.value)
+	}
+	u.mean.add(float64(d) / slowness)
+}
--- /dev/null
+++ b/dispatch/queue/queue.go
@@ -0,0 +1,261 @@
+// Package queue orders the waiting tasks of one pool.
+//
+// Teams share by weighted fair queueing (start-time fair queueing: each team
+// has a virtual time that its starts advance by their cost over its weight, and
+// the smallest goes first), the callers of a team share it evenly in the same
+// way, and among the jobs of a caller the one with the fewest waiting tasks
+// goes first. A job of n tasks counts as if it had arrived n ageing steps
+// later than it did, which is the whole of the ageing: it is passed only by jobs
+// that arrive within that time, so none is starved.
+//
+// Taking, adding and charging cost the logarithm of the numbers of teams,
+// callers and jobs, and nothing that depends on the number of tasks. Removing a
+// job only marks it; marked jobs are dropped when they surface, or all at once
+// when they outnumber the others.
+//
+// A Queue is a plain value without locks and without a clock.
+package queue
+
+import "time"
+
+// Job is the waiting part of a job. Its owner keeps the tasks themselves.
+type Job struct {
+	Team, Caller string
+	// Weight is the team's; 0 counts as 1.
+	Weight float64
+	// Arrived is when the job was submitted.
+	Arrived time.Time
+	// Owner is whatever the job belongs to; the queue does not look at it.
+	Owner any
+
+	waiting int
+	opened  bool
+	queued  bool
+	removed bool
+	key     time.Time
+	caller  *caller
+}
+
+// Waiting returns how many tasks of the job wait.
+func (j *Job) Waiting() int { return j.waiting }
+
+// Opened tells whether a task of the job has been taken.
+func (j *Job) Opened() bool { return j.opened }
+
+// SetOpened marks a job, before it is added, as one of which a task was taken.
+func (j *Job) SetOpened(opened bool) { j.opened = opened }
+
+func (j *Job) before(o *Job) bool { return j.key.Before(o.key) }
+
+// Queue is the waiting tasks of one pool.
+type Queue struct {
+	step    time.Duration
+	clock   float64
+	waiting int
+	teams   map[string]*team
+	// fresh holds the jobs of which nothing was taken, opened the others.
+	fresh, opened heap[*teamSide]
+}
+
+// team is a flow of the first level.
+type team struct {
+	name    string
+	weight  float64
+	virtual float64
+	waiting int
+	parked  bool
+	// charged is the virtual time of the caller that was served last.
+	charged float64
+	callers map[string]*caller
+	fresh   teamSide
+	opened  teamSide
+}
+
+// caller is a flow of the second level.
+type caller struct {
+	team    *team
+	virtual float64
+	waiting int
+	fresh   callerSide
+	opened  callerSide
+}
+
+// New makes an empty queue; step is the ageing step of one task.
+func New(step time.Duration) *Queue {
+	return &Queue{step: step, teams: make(map[string]*team)}
+}
+
+// Len returns the number of waiting tasks.
+func (q *Queue) Len() int { return q.waiting }
+
+// Backlog returns the waiting tasks of a team, and its part of the weights of
+// all teams that wait, itself included.
+func (q *Queue) Backlog(name string, weight float64) (waiting int, part float64) {
+	weight = orOne(weight)
+	total := weight
+	for n, t := range q.teams {
+		if n != name && t.waiting > 0 {
+			total += t.weight
+		}
+	}
+	if t := q.teams[name]; t != nil {
+		waiting = t.waiting
+	}
+	return waiting, weight / total
+}
+
+// Add puts n more tasks of the job into the queue.
+func (q *Queue) Add(j *Job, n int) {
+	if j.removed || n <= 0 {
+		return
+	}
+	if !j.queued {
+		j.caller = q.find(j)
+	}
+	c := j.caller
+	t := c.team
+	if t.waiting == 0 {
+		t.virtual = max(t.virtual, q.clock)
+	}
+	if c.waiting == 0 {
+		c.virtual = max(c.virtual, t.charged)
+	}
+	j.waiting += n
+	c.waiting += n
+	t.waiting += n
+	q.waiting += n
+	if !j.queued {
+		q.push(j)
+	}
+}
+
+func (q *Queue) find(j *Job) *caller {
+	t := q.teams[j.Team]
+	if t == nil {
+		t = &team{name: j.Team, virtual: q.clock, callers: make(map[string]*caller)}
+		t.fresh.team = t
+		t.opened.team = t
+		q.teams[j.Team] = t
+	}
+	t.weight = orOne(j.Weight)
+	c := t.callers[j.Caller]
+	if c == nil {
+		c = &caller{team: t, virtual: t.charged}
+		c.fresh.caller = c
+		c.opened.caller = c
+		t.callers[j.Caller] = c
+	}
+	return c
+}
+
+// Remove takes all waiting tasks of the job out and returns their number. The
+// job can't be added again.
+func (q *Queue) Remove(j *Job) int {
+	n := j.waiting
+	if j.removed {
+		return 0
+	}
+	j.removed = true
+	if j.caller == nil {
+		return 0
+	}
+	q.count(j, -n)
+	if j.queued {
+		j.caller.side(j.opened).drop()
+	}
+	q.forget(j.caller)
+	return n
+}
+
+func (q *Queue) count(j *Job, n int) {
+	j.waiting += n
+	j.caller.waiting += n
+	j.caller.team.waiting += n
+	q.waiting += n
+}
+
+// Top returns the job whose task goes next, or nil. With openedOnly, jobs of
+// which nothing was taken yet are passed over.
+func (q *Queue) Top(openedOnly bool) *Job {
+	a := top(&q.opened)
+	if openedOnly {
+		return a
+	}
+	b := top(&q.fresh)
+	if a == nil || (b != nil && b.precedes(a)) {
+		return b
+	}
+	return a
+}
+
+func (j *Job) precedes(o *Job) bool {
+	if j.caller.team != o.caller.team {
+		return j.caller.team.virtual < o.caller.team.virtual
+	}
+	if j.caller != o.caller {
+		return j.caller.virtual < o.caller.virtual
+	}
+	return j.before(o)
+}
+
+// Take takes one task of the job that Top returned, and charges its team and
+// caller with the cost, which is in any unit that is the same for all tasks.
+func (q *Queue) Take(j *Job, cost float64) {
+	c := j.caller
+	t := c.team
+	q.clock = max(q.clock, t.virtual)
+	t.charged = max(t.charged, c.virtual)
+	t.virtual += cost / t.weight
+	c.virtual += cost
+	q.count(j, -1)
+	side := c.side(j.opened)
+	side.jobs.pop()
+	j.queued = false
+	j.opened = true
+	if j.waiting > 0 {
+		q.push(j)
+	}
+	q.forget(c)
+}
+
+// forget drops a caller, or a team, that owes nothing. Without it a queue
+// would remember every caller it ever saw.
+func (q *Queue) forget(c *caller) {
+	t := c.team
+	if t.waiting > 0 || len(t.callers) <= keptFlows && len(q.teams) <= keptFlows {
+		return
+	}
+	for n, o := range t.callers {
+		if o.waiting == 0 && o.virtual <= t.charged {
+			delete(t.callers, n)
+		}
+	}
+	if len(q.teams) > keptFlows && t.virtual <= q.clock && !t.parked {
+		delete(q.teams, t.name)
+	}
+}
+
+// Park holds a team back until Unpark; its tasks stay.
+func (q *Queue) Park(name string) {
+	if t := q.teams[name]; t != nil {
+		t.parked = true
+	}
+}
+
+// Unpark lets a team go on.
+func (q *Queue) Unpark(name string) {
+	t := q.teams[name]
+	if t == nil || !t.parked {
+		return
+	}
+	t.parked = false
+	q.enter(&t.fresh, false)
+	q.enter(&t.opened, true)
+}
+
+func orOne(weight float64) float64 {
+	if weight <= 0 {
+		return 1
+	}
+	return weight
+}
--- /dev/null
+++ b/dispatch/report.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+)
+
+// report is a result for the tasks from to to-1.
+type report struct {
+	done     func(index int, r Result)
+	from, to int
+	r        Result
+}
+
+// reports hands results to the owners of the jobs, in a goroutine of its own.
+//
+// An owner takes its lock in Done, and may hold it while it waits for Submit.
+// Were Done called by the goroutine that answers Submit, the two would wait for
+// each other, and every caller for both. The list is bounded because new work
+// is refused while it is long, and each task is reported once.
+type reports struct {
+	mu    sync.Mutex
+	list  []report
+	tasks int
+	ready chan struct{}
+}
+
+func newReports() reports { return reports{ready: make(chan struct{}, 1)} }
+
+func (s *reports) add(r report) {
+	s.mu.Lock()
+	s.list = append(s.list, r)
+	s.tasks += r.to - r.from
+	s.mu.Unlock()
+	select {
+	case s.ready <- struct{}{}:
+	default:
+	}
+}
+
+// len returns the number of tasks whose result was not yet handed over.
+func (s *reports) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tasks
+}
+
+// run hands over results until ctx ends.
+func (s *reports) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.ready:
+		}
+		for _, r := range s.take() {
+			for i := r.from; i < r.to; i++ {
+				r.done(i, r.r)
+			}
+			s.mu.Lock()
+			s.tasks -= r.to - r.from
+			s.mu.Unlock()
+		}
+	}
+}
+
+func (s *reports) take() []report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.list
+	s.list = nil
+	return list
+}
--- /dev/null
+++ b/dispatch/request.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipehub.example/dispatch/plan"
+	"snipehub.example/event"
+	"snipehub.example/refusal"
+)
+
+// request is a submission, or a cancellation when b is nil. Both go through
+// one ring, so that a cancellation never overtakes its submission.
+type request struct {
+	b      *Batch
+	job    string
+	claim  *atomic.Bool
+	answer chan error
+}
+
+// Submit takes all tasks of the batch, or refuses it whole. It never waits
+// longer than submitTimeout.
+//
+// The planner may be late (the process was frozen, a service restarts). Whoever
+// sets claim first decides: the planner, which then answers at once, or the
+// waiting submitter, who says "not run". Without it a submission that was
+// refused for the time-out may be taken later, and a "not run" would be false.
+func (d *Dispatcher) Submit(b Batch) error {
+	r := request{b: &b, claim: new(atomic.Bool), answer: make(chan error, 1)}
+	select {
+	case d.requests <- r:
+	default:
+		return refusal.New(refusal.Overloaded, "too many submissions at once").After(time.Second)
+	}
+	t := time.NewTimer(submitTimeout)
+	defer t.Stop()
+	select {
+	case err := <-r.answer:
+		return err
+	case <-d.stopped:
+		if r.claim.CompareAndSwap(false, true) {
+			return refusal.New(refusal.Stopping, "")
+		}
+	case <-t.C:
+		if r.claim.CompareAndSwap(false, true) {
+			return refusal.New(refusal.Overloaded, "the queue does not answer").After(time.Second)
+		}
+	}
+	return <-r.answer
+}
+
+// Cancel drops the tasks of a job that have not started. It waits only for a
+// place in the ring; the planner empties the ring without waiting for anybody.
+func (d *Dispatcher) Cancel(job string) {
+	select {
+	case d.requests <- request{job: job}:
+	case <-d.stopped:
+	}
+}
+
+// take works on a request and on all that wait behind it, so that a wave of
+// cancellations ends before the next task of one of them is placed.
+func (d *Dispatcher) take(r request) {
+	for range ring {
+		if r.b == nil {
+			d.p.Cancel(r.job)
+		} else if r.claim.CompareAndSwap(false, true) {
+			r.answer <- d.admit(r.b)
+		}
+		select {
+		case r = <-d.requests:
+		default:
+			return
+		}
+	}
+	if r.b != nil && r.claim.CompareAndSwap(false, true) {
+		r.answer <- d.admit(r.b)
+		return
+	}
+	if r.b == nil {
+		d.p.Cancel(r.job)
+	}
+}
+
+func (d *Dispatcher) admit(b *Batch) error {
+	now := d.clock.Now()
+	if d.reports.len() > d.cfg.QueuedTasks {
+		return refusal.New(refusal.Overloaded, "results wait to be taken").After(time.Second)
+	}
+	err := d.p.Submit(now, plan.Job{
+		ID:      b.Job,
+		Kind:    b.Kind,
+		Caller:  b.Caller,
+		Team:    b.Team,
+		Expires: b.Expires,
+		Request: b.Request,
+		Tasks:   len(b.Tasks),
+	})
+	if err == nil {
+		d.batches[b.Job] = &batch{*b, len(b.Tasks)}
+		return nil
+	}
+	d.m.Count("dispatch_refused", 1)
+	var r *refusal.Refusal
+	if errors.As(err, &r) && r.Code == refusal.Overloaded && now.Sub(d.complain) > quiet {
+		d.complain = now
+		event.QueueFull.Log(d.log, "waiting", d.p.Waiting(), "reason", r.Sentence)
+	}
+	return err
+}
--- /dev/null
+++ b/dispatch/world.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"maps"
+	"net/netip"
+	"time"
+
+	"snipehub.example/dispatch/plan"
+	"snipehub.example/dispatch/pool"
+	"snipehub.example/roster"
+)
+
+// look brings the tables and members into force that the directory has now, if
+// they have changed: applying them costs a look at every backend server.
+func (d *Dispatcher) look(now time.Time) {
+	m, live := d.members(now)
+	w := plan.World{
+		Tables:      d.dir.State(),
+		Members:     m,
+		Dispatchers: live,
+		MayPlace:    d.dir.MayPlace(now),
+		Usable:      func(a netip.AddrPort) bool { return d.dir.Usable(d.clock.Now(), a) },
+	}
+	same := w.Tables == d.world.Tables && live == d.world.Dispatchers && maps.Equal(m.Sizes, d.world.Members.Sizes)
+	if same {
+		return
+	}
+	d.world = w
+	d.p.SetWorld(now, w)
+}
+
+// members returns who divides the slots of this data centre, and how many
+// dispatchers are live in all. One that is suspect or leaving gets no part: its
+// slots would stand idle.
+func (d *Dispatcher) members(now time.Time) (pool.Members, int) {
+	self := d.cfg.Self.Owner.String()
+	out := pool.Members{Self: self, Sizes: map[string]int{self: d.cfg.Connections}}
+	live := 1
+	for _, k := range d.dir.Members(now) {
+		if k.State != roster.Live || k.Owner == d.cfg.Self.Owner {
+			continue
+		}
+		live++
+		if k.Owner.DataCenter == d.cfg.DataCenter {
+			out.Sizes[k.Owner.String()] = size(k, d.cfg.Connections)
+		}
+	}
+	return out, live
+}
+
+// size is the relative size of a member; one that does not tell counts as
+// large as this one.
+func size(k roster.Known, own int) int {
+	if k.Connections > 0 {
+		return k.Connections
+	}
+	return own
+}
--- a/event/table.go
+++ b/event/table.go
@@ -22,6 +22,12 @@
 
 	JobForwardFailed ID = 400
 
+	QueueFull ID = 500
+
+	ServerAside ID = 600
+	ServerBack  ID = 601
+	AsideFull   ID = 602
+
 	RequestPanicked ID = 700
 )
 
@@ -39,5 +45,9 @@
 	{MemberSuspect, slog.LevelWarn, "dispatcher suspect", "A dispatcher has been silent for the suspicion time. Its jobs are answered as unknown until it is heard again.", "0.1"},
 	{MemberGone, slog.LevelInfo, "dispatcher gone", "A dispatcher incarnation is gone for good: the VM list no longer has its VM, or a newer incarnation has its address.", "0.1"},
 	{JobForwardFailed, slog.LevelWarn, "forward to owner failed", "The owner of a job did not answer. The caller was told that the outcome is unknown.", "0.1"},
+	{QueueFull, slog.LevelWarn, "work refused for load", "Jobs are refused with a true \"not run\" because the expected wait or the number of waiting tasks is over its limit (dispatch.max_wait, limits.queued_tasks). Logged at most every 10 s; the metric dispatch_refused counts all. If it lasts, the pool needs more backend servers.", "0.1"},
+	{ServerAside, slog.LevelWarn, "backend server set aside", "The server gets no tasks but one now and then, to see whether it is well again, for the reason given.", "0.1"},
+	{ServerBack, slog.LevelInfo, "backend server back in use", "A trial task ended well on a server that was set aside.", "0.1"},
+	{AsideFull, slog.LevelError, "too many backend servers fail", "The server should be set aside, but dispatch.aside_share of its pool already is. Look for a cause that they share, such as a kind of request that fails everywhere.", "0.1"},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "A defect: the handler of a caller's request panicked. The caller got an error with the outcome unknown.", "0.1"},
 }
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -16,7 +16,6 @@
 
 	"snipehub.example/clock"
 	"snipehub.example/counter"
-	"snipehub.example/delivery"
 	"snipehub.example/dispatch"
 	"snipehub.example/event"
 	"snipehub.example/job"
@@ -80,12 +79,7 @@
 	cfg := h.cfg
 	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D())
 	h.tables = tables.New(h.log, platform, cfg.Tables.Poll.D(), func(*tables.State) { h.place.Wake() })
-	h.place = dispatch.New(dispatch.Config{
-		DataCenter:  cfg.Process.DataCenter,
-		Connections: cfg.Dispatch.Connections,
-		QueuedTasks: cfg.Limits.QueuedTasks,
-		TaskTimeout: cfg.Dispatch.TaskTimeout.D(),
-	}, delivery.New(cfg.Limits.AnswerBytes, cfg.Dispatch.Connections), directory{h})
+	h.place = h.placing()
 	h.owner = job.New(h.self, h.place, job.Limits{
 		Tickets:    cfg.Limits.Tickets,
 		Range:      cfg.Limits.TicketRange,
@@ -94,7 +88,7 @@
 		KeptFor:    cfg.Limits.KeptAnswerFor.D(),
 		JobTimeout: cfg.Limits.WriteTimeout.D(),
 	})
-	h.roster = roster.New(roster.Member{Owner: h.self, Address: cfg.Listen.Peers}, cfg.Peers.SuspectAfter.D())
+	h.roster = roster.New(h.member(), cfg.Peers.SuspectAfter.D())
 	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D())
 	h.peers = peer.NewServer(h.log, pln)
 	h.handlePeers()
--- a/hub/members.go
+++ b/hub/members.go
@@ -20,6 +20,7 @@
 		b := h.roster.Beat(func(m *roster.Member) {
 			m.Tables = h.tables.State().Version
 			m.Leaving = h.stopping.Load()
+			m.FreeSlots = h.place.Free()
 		})
 		to := h.roster.Peers(h.cfg.Peers.Fanout)
 		if len(to) == 0 {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -41,6 +41,8 @@
 	Tables tables.Version `json:"tables"`
 	// FreeSlots is how many more tasks it could start now.
 	FreeSlots int `json:"free_slots"`
+	// Connections is its size: how many tasks it runs at once.
+	Connections int `json:"connections,omitempty"`
 }
 
 // Beat is a heartbeat, and the answer to one.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,10 +10,13 @@
 	"encoding/hex"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
 	"github.com/go-faster/errors"
+
+	"snipehub.example/dispatch/policy"
 )
 
 // Duration is a time.Duration written as "5s" in TOML.
@@ -149,6 +152,8 @@
 	MaxWait     Duration `toml:"max_wait"`
 	// AsideShare is the largest part of a pool that is set aside as failing.
 	AsideShare float64 `toml:"aside_share"`
+	// Attempts bounds the attempts of one task.
+	Attempts int `toml:"attempts"`
 }
 
 // Log sets the process's own log lines.
@@ -196,6 +201,7 @@
 			RetryBudget: 0.1,
 			MaxWait:     Duration(10 * time.Second),
 			AsideShare:  0.3,
+			Attempts:    4,
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
@@ -246,6 +252,9 @@
 	case c.Callers.Open && len(c.Callers.Tokens) > 0:
 		return bad("callers.open", "contradicts callers.tokens")
 	}
+	if err := c.Dispatch.check(); err != nil {
+		return err
+	}
 	for _, t := range c.Callers.Tokens {
 		if h, err := hex.DecodeString(t.SHA256); err != nil || len(h) != 32 {
 			return bad("callers.tokens.sha256", "must be 64 hexadecimal digits")
@@ -254,6 +263,30 @@
 	return nil
 }
 
+func (d Dispatch) check() error {
+	bad := func(key, reason string) error { return errors.Errorf("dispatch.%s: %s", key, reason) }
+	_, known := policy.Find(d.Policy)
+	switch {
+	case !known:
+		return bad("policy", "must be one of "+strings.Join(policy.Names(), ", "))
+	case d.JobSlots < 0:
+		return bad("job_slots", "must not be below 0; 0 means no limit")
+	case d.Connections <= 0:
+		return bad("connections", "must be above 0")
+	case d.TaskTimeout <= 0:
+		return bad("task_timeout", "must be above 0")
+	case d.RetryBudget < 0 || d.RetryBudget > 1:
+		return bad("retry_budget", "must be between 0 and 1")
+	case d.MaxWait <= 0:
+		return bad("max_wait", "must be above 0")
+	case d.AsideShare < 0 || d.AsideShare > 1:
+		return bad("aside_share", "must be between 0 and 1")
+	case d.Attempts <= 0:
+		return bad("attempts", "must be above 0")
+	}
+	return nil
+}
+
 // Encode writes the settings as TOML.
 func Encode(c Config) ([]byte, error) {
 	var b bytes.Buffer
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -24,6 +24,11 @@
 	Incarnation uint64 `json:"incarnation"`
 }
 
+// String writes the owner as it stands in ids.
+func (o Owner) String() string {
+	return strings.Join([]string{o.DataCenter, o.VM, o.Process, strconv.FormatUint(o.Incarnation, 36)}, separator)
+}
+
 // ID is the name of a ticket.
 type ID struct {
 	Owner
