--- a/event/table.go
+++ b/event/table.go
@@ -15,6 +15,16 @@
 	EditRejected     ID = 201
 	TablesUnreadable ID = 202
 	LogUnreachable   ID = 203
+	LogWentBack      ID = 204
+	TablesIncomplete ID = 205
+	TablesComplete   ID = 206
+	SnapshotAppended ID = 207
+	LogReachable     ID = 208
+	PlacingStopped   ID = 209
+	PlacingResumed   ID = 210
+	ServersHeld      ID = 211
+	HeldEditsDropped ID = 212
+	SnapshotFailed   ID = 213
 
 	MemberJoined  ID = 300
 	MemberSuspect ID = 301
@@ -35,6 +45,16 @@
 	{EditRejected, slog.LevelWarn, "edit rejected", "An edit on the log named a base other than the current version, or would break the join of the two tables. Every reader rejects it alike.", "0.1"},
 	{TablesUnreadable, slog.LevelError, "tables record unreadable", "A record of the tables stream could not be decoded and was passed over. Find out who writes to the stream.", "0.1"},
 	{LogUnreachable, slog.LevelWarn, "log unreachable", "The platform's log did not answer. Work goes on with the tables in force.", "0.1"},
+	{LogWentBack, slog.LevelError, "log lost records", "The platform's log ends before an offset that was already read here. The tables in force stay; nothing is read until the log has passed that offset again.", "0.1"},
+	{TablesIncomplete, slog.LevelWarn, "tables incomplete", "The log has forgotten records that were not read here. Work goes on with the tables in force, and edits wait for a snapshot from the log or a peer. If it lasts, look whether any dispatcher appends snapshots.", "0.1"},
+	{TablesComplete, slog.LevelInfo, "tables complete", "A snapshot filled the hole; edits are followed again.", "0.1"},
+	{SnapshotAppended, slog.LevelInfo, "snapshot appended", "This process put the whole tables on the log, so that later readers need no forgotten records.", "0.1"},
+	{LogReachable, slog.LevelInfo, "log reachable again", "The platform's log answers again after the time given.", "0.1"},
+	{PlacingStopped, slog.LevelWarn, "placing stopped", "The tables are not confirmed within tables.settle and no other dispatcher of the data centre is in the same position, or the process was frozen. New work is refused here until they are confirmed.", "0.1"},
+	{PlacingResumed, slog.LevelInfo, "placing resumed", "The tables are confirmed, or the whole data centre is cut off and goes on with the tables that it has.", "0.1"},
+	{ServersHeld, slog.LevelInfo, "backend servers held back", "Backend servers moved between halves. They get no work from here until tables.settle has passed.", "0.1"},
+	{HeldEditsDropped, slog.LevelWarn, "waiting edits given up", "More edits than are kept arrived before a snapshot. A later snapshot is needed.", "0.1"},
+	{SnapshotFailed, slog.LevelWarn, "snapshot not appended", "The log did not take the snapshot, or its answer was lost. It is tried again after the interval unless another dispatcher was first.", "0.1"},
 	{MemberJoined, slog.LevelInfo, "dispatcher joined", "A dispatcher was heard for the first time, or with a newer incarnation.", "0.1"},
 	{MemberSuspect, slog.LevelWarn, "dispatcher suspect", "A dispatcher has been silent for the suspicion time. Its jobs are answered as unknown until it is heard again.", "0.1"},
 	{MemberGone, slog.LevelInfo, "dispatcher gone", "A dispatcher incarnation is gone for good: the VM list no longer has its VM, or a newer incarnation has its address.", "0.1"},
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -79,7 +80,12 @@
 func (h *Hub) build(pln net.Listener) {
 	cfg := h.cfg
 	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D())
-	h.tables = tables.New(h.log, platform, cfg.Tables.Poll.D(), func(*tables.State) { h.place.Wake() })
+	h.tables = tables.New(h.log, platform, tables.Config{
+		Poll:     cfg.Tables.Poll.D(),
+		Snapshot: cfg.Tables.Snapshot.D(),
+		Settle:   cfg.Tables.Settle.D(),
+		Changed:  func() { h.place.Wake() },
+	}, rand.New(rand.NewPCG(h.self.Incarnation, 0)))
 	h.place = dispatch.New(dispatch.Config{
 		DataCenter:  cfg.Process.DataCenter,
 		Connections: cfg.Dispatch.Connections,
@@ -152,6 +158,7 @@
 	root.Add(h.tables)
 	root.Add(h.place)
 	root.Add(h.peers)
+	root.Add(service("snapshots", h.snapshots))
 	root.Add(service("heartbeat", h.heartbeat))
 	root.Add(service("callers", h.serveHTTP))
 	return root
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -37,7 +37,10 @@
 	// First is the oldest offset that the log still has.
 	First Offset `json:"first"`
 	// Next is the offset to read from next time.
-	Next    Offset   `json:"next"`
+	Next Offset `json:"next"`
+	// End is the offset after the newest record, so that a reader knows
+	// whether it has read everything.
+	End     Offset   `json:"end"`
 	Records []Record `json:"records"`
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -97,7 +97,7 @@
 		return ledger.None, err
 	}
 	e := tables.Edit{ID: uuid.NewString(), Base: cur.Version, Author: author, At: time.Now()}
-	e.Put, e.Drop = tables.Diff(cur.Rows, want)
+	e.Put, e.Drop = tables.Diff(cur.Rows(), want)
 	b, err := json.Marshal(e)
 	if err != nil {
 		return ledger.None, errors.Wrap(err, "edit")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -135,7 +135,9 @@
 	Settle Duration `toml:"settle"`
 	// Snapshot is how often a snapshot is put on the log.
 	Snapshot Duration `toml:"snapshot"`
-	Poll     Duration `toml:"poll"`
+	// Poll is how long one read of the log waits for new records. The tables
+	// are confirmed once in this time, so it must be well below Settle.
+	Poll Duration `toml:"poll"`
 }
 
 // Dispatch sets how tasks are placed.
@@ -186,7 +188,7 @@
 		Tables: Tables{
 			Settle:   Duration(8 * time.Second),
 			Snapshot: Duration(10 * time.Minute),
-			Poll:     Duration(5 * time.Second),
+			Poll:     Duration(2 * time.Second),
 		},
 		Dispatch: Dispatch{
 			Policy:      "random",
@@ -245,6 +247,10 @@
 		return bad("callers.tokens", "is empty; set callers.open = true to let everybody in")
 	case c.Callers.Open && len(c.Callers.Tokens) > 0:
 		return bad("callers.open", "contradicts callers.tokens")
+	case c.Tables.Poll <= 0 || 3*c.Tables.Poll > c.Tables.Settle:
+		return bad("tables.poll", "must be above 0 and at most a third of tables.settle")
+	case c.Tables.Snapshot <= 0:
+		return bad("tables.snapshot", "must be above 0, and at most a quarter of the time that the log keeps records")
 	}
 	for _, t := range c.Callers.Tokens {
 		if h, err := hex.DecodeString(t.SHA256); err != nil || len(h) != 32 {
--- a/stand/log.go
+++ b/stand/log.go
@@ -154,7 +154,7 @@
 	l.forget(s)
 	from = max(from, s.first)
 	end := s.first + ledger.Offset(len(s.records))
-	p := ledger.Page{First: s.first, Next: min(from, end)}
+	p := ledger.Page{First: s.first, Next: min(from, end), End: end}
 	if from < end {
 		recs := s.records[from-s.first:]
 		recs = recs[:min(len(recs), maxPage)]
--- a/tables/follow.go
+++ b/tables/follow.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,31 +13,67 @@
 	"snipehub.example/ledger"
 )
 
-// Stream is the name of the tables' stream on the platform's log.
-const Stream = "tables"
-
-type reader interface {
+// store is what the tables need of the platform's log.
+type store interface {
 	Read(ctx context.Context, stream string, from ledger.Offset, wait time.Duration) (ledger.Page, error)
+	Append(ctx context.Context, stream string, data []byte) (ledger.Offset, error)
+}
+
+// Config sets a follower.
+type Config struct {
+	// Poll is how long one read waits for new records.
+	Poll time.Duration
+	// Snapshot is the shortest time between two snapshots on the log.
+	Snapshot time.Duration
+	// Settle is the bound in which a change is in force everywhere.
+	Settle time.Duration
+	// Changed is called after each change of the state. It must not block.
+	Changed func()
 }
 
 // Follower keeps the newest state that is known to this process. It is a
-// suture service.
+// suture service; its methods may be called from any goroutine.
 type Follower struct {
-	log  *slog.Logger
-	r    reader
-	poll time.Duration
+	log *slog.Logger
+	st  store
+	cfg Config
 
 	state     atomic.Pointer[State]
-	confirmed atomic.Int64
-	from      ledger.Offset
-	changed   func(*State)
+	confirmed atomic.Pointer[time.Time]
+
+	holdsMu sync.RWMutex
+	holds   *Holds
+
+	packMu sync.Mutex
+	pack   pack
+
+	mu       sync.Mutex
+	replay   *Replay
+	schedule *Schedule
+	complete bool
+	// interrupt ends the read that waits at the log; hurry makes the next one
+	// not wait.
+	interrupt context.CancelFunc
+	hurry     bool
+	downSince time.Time
+	readAt    time.Time
 }
 
-// New makes a follower that polls the log with the given wait and calls
-// changed after each change.
-func New(log *slog.Logger, r reader, poll time.Duration, changed func(*State)) *Follower {
-	f := &Follower{log: log, r: r, poll: poll, changed: changed}
-	f.state.Store(Empty())
+// New makes a follower.
+func New(log *slog.Logger, st store, cfg Config, rnd *rand.Rand) *Follower {
+	f := &Follower{
+		log:       log,
+		st:        st,
+		cfg:       cfg,
+		replay:    NewReplay(),
+		complete:  true,
+		holds:     NewHolds(cfg.Settle),
+		schedule:  NewSchedule(time.Now(), cfg.Snapshot, rnd),
+		interrupt: func() {},
+		hurry:     true,
+	}
+	f.state.Store(f.replay.State())
+	f.confirmed.Store(new(time.Time))
 	return f
 }
 
@@ -43,51 +81,261 @@
 func (f *Follower) State() *State { return f.state.Load() }
 
 // Confirmed returns the time at which the state was last known to be the
-// newest.
-func (f *Follower) Confirmed() time.Time { return time.Unix(0, f.confirmed.Load()) }
+// newest, by an own read of the log or by a peer's. It is zero before the
+// first one.
+func (f *Follower) Confirmed() time.Time { return *f.confirmed.Load() }
+
+// retryAfter is the pause after a read that failed.
+const retryAfter = time.Second
 
 // Serve follows the log until ctx ends.
 func (f *Follower) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil {
-			event.LogUnreachable.Log(f.log, "error", err)
-			sleep(ctx, time.Second)
+		if !f.step(ctx) {
+			sleep(ctx, retryAfter)
 		}
 	}
 	return ctx.Err()
 }
 
-func (f *Follower) step(ctx context.Context) error {
+// step reads once and tells whether the log answered.
+func (f *Follower) step(ctx context.Context) bool {
+	read, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	f.interrupt = cancel
+	from := f.replay.Next()
+	wait := f.cfg.Poll
+	if f.hurry {
+		wait = 0
+	}
+	f.hurry = false
+	f.mu.Unlock()
 	asked := time.Now()
-	p, err := f.r.Read(ctx, Stream, f.from, f.poll)
+	p, err := f.st.Read(read, Stream, from, wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if err != nil {
-		return err
+		return f.failed(ctx, read, err)
 	}
-	before := f.State()
-	for _, rec := range p.Records {
-		f.take(rec)
+	f.reached()
+	f.take(asked, p)
+	return true
+}
+
+// failed notes a read that failed; one that was interrupted is no failure.
+func (f *Follower) failed(ctx, read context.Context, err error) bool {
+	if read.Err() != nil {
+		return true
 	}
-	f.from = p.Next
-	f.confirmed.Store(asked.UnixNano())
-	if s := f.State(); s != before {
-		event.TablesInForce.Log(f.log, "version", s.Version)
-		f.changed(s)
+	if f.downSince.IsZero() && ctx.Err() == nil {
+		f.downSince = time.Now()
+		event.LogUnreachable.Log(f.log, "error", err)
 	}
-	return nil
+	return false
 }
 
-func (f *Follower) take(rec ledger.Record) {
-	var e Edit
-	if err := json.Unmarshal(rec.Data, &e); err != nil {
-		event.TablesUnreadable.Log(f.log, "offset", rec.Offset, "error", err)
+func (f *Follower) reached() {
+	f.readAt = time.Now()
+	if f.downSince.IsZero() {
 		return
 	}
-	s, err := f.State().Apply(rec.Offset, e)
-	if err != nil {
-		event.EditRejected.Log(f.log, "offset", rec.Offset, "edit", e.ID, "error", err)
+	event.LogReachable.Log(f.log, "after", time.Since(f.downSince).Round(time.Millisecond))
+	f.downSince = time.Time{}
+}
+
+// take learns from a page of the log. A page that reaches the log's end
+// confirms the state as of the time at which it was asked for.
+func (f *Follower) take(asked time.Time, p ledger.Page) {
+	if p.End != 0 && p.End < f.replay.Next() {
+		event.LogWentBack.Log(f.log, "end", p.End, "read", f.replay.Next())
 		return
 	}
-	f.state.Store(s)
+	for _, n := range f.replay.Page(p) {
+		f.report(n)
+	}
+	f.publish()
+	if f.replay.Complete() && p.Next >= p.End {
+		f.confirm(f.replay.State().Version, asked)
+	}
+}
+
+func (f *Follower) report(n Note) {
+	switch {
+	case n.Snapshot:
+		f.schedule.Seen(time.Now())
+	case n.Err == nil:
+	case n.Edit == "":
+		event.TablesUnreadable.Log(f.log, "offset", n.Offset, "error", n.Err)
+	default:
+		event.EditRejected.Log(f.log, "offset", n.Offset, "edit", n.Edit, "error", n.Err)
+	}
+}
+
+// publish makes the replay's state the one in force.
+func (f *Follower) publish() {
+	if c := f.replay.Complete(); c != f.complete {
+		f.complete = c
+		if c {
+			event.TablesComplete.Log(f.log, "version", f.replay.State().Version)
+		} else {
+			event.TablesIncomplete.Log(f.log, "version", f.replay.State().Version, "next", f.replay.Next())
+		}
+	}
+	before, now := f.State(), f.replay.State()
+	if before == now {
+		return
+	}
+	// The holds come first: placing must not see a moved server before it
+	// sees that the server is held back.
+	if n := f.hold(before, now); n > 0 {
+		event.ServersHeld.Log(f.log, "version", now.Version, "servers", n)
+	}
+	f.state.Store(now)
+	if before.Version == now.Version {
+		return
+	}
+	event.TablesInForce.Log(f.log, "version", now.Version)
+	f.cfg.Changed()
+}
+
+func (f *Follower) hold(before, now *State) int {
+	f.holdsMu.Lock()
+	defer f.holdsMu.Unlock()
+	return f.holds.Learn(time.Now(), before, now)
+}
+
+// Held tells whether a backend server is held back after a move between
+// halves.
+func (f *Follower) Held(now time.Time, server netip.AddrPort) bool {
+	f.holdsMu.RLock()
+	defer f.holdsMu.RUnlock()
+	return f.holds.Held(now, server)
+}
+
+// Confirm tells that the version was known to be the newest at the time. It
+// changes nothing while the state is older than the version.
+func (f *Follower) Confirm(v Version, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirm(v, at)
+}
+
+func (f *Follower) confirm(v Version, at time.Time) {
+	if f.State().Version >= v && at.After(f.Confirmed()) {
+		f.confirmed.Store(&at)
+	}
+}
+
+// Refresh asks the log at once. It is for a process that was frozen: a read
+// that was sent before the freeze says nothing about the time since.
+func (f *Follower) Refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hurry = true
+	f.interrupt()
+}
+
+// Wants tells whether to ask a peer that has the version: when it is newer and
+// the log does not answer here, or when a snapshot is missing. While the log
+// answers, it brings the edit itself, and a peer would only bring it twice.
+func (f *Follower) Wants(now time.Time, v Version) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.replay.Complete() {
+		return v >= f.State().Version
+	}
+	return v > f.State().Version && now.Sub(f.readAt) > 2*f.cfg.Poll
+}
+
+// Ask returns what to ask a peer.
+func (f *Follower) Ask() Ask {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replay.Ask()
+}
+
+// Body answers a peer.
+func (f *Follower) Body(a Ask) (Body, error) {
+	f.mu.Lock()
+	p, ok := f.replay.Edits(a)
+	st, through, whole := f.replay.Basis()
+	f.mu.Unlock()
+	switch {
+	case ok:
+		return Body{Page: &p}, nil
+	case !whole:
+		return Body{}, nil
+	}
+	b, err := f.snapshot(st, through, a.From)
+	return Body{Snapshot: b}, err
+}
+
+// pack is a packed snapshot with what it was made of.
+type pack struct {
+	state   *State
+	through ledger.Offset
+	bytes   []byte
+}
+
+// snapshot returns the packed snapshot of a state. The last one is kept,
+// because hundreds of fresh processes may ask for the same one at once; one
+// that ends before the asker's offset could leave a hole there.
+func (f *Follower) snapshot(st *State, through, from ledger.Offset) ([]byte, error) {
+	f.packMu.Lock()
+	defer f.packMu.Unlock()
+	if f.pack.state == st && f.pack.through >= from-1 {
+		return f.pack.bytes, nil
+	}
+	b, err := NewSnapshot(st, through).Encode()
+	if err != nil {
+		return nil, err
+	}
+	f.pack = pack{st, through, b}
+	return b, nil
+}
+
+// Take learns from a peer's answer.
+func (f *Follower) Take(b Body) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	notes, err := f.replay.Take(b)
+	if err != nil {
+		return err
+	}
+	for _, n := range notes {
+		f.report(n)
+	}
+	f.publish()
+	return nil
+}
+
+// PutSnapshot appends a snapshot to the log when it is time. A lost answer does
+// no harm: the record is seen when the log is read, and a second one changes
+// nothing.
+func (f *Follower) PutSnapshot(ctx context.Context, now time.Time) error {
+	f.mu.Lock()
+	if !f.schedule.Due(now) {
+		f.mu.Unlock()
+		return nil
+	}
+	f.schedule.Seen(now)
+	st, through, ok := f.replay.Basis()
+	f.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	b, err := NewSnapshot(st, through).Encode()
+	if err != nil {
+		return err
+	}
+	off, err := f.st.Append(ctx, Stream, b)
+	if err != nil {
+		event.SnapshotFailed.Log(f.log, "version", st.Version, "error", err)
+		return nil
+	}
+	event.SnapshotAppended.Log(f.log, "version", st.Version, "offset", off, "bytes", len(b))
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/tables/replay.go
@@ -0,0 +1,262 @@
+package tables
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"snipehub.example/ledger"
+)
+
+// Replay turns the records of the stream into the state in force. It is pure:
+// two replays that have read the same records hold the same state, however the
+// records reached them.
+//
+// A replay is complete when its state is what all records below its next
+// offset make. It is not while records are missing: at its start, when the log
+// has forgotten the first ones, or when it was away for longer than the log
+// remembers. It then goes on with the state that it has, and applies nothing
+// until a snapshot fills the hole.
+type Replay struct {
+	state    *State
+	complete bool
+	next     ledger.Offset
+
+	// start is the first offset from which an incomplete replay has read
+	// everything, and held the edits read since.
+	start     ledger.Offset
+	held      []ledger.Record
+	heldBytes int
+
+	// ring is the newest edits that took effect, for peers; every one from
+	// the offset floor on is there.
+	ring      []ledger.Record
+	ringBytes int
+	floor     ledger.Offset
+}
+
+// The bounds of what a replay keeps besides the state. Edits of one row take
+// about 300 bytes.
+const (
+	maxHeld      = 4096
+	maxHeldBytes = 4 << 20
+	maxRing      = 1024
+	maxRingBytes = 1 << 20
+)
+
+// NewReplay makes a replay that has read nothing.
+func NewReplay() *Replay {
+	return &Replay{state: Empty(), complete: true}
+}
+
+// State returns the state in force.
+func (r *Replay) State() *State { return r.state }
+
+// Complete tells whether the state is what all records below Next make.
+func (r *Replay) Complete() bool { return r.complete }
+
+// Next returns the offset to read from.
+func (r *Replay) Next() ledger.Offset { return r.next }
+
+// Note tells what became of one record.
+type Note struct {
+	Offset ledger.Offset
+	Edit   string
+	// Applied tells that the edit took effect here.
+	Applied bool
+	// Snapshot tells that the record is a snapshot.
+	Snapshot bool
+	// Err is why a record changed nothing.
+	Err error
+}
+
+// Page takes what was read from Next on, from the log or from a peer.
+func (r *Replay) Page(p ledger.Page) []Note {
+	if p.First > r.next {
+		r.lose(p.First)
+	}
+	var notes []Note
+	for _, rec := range p.Records {
+		if rec.Offset < r.next {
+			continue
+		}
+		notes = append(notes, r.take(rec))
+	}
+	r.next = max(r.next, p.Next)
+	return notes
+}
+
+// lose notes that the records between next and first are gone.
+func (r *Replay) lose(first ledger.Offset) {
+	r.complete = false
+	r.next = first
+	r.start = first
+	r.held, r.heldBytes = nil, 0
+	r.ring, r.ringBytes = nil, 0
+}
+
+func (r *Replay) take(rec ledger.Record) Note {
+	r.next = rec.Offset + 1
+	if isSnapshot(rec.Data) {
+		return r.takeSnapshot(rec)
+	}
+	if !r.complete {
+		r.hold(rec)
+		return Note{Offset: rec.Offset}
+	}
+	return r.apply(rec)
+}
+
+func (r *Replay) apply(rec ledger.Record) Note {
+	n := Note{Offset: rec.Offset}
+	e, err := DecodeEdit(rec)
+	if err != nil {
+		n.Err = err
+		return n
+	}
+	n.Edit = e.ID
+	s, err := r.state.Apply(rec.Offset, e)
+	if err != nil {
+		n.Err = err
+		return n
+	}
+	r.state = s
+	r.remember(rec)
+	n.Applied = true
+	return n
+}
+
+// hold keeps an edit that can't be judged yet. When there are too many, the
+// oldest is given up: the replay then needs a snapshot that was taken later.
+func (r *Replay) hold(rec ledger.Record) {
+	r.held = append(r.held, rec)
+	r.heldBytes += len(rec.Data)
+	for len(r.held) > maxHeld || r.heldBytes > maxHeldBytes {
+		r.start = r.held[0].Offset + 1
+		r.heldBytes -= len(r.held[0].Data)
+		r.held = r.held[1:]
+	}
+}
+
+// remember keeps an edit that took effect for peers that lag.
+func (r *Replay) remember(rec ledger.Record) {
+	r.ring = append(r.ring, rec)
+	r.ringBytes += len(rec.Data)
+	for len(r.ring) > maxRing || r.ringBytes > maxRingBytes {
+		r.floor = r.ring[0].Offset + 1
+		r.ringBytes -= len(r.ring[0].Data)
+		r.ring = r.ring[1:]
+	}
+}
+
+// takeSnapshot adopts a snapshot from the log only when something is missing:
+// a complete replay has read all that the snapshot stands for, and more.
+func (r *Replay) takeSnapshot(rec ledger.Record) Note {
+	n := Note{Offset: rec.Offset, Snapshot: true}
+	if r.complete {
+		return n
+	}
+	snap, err := DecodeSnapshot(rec.Data)
+	if err != nil {
+		n.Err = err
+		return n
+	}
+	n.Err = r.Adopt(snap)
+	return n
+}
+
+// ErrHole means that records after a snapshot's last one are missing here.
+var ErrHole = errors.New("tables: records after the snapshot are missing")
+
+// Adopt takes over the state of a snapshot, from the log or from a peer, and
+// replays on top of it what was read after its last offset.
+//
+// A snapshot may be adopted only if every record after its Through has been
+// read here. Counter-example: the author has read up to offset 7 and takes
+// version 5; an operator's edit lands at 8 and takes effect everywhere; the
+// snapshot lands at 9; the log forgets all below 9. A fresh reader that took
+// version 5 from it would miss the edit at 8, reject the next one, whose base
+// is 8, and never agree with the others again.
+func (r *Replay) Adopt(n Snapshot) error {
+	after := n.Through + 1
+	switch {
+	case r.complete && after <= r.next:
+		return nil
+	case after < r.next && after < r.start:
+		return errors.Wrapf(ErrHole, "through %d, read from %d", n.Through, r.start)
+	case n.Version < r.state.Version:
+		return errors.Wrapf(ErrSnapshot, "version %d is older than %d", n.Version, r.state.Version)
+	}
+	s, err := n.state()
+	if err != nil {
+		return err
+	}
+	held := r.held
+	r.state, r.complete = s, true
+	r.held, r.heldBytes = nil, 0
+	r.ring, r.ringBytes = nil, 0
+	r.floor = after
+	for _, rec := range held {
+		if rec.Offset >= after {
+			r.apply(rec)
+		}
+	}
+	r.next = max(r.next, after)
+	return nil
+}
+
+// Basis returns what a snapshot is made of: the state and the last offset read.
+// It is false for a replay that is not complete or has no tables yet.
+func (r *Replay) Basis() (s *State, through ledger.Offset, ok bool) {
+	if !r.complete || r.state.Version == ledger.None {
+		return nil, ledger.None, false
+	}
+	return r.state, r.next - 1, true
+}
+
+// Ask is what a process asks a peer whose version is newer.
+type Ask struct {
+	// From is the asker's next offset.
+	From ledger.Offset `json:"from"`
+	// Whole asks for a snapshot, because the asker can't apply edits.
+	Whole bool `json:"whole,omitempty"`
+}
+
+// Body is a peer's answer to Ask: the edits from an offset on, a packed
+// snapshot, or neither when the peer itself has nothing to give.
+type Body struct {
+	Page     *ledger.Page `json:"page,omitempty"`
+	Snapshot []byte       `json:"snapshot,omitempty"`
+}
+
+// Ask returns what to ask a peer.
+func (r *Replay) Ask() Ask { return Ask{From: r.next, Whole: !r.complete} }
+
+// Edits answers a peer that lags with the edits from an offset on, or false when
+// it needs a snapshot. Only edits that took effect are passed on: the others
+// change no state, wherever they are read.
+func (r *Replay) Edits(a Ask) (ledger.Page, bool) {
+	if !r.complete || a.Whole || a.From < r.floor {
+		return ledger.Page{}, false
+	}
+	i, _ := slices.BinarySearchFunc(r.ring, a.From, func(rec ledger.Record, o ledger.Offset) int {
+		return cmp.Compare(rec.Offset, o)
+	})
+	return ledger.Page{First: a.From, Next: r.next, Records: slices.Clone(r.ring[i:])}, true
+}
+
+// Take learns from a peer's answer.
+func (r *Replay) Take(b Body) ([]Note, error) {
+	if b.Page != nil && b.Page.First <= r.next {
+		return r.Page(*b.Page), nil
+	}
+	if len(b.Snapshot) == 0 {
+		return nil, nil
+	}
+	n, err := DecodeSnapshot(b.Snapshot)
+	if err != nil {
+		return nil, err
+	}
+	return nil, r.Adopt(n)
+}
--- /dev/null
+++ b/tables/state.go
@@ -0,0 +1,193 @@
+package tables
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipehub.example/ledger"
+)
+
+// State is the content of the tables at a version. States are never changed
+// once made, so they may be shared between goroutines. States that follow each
+// other share all rows that did not change.
+type State struct {
+	Version Version
+
+	// logged is the log's time of the edit that made the state.
+	logged time.Time
+	routes *index[string, Route]
+	teams  *index[string, Team]
+	groups *index[string, *group]
+	// homes gives the pools that a backend server is in.
+	homes *index[netip.AddrPort, []string]
+	moves *index[netip.AddrPort, Move]
+	// lastMove is the version of the newest move.
+	lastMove Version
+}
+
+// group is a pool with what refers to it.
+type group struct {
+	pool Pool
+	// servers are sorted by address.
+	servers []Server
+	// kinds are the routes to the pool.
+	kinds []string
+}
+
+// Empty is the state before the first edit.
+func Empty() *State {
+	return &State{
+		Version:  ledger.None,
+		routes:   new(index[string, Route]),
+		teams:    new(index[string, Team]),
+		groups:   new(index[string, *group]),
+		homes:    new(index[netip.AddrPort, []string]),
+		moves:    new(index[netip.AddrPort, Move]),
+		lastMove: ledger.None,
+	}
+}
+
+// Build checks the rows and makes the state of them.
+func Build(v Version, rows Rows) (*State, error) {
+	if err := checkDoubles(rows); err != nil {
+		return nil, err
+	}
+	return Empty().Apply(v, Edit{Base: ledger.None, Put: rows})
+}
+
+// checkDoubles refuses rows of the same key, of which an edit would silently
+// take the last.
+func checkDoubles(rows Rows) error {
+	if k, ok := double(rows.Pools, func(p Pool) string { return p.Name }); ok {
+		return errors.Errorf("pools: pool %q stands twice", k)
+	}
+	if k, ok := double(rows.Servers, Server.Key); ok {
+		return errors.Errorf("servers: %s stands twice in pool %q", k.Address, k.Pool)
+	}
+	if k, ok := double(rows.Routes, func(r Route) string { return r.Kind }); ok {
+		return errors.Errorf("routes: kind %q stands twice", k)
+	}
+	if k, ok := double(rows.Teams, func(t Team) string { return t.Name }); ok {
+		return errors.Errorf("teams: team %q stands twice", k)
+	}
+	return nil
+}
+
+func double[K comparable, R any](rows []R, key func(R) K) (K, bool) {
+	seen := make(map[K]struct{}, len(rows))
+	for _, r := range rows {
+		k := key(r)
+		if _, ok := seen[k]; ok {
+			return k, true
+		}
+		seen[k] = struct{}{}
+	}
+	var none K
+	return none, false
+}
+
+// Route finds the row of a kind.
+func (s *State) Route(kind string) (Route, bool) { return s.routes.get(kind) }
+
+// Pool finds a pool's row.
+func (s *State) Pool(name string) (Pool, bool) {
+	g, ok := s.groups.get(name)
+	if !ok {
+		return Pool{}, false
+	}
+	return g.pool, true
+}
+
+// Servers returns the members of a pool, sorted by address; do not change the
+// result.
+func (s *State) Servers(pool string) []Server {
+	g, ok := s.groups.get(pool)
+	if !ok {
+		return nil
+	}
+	return g.servers
+}
+
+// Team finds a team's row.
+func (s *State) Team(name string) (Team, bool) { return s.teams.get(name) }
+
+// Half returns the half that a backend server belongs to, or "".
+func (s *State) Half(server netip.AddrPort) string {
+	pools, ok := s.homes.get(server)
+	if !ok {
+		return ""
+	}
+	p, _ := s.Pool(pools[0])
+	return p.Half
+}
+
+// Halves lists the halves that the pools name, sorted.
+func (s *State) Halves() []string {
+	var out []string
+	for _, g := range s.groups.all {
+		out = append(out, g.pool.Half)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// Rows returns a copy of all rows, sorted by their keys. It costs a copy of the
+// tables, so it is for operators and snapshots, not for the path of a task.
+func (s *State) Rows() Rows {
+	var out Rows
+	for _, r := range s.routes.all {
+		out.Routes = append(out.Routes, r)
+	}
+	for _, t := range s.teams.all {
+		out.Teams = append(out.Teams, t)
+	}
+	for _, g := range s.groups.all {
+		out.Pools = append(out.Pools, g.pool)
+		out.Servers = append(out.Servers, g.servers...)
+	}
+	slices.SortFunc(out.Routes, func(a, b Route) int { return strings.Compare(a.Kind, b.Kind) })
+	slices.SortFunc(out.Teams, func(a, b Team) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(out.Pools, func(a, b Pool) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(out.Servers, func(a, b Server) int { return compareKeys(a.Key(), b.Key()) })
+	return out
+}
+
+// Move records that a backend server left a half. It is part of the state, so
+// that a fresh process knows of moves that it did not see happen.
+type Move struct {
+	Address netip.AddrPort `json:"address"`
+	From    string         `json:"from"`
+	// To is the half that it came to, or "" while it is in no pool.
+	To      string    `json:"to,omitempty"`
+	Version Version   `json:"version"`
+	At      time.Time `json:"at"`
+}
+
+// maxMoves bounds the moves that a state remembers. When it is reached, the
+// older half is forgotten: a process that starts later does not hold those
+// servers back.
+const maxMoves = 16384
+
+// movesSince returns the moves of later versions than v, oldest first.
+func (s *State) movesSince(v Version) []Move {
+	if s.lastMove <= v {
+		return nil
+	}
+	var out []Move
+	for _, m := range s.moves.all {
+		if m.Version > v {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, compareMoves)
+	return out
+}
+
+func compareMoves(a, b Move) int {
+	return cmp.Or(cmp.Compare(a.Version, b.Version), a.Address.Compare(b.Address))
+}
