The network is a dependency of the hub

Cause: the fault matrix has to run several dispatchers on a fake clock, and the parts opened sockets by themselves.

Ruled out: a fake for each part (forwarding, heartbeats and deliveries then never meet in one test); network namespaces and proxies (slow, real clock).

Change: ledger, delivery and peer take the function that opens connections; hub takes a Network. The real one is hub.TCP.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -78,11 +78,15 @@
 	maxBytes int64
 }
 
-// New makes a client that accepts answers of up to maxBytes.
-func New(maxBytes int64, perServer int) *Client {
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// New makes a client that accepts answers of up to maxBytes and keeps up to
+// perServer idle connections to each backend server; dial opens them.
+func New(maxBytes int64, perServer int, dial Dial) *Client {
 	tr := &http.Transport{
 		Proxy:               nil,
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         dial,
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: perServer,
 		IdleConnTimeout:     30 * time.Second,
--- a/hub/command.go
+++ b/hub/command.go
@@ -44,7 +44,7 @@
 	if c.Bool("check") {
 		return nil
 	}
-	h, err := New(cfg, logger(cfg.Log))
+	h, err := New(cfg, logger(cfg.Log), TCP{})
 	if err != nil {
 		return errors.Wrap(err, c.String("config"))
 	}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -32,6 +32,7 @@
 // Hub is one dispatcher process.
 type Hub struct {
 	cfg    settings.Config
+	net    Network
 	log    *slog.Logger
 	self   ticket.Owner
 	clock  *clock.Service
@@ -48,19 +49,43 @@
 	stopping atomic.Bool
 }
 
+// Network is the way to listen and to connect. Tests put one in memory in its
+// place, to run several dispatchers on a fake clock.
+type Network interface {
+	Listen(network, addr string) (net.Listener, error)
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = time.Second
+
+// TCP is the network of the operating system.
+type TCP struct{}
+
+// Listen listens on a TCP address.
+func (TCP) Listen(network, addr string) (net.Listener, error) {
+	return net.Listen(network, addr)
+}
+
+// DialContext connects to a TCP address.
+func (TCP) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+}
+
 // New binds the addresses of the settings and makes the parts.
-func New(cfg settings.Config, log *slog.Logger) (*Hub, error) {
-	ln, err := net.Listen("tcp", cfg.Listen.Callers.String())
+func New(cfg settings.Config, log *slog.Logger, nw Network) (*Hub, error) {
+	ln, err := nw.Listen("tcp", cfg.Listen.Callers.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen.callers")
 	}
-	pln, err := net.Listen("tcp", cfg.Listen.Peers.String())
+	pln, err := nw.Listen("tcp", cfg.Listen.Peers.String())
 	if err != nil {
 		_ = ln.Close()
 		return nil, errors.Wrap(err, "listen.peers")
 	}
 	h := &Hub{
 		cfg:   cfg,
+		net:   nw,
 		log:   log,
 		ln:    ln,
 		clock: clock.New(),
@@ -78,14 +103,14 @@
 
 func (h *Hub) build(pln net.Listener) {
 	cfg := h.cfg
-	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D())
+	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
 	h.tables = tables.New(h.log, platform, cfg.Tables.Poll.D(), func(*tables.State) { h.place.Wake() })
 	h.place = dispatch.New(dispatch.Config{
 		DataCenter:  cfg.Process.DataCenter,
 		Connections: cfg.Dispatch.Connections,
 		QueuedTasks: cfg.Limits.QueuedTasks,
 		TaskTimeout: cfg.Dispatch.TaskTimeout.D(),
-	}, delivery.New(cfg.Limits.AnswerBytes, cfg.Dispatch.Connections), directory{h})
+	}, delivery.New(cfg.Limits.AnswerBytes, cfg.Dispatch.Connections, h.net.DialContext), directory{h})
 	h.owner = job.New(h.self, h.place, job.Limits{
 		Tickets:    cfg.Limits.Tickets,
 		Range:      cfg.Limits.TicketRange,
@@ -95,7 +120,7 @@
 		JobTimeout: cfg.Limits.WriteTimeout.D(),
 	})
 	h.roster = roster.New(roster.Member{Owner: h.self, Address: cfg.Listen.Peers}, cfg.Peers.SuspectAfter.D())
-	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D())
+	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D(), h.net.DialContext)
 	h.peers = peer.NewServer(h.log, pln)
 	h.handlePeers()
 	h.http = &http.Server{
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -67,9 +68,13 @@
 	timeout  time.Duration
 }
 
-// New makes a client of the services at the two addresses.
-func New(log, vms netip.AddrPort, timeout time.Duration) *Client {
-	tr := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 4}
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// New makes a client of the services at the two addresses; dial opens its
+// connections.
+func New(log, vms netip.AddrPort, timeout time.Duration, dial Dial) *Client {
+	tr := &http.Transport{Proxy: nil, DialContext: dial, MaxIdleConnsPerHost: 4}
 	return &Client{log: log, vms: vms, hc: &http.Client{Transport: tr}, timeout: timeout}
 }
 
--- a/load/deploy.go
+++ b/load/deploy.go
@@ -76,7 +76,7 @@
 	if err := await(ctx, d.log, "/v1/vms"); err != nil {
 		return err
 	}
-	if _, err := operator.Apply(ctx, ledger.New(d.log, d.log, 5*time.Second), d.rows(), "demo"); err != nil {
+	if _, err := operator.Apply(ctx, ledger.New(d.log, d.log, 5*time.Second, (&net.Dialer{}).DialContext), d.rows(), "demo"); err != nil {
 		return err
 	}
 	for _, a := range append(d.Callers, d.Workers...) {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -81,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	v, err := Apply(ctx, ledger.New(addr, addr, 5*time.Second), want, c.String("author"))
+	v, err := Apply(ctx, ledger.New(addr, addr, 5*time.Second, (&net.Dialer{}).DialContext), want, c.String("author"))
 	if err != nil {
 		return err
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -127,14 +127,19 @@
 type Dialer struct {
 	tls     *tls.Config
 	timeout time.Duration
+	open    Dial
 
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*jsonrpc2.Conn
 }
 
-// NewDialer makes a dialer; a nil config means plain TCP.
-func NewDialer(cfg *tls.Config, timeout time.Duration) *Dialer {
-	return &Dialer{tls: cfg, timeout: timeout, conns: make(map[netip.AddrPort]*jsonrpc2.Conn)}
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// NewDialer makes a dialer that opens connections by open; a nil config means
+// plain TCP.
+func NewDialer(cfg *tls.Config, timeout time.Duration, open Dial) *Dialer {
+	return &Dialer{tls: cfg, timeout: timeout, open: open, conns: make(map[netip.AddrPort]*jsonrpc2.Conn)}
 }
 
 // Call calls a method of the peer at the address, until ctx ends.
@@ -176,7 +181,7 @@
 func (d *Dialer) dial(ctx context.Context, to netip.AddrPort) (*jsonrpc2.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
-	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
+	nc, err := d.open(ctx, "tcp", to.String())
 	if err != nil {
 		return nil, err
 	}
