--- a/hub/tables.go
+++ b/hub/tables.go
@@ -2,9 +2,22 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
+
+	"snipehub.example/ledger"
+	"snipehub.example/tables"
 )
 
+func (h *Hub) newTables(platform *ledger.Client) *tables.Follower {
+	return tables.New(h.log, platform, tables.Config{
+		Poll:     h.cfg.Tables.Poll.D(),
+		Snapshot: h.cfg.Tables.Snapshot.D(),
+		Settle:   h.cfg.Tables.Settle.D(),
+		Changed:  func() { h.place.Wake() },
+	}, rand.New(rand.NewPCG(h.self.Incarnation, 0)))
+}
+
 // snapshotCheck is how often it is looked whether a snapshot is due.
 const snapshotCheck = time.Second
 
