--- a/tables/follow.go
+++ b/tables/follow.go
@@ -164,6 +164,8 @@
 	switch {
 	case n.Snapshot:
 		f.schedule.Seen(time.Now())
+	case n.GivenUp:
+		event.HeldEditsDropped.Log(f.log, "offset", n.Offset)
 	case n.Err == nil:
 	case n.Edit == "":
 		event.TablesUnreadable.Log(f.log, "offset", n.Offset, "error", n.Err)
--- a/tables/oracle_test.go
+++ b/tables/oracle_test.go
@@ -17,7 +17,8 @@
 //	go test ./tables -run Rapid -rapid.seed=0 -rapid.checks=20000
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "200")
+	_ = flag.Set("rapid.checks", "400")
+	_ = flag.Set("rapid.steps", "50")
 	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
--- a/tables/replay.go
+++ b/tables/replay.go
@@ -25,31 +25,56 @@
 
 	// start is the first offset from which an incomplete replay has read
 	// everything, and held the edits read since.
-	start     ledger.Offset
-	held      []ledger.Record
-	heldBytes int
+	start ledger.Offset
+	held  list
 
 	// ring is the newest edits that took effect, for peers; every one from
 	// the offset floor on is there.
-	ring      []ledger.Record
-	ringBytes int
-	floor     ledger.Offset
+	ring  list
+	floor ledger.Offset
 }
 
-// The bounds of what a replay keeps besides the state. Edits of one row take
-// about 300 bytes.
-const (
-	maxHeld      = 4096
-	maxHeldBytes = 4 << 20
-	maxRing      = 1024
-	maxRingBytes = 1 << 20
+// keep bounds a list of records.
+type keep struct {
+	records, bytes int
+}
+
+// The bounds of what a replay keeps besides the state. An edit of one row takes
+// about 200 bytes.
+var (
+	keepHeld = keep{4096, 4 << 20}
+	keepRing = keep{1024, 1 << 20}
 )
 
 // NewReplay makes a replay that has read nothing.
-func NewReplay() *Replay {
-	return &Replay{state: Empty(), complete: true}
+func NewReplay() *Replay { return newReplay(keepHeld, keepRing) }
+
+func newReplay(held, ring keep) *Replay {
+	return &Replay{state: Empty(), complete: true, held: list{keep: held}, ring: list{keep: ring}}
+}
+
+// list is the newest records of a kind, bounded.
+type list struct {
+	keep    keep
+	records []ledger.Record
+	bytes   int
 }
 
+// add appends a record. When the list is full it drops the oldest and returns
+// the last offset dropped.
+func (l *list) add(rec ledger.Record) (dropped ledger.Offset, full bool) {
+	l.records = append(l.records, rec)
+	l.bytes += len(rec.Data)
+	for len(l.records) > l.keep.records || l.bytes > l.keep.bytes {
+		dropped, full = l.records[0].Offset, true
+		l.bytes -= len(l.records[0].Data)
+		l.records = l.records[1:]
+	}
+	return dropped, full
+}
+
+func (l *list) clear() { l.records, l.bytes = nil, 0 }
+
 // State returns the state in force.
 func (r *Replay) State() *State { return r.state }
 
@@ -67,6 +92,8 @@
 	Applied bool
 	// Snapshot tells that the record is a snapshot.
 	Snapshot bool
+	// GivenUp tells that an older edit that waited for a snapshot was dropped.
+	GivenUp bool
 	// Err is why a record changed nothing.
 	Err error
 }
@@ -92,8 +119,8 @@
 	r.complete = false
 	r.next = first
 	r.start = first
-	r.held, r.heldBytes = nil, 0
-	r.ring, r.ringBytes = nil, 0
+	r.held.clear()
+	r.ring.clear()
 }
 
 func (r *Replay) take(rec ledger.Record) Note {
@@ -102,8 +129,7 @@
 		return r.takeSnapshot(rec)
 	}
 	if !r.complete {
-		r.hold(rec)
-		return Note{Offset: rec.Offset}
+		return r.hold(rec)
 	}
 	return r.apply(rec)
 }
@@ -129,24 +155,18 @@
 
 // hold keeps an edit that can't be judged yet. When there are too many, the
 // oldest is given up: the replay then needs a snapshot that was taken later.
-func (r *Replay) hold(rec ledger.Record) {
-	r.held = append(r.held, rec)
-	r.heldBytes += len(rec.Data)
-	for len(r.held) > maxHeld || r.heldBytes > maxHeldBytes {
-		r.start = r.held[0].Offset + 1
-		r.heldBytes -= len(r.held[0].Data)
-		r.held = r.held[1:]
+func (r *Replay) hold(rec ledger.Record) Note {
+	dropped, full := r.held.add(rec)
+	if full {
+		r.start = dropped + 1
 	}
+	return Note{Offset: rec.Offset, GivenUp: full}
 }
 
 // remember keeps an edit that took effect for peers that lag.
 func (r *Replay) remember(rec ledger.Record) {
-	r.ring = append(r.ring, rec)
-	r.ringBytes += len(rec.Data)
-	for len(r.ring) > maxRing || r.ringBytes > maxRingBytes {
-		r.floor = r.ring[0].Offset + 1
-		r.ringBytes -= len(r.ring[0].Data)
-		r.ring = r.ring[1:]
+	if dropped, full := r.ring.add(rec); full {
+		r.floor = dropped + 1
 	}
 }
 
@@ -192,10 +212,10 @@
 	if err != nil {
 		return err
 	}
-	held := r.held
+	held := r.held.records
 	r.state, r.complete = s, true
-	r.held, r.heldBytes = nil, 0
-	r.ring, r.ringBytes = nil, 0
+	r.held.clear()
+	r.ring.clear()
 	r.floor = after
 	for _, rec := range held {
 		if rec.Offset >= after {
@@ -240,10 +260,10 @@
 	if !r.complete || a.Whole || a.From < r.floor {
 		return ledger.Page{}, false
 	}
-	i, _ := slices.BinarySearchFunc(r.ring, a.From, func(rec ledger.Record, o ledger.Offset) int {
+	i, _ := slices.BinarySearchFunc(r.ring.records, a.From, func(rec ledger.Record, o ledger.Offset) int {
 		return cmp.Compare(rec.Offset, o)
 	})
-	return ledger.Page{First: a.From, Next: r.next, Records: slices.Clone(r.ring[i:])}, true
+	return ledger.Page{First: a.From, Next: r.next, Records: slices.Clone(r.ring.records[i:])}, true
 }
 
 // Take learns from a peer's answer.
--- /dev/null
+++ b/tables/replay_test.go
@@ -0,0 +1,229 @@
+package tables
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"snipehub.example/ledger"
+)
+
+// world is a log with its readers, and what the plain rule says of each prefix
+// of the log.
+type world struct {
+	records  []ledger.Record
+	first    ledger.Offset
+	versions []Version
+	rows     map[Version]Rows
+	sorted   map[Version]Rows
+
+	readers []*Replay
+	seen    []Version
+	// late are snapshots that were taken and not yet appended, letters bodies
+	// that are on their way to a reader.
+	late    [][]byte
+	letters []letter
+}
+
+type letter struct {
+	to   int
+	body Body
+}
+
+func newWorld(readers int) *world {
+	w := &world{rows: map[Version]Rows{ledger.None: {}}, sorted: map[Version]Rows{ledger.None: {}}}
+	for range readers {
+		w.readers = append(w.readers, w.fresh())
+		w.seen = append(w.seen, ledger.None)
+	}
+	return w
+}
+
+func (w *world) fresh() *Replay { return newReplay(keep{3, 1 << 20}, keep{3, 1 << 20}) }
+
+// version returns the version that the first n records make.
+func (w *world) version(n ledger.Offset) Version {
+	if n == 0 {
+		return ledger.None
+	}
+	return w.versions[n-1]
+}
+
+func (w *world) append(t *rapid.T, data []byte) {
+	off := ledger.Offset(len(w.records))
+	w.records = append(w.records, ledger.Record{Offset: off, Data: data})
+	v := w.version(off)
+	var e Edit
+	if json.Unmarshal(data, &e) == nil && e.ID != "" && e.Base == v {
+		if rows, err := plain(w.rows[v], e); err == nil {
+			v = off
+			w.rows[v], w.sorted[v] = rows, sortRows(t, rows)
+		}
+	}
+	w.versions = append(w.versions, v)
+}
+
+func (w *world) page(from ledger.Offset, n int) ledger.Page {
+	end := ledger.Offset(len(w.records))
+	from = min(max(from, w.first), end)
+	next := min(end, from+ledger.Offset(n))
+	return ledger.Page{First: w.first, Next: next, End: end, Records: w.records[from:next]}
+}
+
+func (w *world) answer(from int, a Ask) Body {
+	r := w.readers[from]
+	if p, ok := r.Edits(a); ok {
+		return Body{Page: &p}
+	}
+	if s, through, ok := r.Basis(); ok {
+		b, _ := NewSnapshot(s, through).Encode()
+		return Body{Snapshot: b}
+	}
+	return Body{}
+}
+
+// check holds every reader against the plain rule: a complete one has what the
+// records below its next offset make; another one has what it had. No version
+// ever goes down.
+func (w *world) check(t *rapid.T) {
+	for i, r := range w.readers {
+		v := r.State().Version
+		if v < w.seen[i] {
+			t.Fatalf("reader %d went from version %d to %d", i, w.seen[i], v)
+		}
+		w.seen[i] = v
+		if r.Complete() && v != w.version(r.Next()) {
+			t.Fatalf("reader %d read below %d and has version %d, want %d", i, r.Next(), v, w.version(r.Next()))
+		}
+		if want, ok := w.sorted[v]; !ok || !reflect.DeepEqual(r.State().Rows(), want) {
+			t.Fatalf("reader %d: version %d is %+v, want %+v", i, v, r.State().Rows(), want)
+		}
+	}
+}
+
+// Operators race each other, appends are repeated because their answers were
+// lost, the log forgets, snapshots reach it late, peers pass on what they have,
+// and processes pause and start afresh. If two readers came to different
+// tables, a request would reach a backend server of the wrong half for as long
+// as the two live.
+func TestRapidReadersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { readersAgree(t) })
+}
+
+func readersAgree(t *rapid.T) {
+	w := newWorld(3)
+	reader := rapid.IntRange(0, len(w.readers)-1)
+	actions := map[string]func(*rapid.T){
+		"": w.check,
+		"edit": func(t *rapid.T) {
+			e := drawEdit(t, w.readers[reader.Draw(t, "editor")].State().Version)
+			e.ID = fmt.Sprint(len(w.records))
+			b, _ := json.Marshal(e)
+			w.append(t, b)
+		},
+		"good edit": func(t *rapid.T) {
+			r := w.readers[reader.Draw(t, "editor")]
+			r.Page(w.page(r.Next(), len(w.records)))
+			name := fmt.Sprint("pool", len(w.records))
+			b, _ := json.Marshal(Edit{ID: name, Base: r.State().Version, Put: Rows{Pools: []Pool{{Name: name, Half: "north"}}}})
+			w.append(t, b)
+		},
+		"append again": func(t *rapid.T) {
+			if len(w.records) > 0 {
+				w.append(t, rapid.SampledFrom(w.records).Draw(t, "record").Data)
+			}
+		},
+		"append junk": func(t *rapid.T) { w.append(t, []byte("junk")) },
+		"read": func(t *rapid.T) {
+			r := w.readers[reader.Draw(t, "reader")]
+			r.Page(w.page(r.Next(), rapid.IntRange(0, 4).Draw(t, "records")))
+		},
+		"forget": func(t *rapid.T) {
+			w.first = ledger.Offset(rapid.IntRange(int(w.first), len(w.records)).Draw(t, "first"))
+		},
+		"take snapshot": func(t *rapid.T) {
+			if s, through, ok := w.readers[reader.Draw(t, "author")].Basis(); ok {
+				b, _ := NewSnapshot(s, through).Encode()
+				w.late = append(w.late, b)
+			}
+		},
+		"append snapshot": func(t *rapid.T) {
+			if len(w.late) > 0 {
+				w.append(t, rapid.SampledFrom(w.late).Draw(t, "snapshot"))
+			}
+		},
+		"ask peer": func(t *rapid.T) {
+			i, j := reader.Draw(t, "asker"), reader.Draw(t, "peer")
+			l := letter{i, w.answer(j, w.readers[i].Ask())}
+			w.letters = append(w.letters, l)
+			if rapid.Bool().Draw(t, "at once") {
+				_, _ = w.readers[i].Take(l.body)
+			}
+		},
+		"deliver": func(t *rapid.T) {
+			if len(w.letters) > 0 {
+				l := rapid.SampledFrom(w.letters).Draw(t, "letter")
+				_, _ = w.readers[l.to].Take(l.body)
+			}
+		},
+		"restart": func(t *rapid.T) {
+			i := reader.Draw(t, "reader")
+			w.readers[i], w.seen[i] = w.fresh(), ledger.None
+		},
+	}
+	t.Repeat(actions)
+	w.heal(t)
+}
+
+// heal ends the faults. One complete reader is enough for all of them to come
+// to the newest version.
+func (w *world) heal(t *rapid.T) {
+	for _, r := range w.readers {
+		r.Page(w.page(r.Next(), len(w.records)))
+	}
+	healed := false
+	for _, r := range w.readers {
+		if s, through, ok := r.Basis(); ok && !healed {
+			b, _ := NewSnapshot(s, through).Encode()
+			w.append(t, b)
+			healed = true
+		}
+	}
+	for i, r := range w.readers {
+		r.Page(w.page(r.Next(), len(w.records)))
+		if healed && r.State().Version != w.version(ledger.Offset(len(w.records))) {
+			t.Fatalf("reader %d stays at version %d", i, r.State().Version)
+		}
+	}
+	w.check(t)
+}
+
+// The author of a snapshot had read up to offset 0 when an edit landed at 1 and
+// took effect everywhere; the snapshot landed at 2 and the log forgot all below
+// it. A fresh reader that believed the snapshot would miss the edit for good.
+func TestSnapshotThatMissesAnEditIsNotAdopted(t *testing.T) {
+	edit := func(base Version, pool string) []byte {
+		b, _ := json.Marshal(Edit{ID: pool, Base: base, Put: Rows{Pools: []Pool{{Name: pool, Half: "north"}}}})
+		return b
+	}
+	author := NewReplay()
+	author.Page(ledger.Page{Next: 1, Records: []ledger.Record{{Offset: 0, Data: edit(ledger.None, "a")}}})
+	s, through, _ := author.Basis()
+	snap, err := NewSnapshot(s, through).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh := NewReplay()
+	fresh.Page(ledger.Page{First: 2, Next: 3, Records: []ledger.Record{{Offset: 2, Data: snap}}})
+	if fresh.Complete() {
+		t.Fatal("the reader believes to be complete without the edit at offset 1")
+	}
+	knowing := NewReplay()
+	knowing.Page(ledger.Page{First: 1, Next: 3, Records: []ledger.Record{{Offset: 1, Data: edit(0, "b")}, {Offset: 2, Data: snap}}})
+	if !knowing.Complete() || knowing.State().Version != 1 {
+		t.Fatalf("a reader that has the edit is at version %d", knowing.State().Version)
+	}
+}
