--- a/counter/counter.go
+++ b/counter/counter.go
@@ -93,11 +93,25 @@
 		}
 		if err != nil {
 			c.meter.Count("refusals", 1)
-			writeRefusal(w, err)
+			writeRefusal(w, aboutIdentity(r, err))
 		}
 	}
 }
 
+// HeaderKey carries an identity of the caller's own.
+const HeaderKey = "Idempotency-Key"
+
+// aboutIdentity keeps this layer's own refusals from saying "not run" about an
+// identity that the request names; see refusal.AboutIdentity.
+func aboutIdentity(r *http.Request, err error) error {
+	var given *refusal.Refusal
+	named := r.PathValue("id") != "" || r.Header.Get(HeaderKey) != ""
+	if named && errors.As(err, &given) {
+		return given.AboutIdentity()
+	}
+	return err
+}
+
 func (c *Counter) caller(r *http.Request) (job.Caller, error) {
 	if c.cfg.Callers.Open {
 		return job.Caller{Name: anyone}, nil
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -5,6 +5,9 @@
 // the identity to come back with. A refusal that says "not run" about an
 // identity may be given only by the process that owns the identity, and burns
 // it: see package ticket.
+//
+// Three codes are given before it is known who owns the identity that the
+// request names: see AboutIdentity.
 package refusal
 
 import (
@@ -79,6 +82,20 @@
 	return &c
 }
 
+// AboutIdentity returns r as it has to read when the request named an identity
+// and was turned away before the identity's owner was asked. "Not run" is then
+// true of this copy of the submission only; an earlier copy may be running, and
+// a caller that took "not run" for the identity would order a second time.
+func (r *Refusal) AboutIdentity() *Refusal {
+	switch r.Code {
+	case BadRequest, Unauthorized, TooLarge:
+		c := *r
+		c.Ran, c.Again = RanUnknown, AgainNever
+		return &c
+	}
+	return r
+}
+
 // Error makes Refusal an error.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("%s (ran: %s): %s", r.Code, r.Ran, r.Sentence)
--- a/refusal/table.go
+++ b/refusal/table.go
@@ -36,10 +36,10 @@
 )
 
 var table = []Entry{
-	{100, BadRequest, http.StatusBadRequest, RanNo, AgainNever, "the request is malformed", "The body, a header or the path could not be understood. Nothing was started by this request.", "0.1"},
-	{101, Unauthorized, http.StatusUnauthorized, RanNo, AgainNever, "the token is missing or wrong", "Send a bearer token that the settings know.", "0.1"},
+	{100, BadRequest, http.StatusBadRequest, RanNo, AgainNever, "the request is malformed", "The body, a header or the path could not be understood. Nothing was started by this request. Where the request names an id or key, ran is \"unknown\": an earlier copy may be running.", "0.1"},
+	{101, Unauthorized, http.StatusUnauthorized, RanNo, AgainNever, "the token is missing or wrong", "Send a bearer token that the settings know. Where the request names an id or key, ran is \"unknown\": an earlier copy may be running.", "0.1"},
 	{102, NotFound, http.StatusNotFound, RanUnknown, AgainNever, "no such job or ticket", "The id does not exist, or it belongs to another caller.", "0.1"},
-	{103, TooLarge, http.StatusRequestEntityTooLarge, RanNo, AgainNever, "the request is too large", "A body, a header or the number of tasks is over its limit.", "0.1"},
+	{103, TooLarge, http.StatusRequestEntityTooLarge, RanNo, AgainNever, "the request is too large", "A body, a header or the number of tasks is over its limit. Where the request names an id or key, ran is \"unknown\": an earlier copy may be running.", "0.1"},
 	{104, NoRoute, http.StatusNotFound, RanNo, AgainNew, "no route for this kind", "The routes table has no row for the kind.", "0.1"},
 	{105, NeedsID, http.StatusBadRequest, RanNo, AgainNew, "a kind that must not be repeated needs an identity", "Send a job id of a ticket, or an Idempotency-Key.", "0.1"},
 	{200, Burned, http.StatusConflict, RanNo, AgainNew, "this identity was refused before and never runs", "An earlier submission of the same identity was answered with \"not run\".", "0.1"},
