Forward to owners, and hand the closed state over at a planned stop

Cause: after a planned stop every answer that a caller had not fetched was lost. A dispatcher that had not heard of a ticket's owner made the caller wait for a second. A frozen owner kept forwarded calls waiting without an answer. Between dispatchers, bodies were changed: jsonrpc2 decodes a request into maps and encodes it again, which sorts keys and escapes text, so that a resubmission over another dispatcher could be turned away as a mismatch.

Ruled out: announcing holders to everybody (messages for each stop); letting holders start what was not started (two holders would start it twice).

Change: hub/desk.go takes the callers' requests, hub/forward.go brings them to the owner and gives up when the roster loses it, hub/handoff.go hands tickets, windows and answers to two peers of the data centre, found by a hash that whoever searches computes alike; bounded by limits.handoff_bytes and held_bytes. A holder starts nothing, so "not run" from it is true. Peers are asked about an owner that the roster lacks. Requests go through under an identity, or without one where the route allows repetition. Parameters between dispatchers travel as bytes (peer.Call).

The watch over frozen owners is written but has no test yet.

--- a/event/table.go
+++ b/event/table.go
@@ -21,6 +21,10 @@
 	MemberGone    ID = 302
 
 	JobForwardFailed ID = 400
+	HandoverFailed   ID = 401
+	AnswersEvicted   ID = 402
+	TicketsFull      ID = 403
+	HeldDropped      ID = 404
 
 	RequestPanicked ID = 700
 )
@@ -39,5 +43,9 @@
 	{MemberSuspect, slog.LevelWarn, "dispatcher suspect", "A dispatcher has been silent for the suspicion time. Its jobs are answered as unknown until it is heard again.", "0.1"},
 	{MemberGone, slog.LevelInfo, "dispatcher gone", "A dispatcher incarnation is gone for good: the VM list no longer has its VM, or a newer incarnation has its address.", "0.1"},
 	{JobForwardFailed, slog.LevelWarn, "forward to owner failed", "The owner of a job did not answer. The caller was told that the outcome is unknown.", "0.1"},
+	{HandoverFailed, slog.LevelWarn, "closed state has too few holders", "At a planned stop fewer than two peers took the tickets given. With none, their callers are told that the outcome is unknown. Stop fewer dispatchers of a data centre at once.", "0.1"},
+	{AnswersEvicted, slog.LevelWarn, "answers made room", "Answers were dropped before limits.kept_answer_for was over, because limits.kept_answer_bytes was reached. A caller that comes back for one is told that the outcome is unknown.", "0.1"},
+	{TicketsFull, slog.LevelWarn, "tickets at their limit", "limits.tickets is reached, or a caller has a quarter of it: idle tickets are retired, and while there are none, new ones are refused. Find the caller that takes a ticket for each job.", "0.1"},
+	{HeldDropped, slog.LevelWarn, "held answers dropped", "limits.held_bytes is reached: the oldest closed state of a stopped dispatcher was dropped. Its callers are told that the outcome is unknown.", "0.1"},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "A defect: the handler of a caller's request panicked. The caller got an error with the outcome unknown.", "0.1"},
 }
--- /dev/null
+++ b/hub/gauges.go
@@ -0,0 +1,50 @@
+package hub
+
+import (
+	"context"
+	"time"
+
+	"snipehub.example/event"
+)
+
+const gaugeEvery = time.Second
+
+// bound is a limit of memory: a gauge of what is there, and a count of how
+// often the limit was reached, whose growth is logged.
+type bound struct {
+	gauge string
+	event event.ID
+	seen  int64
+}
+
+// gauges keeps the metrics of what is remembered for callers, and logs when a
+// limit is reached.
+func (h *Hub) gauges(ctx context.Context) error {
+	sub := h.clock.Subscribe(gaugeEvery)
+	defer sub.Stop()
+	answers := &bound{gauge: "kept_bytes", event: event.AnswersEvicted}
+	tickets := &bound{gauge: "tickets", event: event.TicketsFull}
+	held := &bound{gauge: "held_bytes", event: event.HeldDropped}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-sub.C:
+		}
+		s := h.owner.Stats()
+		h.meter.Gauge("running", float64(s.Running))
+		h.meter.Gauge("kept_answers", float64(s.Kept))
+		h.observe(answers, s.KeptBytes, s.Crowded)
+		h.observe(tickets, s.Tickets, s.Full+s.Retired)
+		bytes, dropped := h.fwd.holder.Stats()
+		h.observe(held, bytes, dropped)
+	}
+}
+
+func (h *Hub) observe(b *bound, value, reached int64) {
+	h.meter.Gauge(b.gauge, float64(value))
+	if reached > b.seen {
+		b.event.Log(h.log, "times", reached-b.seen)
+	}
+	b.seen = reached
+}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -43,6 +43,8 @@
 	peers  *peer.Server
 	place  *dispatch.Dispatcher
 	owner  *job.Owner
+	fwd    *forwarder
+	desk   *desk
 	http   *http.Server
 	ln     net.Listener
 
@@ -122,9 +124,23 @@
 	h.roster = roster.New(roster.Member{Owner: h.self, Address: cfg.Listen.Peers}, cfg.Peers.SuspectAfter.D())
 	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D(), h.net.DialContext)
 	h.peers = peer.NewServer(h.log, pln)
+	h.fwd = &forwarder{
+		log:      h.log,
+		self:     h.self,
+		address:  cfg.Listen.Peers,
+		seeds:    cfg.Peers.Seeds,
+		now:      h.clock.Now,
+		net:      dialed{h.dialer},
+		members:  h.roster,
+		holder:   job.NewHolder(cfg.Limits.HeldBytes, cfg.Limits.KeptAnswerFor.D(), h.clock.Now),
+		stopping: h.stopping.Load,
+		waiting:  make(map[*awaited]struct{}),
+		unheld:   make(map[ticket.Owner]time.Time),
+	}
+	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: noKeys{}, tables: h.tables.State}
 	h.handlePeers()
 	h.http = &http.Server{
-		Handler:           counter.New(h.log, cfg, h, h.meter),
+		Handler:           counter.New(h.log, cfg, callerService{h.desk, h}, h.meter),
 		ReadHeaderTimeout: cfg.Limits.ReadTimeout.D(),
 		ReadTimeout:       cfg.Limits.ReadTimeout.D(),
 		WriteTimeout:      cfg.Limits.WriteTimeout.D(),
@@ -160,6 +176,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Limits.StopDeadline.D())
 	defer cancel()
 	_ = h.owner.Stop(ctx)
+	h.fwd.handOver(ctx, append(h.owner.Closed(h.cfg.Limits.HandoffBytes), h.fwd.holder.Closed()...))
 	_ = h.http.Shutdown(ctx)
 	h.peers.Drain(ctx)
 }
@@ -179,6 +196,8 @@
 	root.Add(h.peers)
 	root.Add(service("heartbeat", h.heartbeat))
 	root.Add(service("callers", h.serveHTTP))
+	root.Add(service("forwards", h.watchForwards))
+	root.Add(service("gauges", h.gauges))
 	return root
 }
 
@@ -207,6 +226,32 @@
 	return err
 }
 
+// callerService is what stands behind the counter.
+type callerService struct {
+	*desk
+	*Hub
+}
+
+func (h *Hub) handlePeers() {
+	peer.Handle(h.peers, methodBeat, func(_ context.Context, b roster.Beat) (roster.Beat, error) {
+		return h.roster.Answer(h.clock.Now(), b), nil
+	})
+	h.desk.handle(h.peers)
+}
+
+func (h *Hub) watchForwards(ctx context.Context) error {
+	sub := h.clock.Subscribe(watchEvery)
+	defer sub.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-sub.C:
+			h.fwd.watch(now)
+		}
+	}
+}
+
 // Ready tells whether the balancer should send callers here.
 func (h *Hub) Ready() bool {
 	return !h.stopping.Load() && h.tables.State().Version != ledger.None
--- a/job/book.go
+++ b/job/book.go
@@ -27,8 +27,9 @@
 	// kept has the ended entries, oldest first.
 	kept      *list.List
 	keptBytes int64
-	evicted   int64
-	retired   int64
+	// crowded counts the answers that were dropped before their time, retired
+	// the tickets, full the tickets that were refused.
+	crowded, retired, full int64
 	// keyed has each caller's ticket from which identities for its own keys
 	// are taken.
 	keyed map[string]*held
@@ -64,9 +65,11 @@
 // is used up by tickets that are all in use.
 func (b *book) mint(now time.Time, caller string, limit uint64) (*held, error) {
 	if b.holds[caller] >= max(1, b.limits.Tickets/callerPart) && !b.retire(now, caller) {
+		b.full++
 		return nil, refusal.New(refusal.Overloaded, "too many tickets of this caller").After(time.Second)
 	}
 	if len(b.tickets) >= b.limits.Tickets && !b.retire(now, "") {
+		b.full++
 		return nil, refusal.New(refusal.Overloaded, "too many tickets").After(time.Second)
 	}
 	b.stream++
@@ -256,7 +259,9 @@
 		if b.keptBytes <= b.limits.KeptBytes && now.Sub(e.at) < b.limits.KeptFor {
 			return
 		}
-		b.evicted++
+		if now.Sub(e.at) < b.limits.KeptFor {
+			b.crowded++
+		}
 		b.release(e)
 	}
 }
--- a/job/entry.go
+++ b/job/entry.go
@@ -58,6 +58,41 @@
 	return n
 }
 
+// AsAnswer returns the outcome of a job.
+func (o Outcome) AsAnswer() (Answer, error) {
+	switch {
+	case o.Refused != nil:
+		return Answer{}, o.Refused
+	case o.Answer != nil:
+		return *o.Answer, nil
+	}
+	return Answer{}, refusal.New(refusal.Mismatch, "it is a request, not a job")
+}
+
+// AsReply returns the outcome of a request.
+func (o Outcome) AsReply() (Reply, error) {
+	switch {
+	case o.Refused != nil:
+		return Reply{}, o.Refused
+	case o.Reply != nil:
+		return *o.Reply, nil
+	case o.Answer != nil && o.Answer.State == Failed:
+		return Reply{}, refusal.New(refusal.Failed, o.Answer.Error)
+	}
+	return Reply{}, refusal.New(refusal.OwnerUnreachable, "it still runs")
+}
+
+// requestOutcome turns the result of a request's only task into its outcome.
+func requestOutcome(id string, r dispatch.Result) Outcome {
+	switch {
+	case r.Done:
+		return Outcome{Reply: &Reply{Status: r.Status, Type: r.Type, Body: r.Answer}}
+	case r.Ran == refusal.RanNo:
+		return Outcome{Refused: refusal.New(refusal.NoServer, r.Error).After(time.Second)}
+	}
+	return Outcome{Answer: &Answer{Job: id, State: Failed, Error: r.Error, Tasks: []TaskResult{{Ran: r.Ran, Error: r.Error}}}}
+}
+
 // fill takes the outcome of one task; true when it was the last one. An outcome
 // that comes a second time is passed over: counted twice, it would end the job
 // while another task still runs, and the caller would get a part for the whole.
--- a/job/job.go
+++ b/job/job.go
@@ -106,3 +106,21 @@
 	Type   string `json:"type,omitempty"`
 	Body   []byte `json:"body,omitempty"`
 }
+
+// Time returns the bound of the request, or def when it has none.
+func (r Request) Time(def time.Duration) time.Duration {
+	if r.Timeout <= 0 {
+		return def
+	}
+	return r.Timeout
+}
+
+// Sum tells whether two submissions of one identity are the same.
+func (s Submission) Sum() uint64 {
+	return digest(s.Spec.Kind, "", compact(s.Spec.Tasks))
+}
+
+// Sum tells whether two requests of one identity are the same.
+func (r Request) Sum() uint64 {
+	return digest(r.Kind, r.Type, [][]byte{r.Body})
+}
--- a/job/owner.go
+++ b/job/owner.go
@@ -41,7 +41,9 @@
 	book     *book
 	stopping bool
 	running  int
-	idle     chan struct{}
+	// passed numbers the requests without an identity.
+	passed uint64
+	idle   chan struct{}
 }
 
 // New makes the owner of all tickets that name self.
@@ -120,7 +122,7 @@
 	w := work{
 		caller: r.Caller,
 		id:     *r.ID,
-		sum:    digest(r.Kind, r.Type, [][]byte{r.Body}),
+		sum:    r.Sum(),
 		batch:  o.batch(r.Caller, *r.ID, r.Kind, r.Time(o.book.limits.JobTimeout)),
 		done:   o.replyDone,
 	}
@@ -132,7 +134,48 @@
 	await(ctx, e)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return e.outcome.reply()
+	return e.outcome.AsReply()
+}
+
+// Pass passes one request through that has no identity: a repetition by its
+// caller is another request. Nothing of it is kept.
+func (o *Owner) Pass(ctx context.Context, r Request) (Reply, error) {
+	o.mu.Lock()
+	if o.stopping {
+		o.mu.Unlock()
+		return Reply{}, refusal.New(refusal.Stopping, "")
+	}
+	o.running++
+	o.passed++
+	id := ticket.ID{Owner: o.self}.Job(o.passed)
+	o.mu.Unlock()
+	c := make(chan Outcome, 1)
+	b := o.batch(r.Caller, id, r.Kind, r.Time(o.book.limits.JobTimeout))
+	b.Tasks, b.Type, b.Request = [][]byte{r.Body}, r.Type, true
+	b.Done = func(_ int, res dispatch.Result) {
+		select {
+		case c <- requestOutcome(b.Job, res):
+			o.passDone()
+		default:
+		}
+	}
+	if err := o.place.Submit(b); err != nil {
+		o.passDone()
+		return Reply{}, refused(err)
+	}
+	select {
+	case out := <-c:
+		return out.AsReply()
+	case <-ctx.Done():
+		o.place.Cancel(b.Job)
+		return Reply{}, refusal.New(refusal.Failed, "the caller has gone")
+	}
+}
+
+func (o *Owner) passDone() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.finished()
 }
 
 // start starts the work unless its identity was taken before, and returns its
@@ -166,11 +209,7 @@
 
 // refuse burns the identity of an entry that the dispatch package turned away.
 func (o *Owner) refuse(e *entry, cause error) error {
-	r := refusal.New(refusal.Overloaded, cause.Error())
-	var given *refusal.Refusal
-	if errors.As(cause, &given) && given.Ran == refusal.RanNo {
-		r = given
-	}
+	r := refused(cause)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.book.end(o.now(), e, Outcome{Refused: r})
@@ -178,6 +217,16 @@
 	return r
 }
 
+// refused turns an error of the dispatch package, by which it refused a batch
+// whole, into a refusal that says "not run".
+func refused(cause error) *refusal.Refusal {
+	var given *refusal.Refusal
+	if errors.As(cause, &given) && given.Ran == refusal.RanNo {
+		return given
+	}
+	return refusal.New(refusal.Overloaded, cause.Error()).After(time.Second)
+}
+
 // cancelLate repeats a cancellation that came between taking the identity and
 // queueing its tasks. It found no tasks in the queue then; without the
 // repetition the job would run to its end although its caller cancelled it.
@@ -200,31 +249,7 @@
 func (o *Owner) answer(e *entry) (Answer, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return e.outcome.answer()
-}
-
-// answer returns the outcome of a job.
-func (o Outcome) answer() (Answer, error) {
-	switch {
-	case o.Refused != nil:
-		return Answer{}, o.Refused
-	case o.Answer != nil:
-		return *o.Answer, nil
-	}
-	return Answer{}, refusal.New(refusal.Mismatch, "it is a request, not a job")
-}
-
-// reply returns the outcome of a request.
-func (o Outcome) reply() (Reply, error) {
-	switch {
-	case o.Refused != nil:
-		return Reply{}, o.Refused
-	case o.Reply != nil:
-		return *o.Reply, nil
-	case o.Answer != nil && o.Answer.State == Failed:
-		return Reply{}, refusal.New(refusal.Failed, o.Answer.Error)
-	}
-	return Reply{}, refusal.New(refusal.OwnerUnreachable, "it still runs")
+	return e.outcome.AsAnswer()
 }
 
 // Lookup tells where a job stands.
@@ -238,7 +263,7 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	return e.outcome.answer()
+	return e.outcome.AsAnswer()
 }
 
 // Cancel asks that no more tasks of the job start.
@@ -253,7 +278,7 @@
 		o.mu.Unlock()
 		return Answer{}, err
 	}
-	a, err := e.outcome.answer()
+	a, err := e.outcome.AsAnswer()
 	o.mu.Unlock()
 	if err == nil && a.State == Queued {
 		o.place.Cancel(id.String())
@@ -294,24 +319,27 @@
 	}
 }
 
-// Stats is what an owner's memory holds.
+// Stats is what an owner's memory holds, and how often it was at its bounds:
+// answers dropped before their time, tickets retired and refused.
 type Stats struct {
-	Tickets, Running, Kept      int
-	KeptBytes, Evicted, Retired int64
+	Tickets, Running, Kept, KeptBytes int64
+	Crowded, Retired, Full            int64
 }
 
 // Stats returns the figures for the metrics.
 func (o *Owner) Stats() Stats {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.book.sweep(o.now())
+	b := o.book
+	b.sweep(o.now())
 	return Stats{
-		Tickets:   len(o.book.tickets),
-		Running:   o.running,
-		Kept:      o.book.kept.Len(),
-		KeptBytes: o.book.keptBytes,
-		Evicted:   o.book.evicted,
-		Retired:   o.book.retired,
+		Tickets:   int64(len(b.tickets)),
+		Running:   int64(o.running),
+		Kept:      int64(b.kept.Len()),
+		KeptBytes: b.keptBytes,
+		Crowded:   b.crowded,
+		Retired:   b.retired,
+		Full:      b.full,
 	}
 }
 
@@ -352,22 +380,3 @@
 	o.book.end(o.now(), e, requestOutcome(e.outcome.Answer.Job, r))
 	o.finished()
 }
-
-// requestOutcome turns the result of a request's only task into its outcome.
-func requestOutcome(id string, r dispatch.Result) Outcome {
-	switch {
-	case r.Done:
-		return Outcome{Reply: &Reply{Status: r.Status, Type: r.Type, Body: r.Answer}}
-	case r.Ran == refusal.RanNo:
-		return Outcome{Refused: refusal.New(refusal.NoServer, r.Error).After(time.Second)}
-	}
-	return Outcome{Answer: &Answer{Job: id, State: Failed, Error: r.Error, Tasks: []TaskResult{{Ran: r.Ran, Error: r.Error}}}}
-}
-
-// Time returns the bound of the request, or def when it has none.
-func (r Request) Time(def time.Duration) time.Duration {
-	if r.Timeout <= 0 {
-		return def
-	}
-	return r.Timeout
-}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,6 +7,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -58,8 +59,12 @@
 // Handle sets the handler of a method.
 func Handle[P, R any](s *Server, method string, fn func(ctx context.Context, p P) (R, error)) {
 	s.handlers[method] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		var sealed []byte
+		if err := json.Unmarshal(params, &sealed); err != nil {
+			return nil, errors.Wrap(err, "peer: parameters")
+		}
 		var p P
-		if err := json.Unmarshal(params, &p); err != nil {
+		if err := json.Unmarshal(sealed, &p); err != nil {
 			return nil, errors.Wrap(err, "peer: parameters")
 		}
 		return fn(ctx, p)
@@ -143,13 +148,22 @@
 }
 
 // Call calls a method of the peer at the address, until ctx ends.
+//
+// The parameters travel as bytes (base64 in JSON): the library decodes a
+// request into maps and encodes it again, which sorts the keys and escapes the
+// text of a caller's bodies. A body would reach the backend server changed, and
+// a resubmission over another dispatcher would no longer match the first.
 func Call[R any](ctx context.Context, d *Dialer, to netip.AddrPort, method string, params any) (R, error) {
 	var out R
 	c, err := d.conn(ctx, to)
 	if err != nil {
 		return out, errors.Wrapf(ErrNotSent, "%s: %v", to, err)
 	}
-	err = c.Call(ctx, method, params, &out)
+	sealed, err := seal(params)
+	if err != nil {
+		return out, errors.Wrapf(ErrNotSent, "%s: %v", method, err)
+	}
+	err = c.Call(ctx, method, sealed, &out)
 	if err == nil {
 		return out, nil
 	}
@@ -164,6 +178,16 @@
 	return out, errors.Wrapf(ErrLost, "%s: %s: %v", to, method, err)
 }
 
+// seal encodes parameters. The encoder must not escape "<" and the like inside
+// a caller's body.
+func seal(params any) ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	err := e.Encode(params)
+	return b.Bytes(), err
+}
+
 func (d *Dialer) conn(ctx context.Context, to netip.AddrPort) (*jsonrpc2.Conn, error) {
 	d.mu.Lock()
 	c, ok := d.conns[to]
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,6 +14,8 @@
 
 	"github.com/BurntSushi/toml"
 	"github.com/go-faster/errors"
+
+	"snipehub.example/ticket"
 )
 
 // Duration is a time.Duration written as "5s" in TOML.
@@ -127,6 +129,10 @@
 	ReadTimeout     Duration `toml:"read_timeout"`
 	WriteTimeout    Duration `toml:"write_timeout"`
 	StopDeadline    Duration `toml:"stop_deadline"`
+	// HandoffBytes bounds what a process hands over when it stops, and
+	// HeldBytes what it holds of others that have stopped.
+	HandoffBytes int64 `toml:"handoff_bytes"`
+	HeldBytes    int64 `toml:"held_bytes"`
 }
 
 // Tables sets how the tables are followed.
@@ -182,6 +188,8 @@
 			ReadTimeout:     Duration(10 * time.Second),
 			WriteTimeout:    Duration(2 * time.Minute),
 			StopDeadline:    Duration(30 * time.Second),
+			HandoffBytes:    8 << 20,
+			HeldBytes:       32 << 20,
 		},
 		Tables: Tables{
 			Settle:   Duration(8 * time.Second),
@@ -246,6 +254,9 @@
 	case c.Callers.Open && len(c.Callers.Tokens) > 0:
 		return bad("callers.open", "contradicts callers.tokens")
 	}
+	if w := c.Limits.TicketWindow; w < 1 || w > ticket.MaxWidth {
+		return bad("limits.ticket_window", "must be from 1 to 65536")
+	}
 	for _, t := range c.Callers.Tokens {
 		if h, err := hex.DecodeString(t.SHA256); err != nil || len(h) != 32 {
 			return bad("callers.tokens.sha256", "must be 64 hexadecimal digits")
--- a/ticket/window.go
+++ b/ticket/window.go
@@ -1,6 +1,9 @@
 package ticket
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"slices"
+)
 
 // Verdict is what a window says about a sequence that arrives.
 type Verdict uint8
@@ -125,18 +128,31 @@
 	return &w.state[seq%uint64(len(w.state))]
 }
 
-// image is a window as it is handed to another process.
+// Clone returns a copy.
+func (w *Window) Clone() *Window {
+	return &Window{low: w.low, limit: w.limit, state: slices.Clone(w.state)}
+}
+
+// image is a window as it is handed to another process: State begins at the
+// low mark, and ends with the last sequence that was taken.
 type image struct {
 	Low   uint64 `json:"low"`
 	Limit uint64 `json:"limit"`
-	State []byte `json:"state"`
+	Width int    `json:"width"`
+	State []byte `json:"state,omitempty"`
 }
 
+// MaxWidth is the largest width of a window.
+const MaxWidth = 1 << 16
+
 // MarshalJSON writes the window for the hand-over at a planned stop.
 func (w *Window) MarshalJSON() ([]byte, error) {
-	m := image{Low: w.low, Limit: w.limit, State: make([]byte, len(w.state))}
-	for i, v := range w.state {
-		m.State[i] = byte(v)
+	m := image{Low: w.low, Limit: w.limit, Width: len(w.state)}
+	for i := range w.state {
+		if v := *w.at(w.low + uint64(i)); v != Start {
+			m.State = append(m.State, make([]byte, i+1-len(m.State))...)
+			m.State[i] = byte(v)
+		}
 	}
 	return json.Marshal(m)
 }
@@ -148,15 +164,15 @@
 	if err := json.Unmarshal(b, &m); err != nil {
 		return err
 	}
-	if len(m.State) == 0 {
+	if m.Width < 1 || m.Width > MaxWidth || len(m.State) > m.Width {
 		return ErrFormat
 	}
-	w.low, w.limit, w.state = m.Low, m.Limit, make([]Verdict, len(m.State))
+	w.low, w.limit, w.state = m.Low, m.Limit, make([]Verdict, m.Width)
 	for i, v := range m.State {
 		if Verdict(v) > Burned {
 			return ErrFormat
 		}
-		w.state[i] = Verdict(v)
+		*w.at(w.low + uint64(i)) = Verdict(v)
 	}
 	return nil
 }
