Prove the forwarding: lost, frozen, restarted, stopped and gone owners

Cause: the forwarder had only a process test, and two of its answers were wrong: a site with a single dispatcher was told "come back with the same id" for ever about its own earlier incarnation, and the memory of a held window was not counted.

Ruled out: a cluster of real processes for these cases (slow, not in our hand which message is lost). hub/world_test.go runs real owners, forwarders and holders over a fake network and roster in place of it.

Change: ticket.Owner.Precedes; the answer "nobody holds it" is certain when there is nobody else; windows count in the size of a closed ticket.

--- a/hub/forward.go
+++ b/hub/forward.go
@@ -110,6 +110,8 @@
 func (f *forwarder) locate(ctx context.Context, o ticket.Owner) (netip.AddrPort, *refusal.Refusal) {
 	k, ok := f.members.Find(f.now(), o)
 	switch {
+	case !ok && o.Precedes(f.self):
+		return k.Address, refusal.New(refusal.OwnerGone, "")
 	case !ok:
 		return f.search(ctx, o)
 	case k.State == roster.Gone:
--- a/hub/handoff.go
+++ b/hub/handoff.go
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	peers := f.near(q.id.Owner, searchWidth)
-	certain = len(peers) > 0
+	certain = len(peers) > 0 || len(f.members.All(f.now())) == 0
 	for a := range gather[heldAnswer](ctx, f, peers, methodHeld, heldQuestion{q.caller, q.id, q.sum}) {
 		switch {
 		case a.err != nil:
--- /dev/null
+++ b/hub/world_test.go
@@ -0,0 +1,281 @@
+package hub
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipehub.example/dispatch"
+	"snipehub.example/job"
+	"snipehub.example/peer"
+	"snipehub.example/refusal"
+	"snipehub.example/roster"
+	"snipehub.example/tables"
+	"snipehub.example/ticket"
+)
+
+var (
+	lake    = job.Caller{Name: "lakeshore"}
+	teranga = job.Caller{Name: "teranga"}
+)
+
+// world is several dispatchers in one process: real owners, forwarders and
+// holders, over a network, a roster, a log and backend servers that are fakes.
+type world struct {
+	mu    sync.Mutex
+	now   time.Time
+	nodes []*node
+	// deaf loses the requests to an address, mute the answers from it.
+	deaf, mute map[netip.AddrPort]bool
+	// starts is the backend servers' record: starts of each task by its body.
+	starts map[string]int
+	limits job.Limits
+	// incarnation is the newest that was given out.
+	incarnation uint64
+}
+
+// node is one incarnation of a dispatcher.
+type node struct {
+	w    *world
+	self ticket.Owner
+	at   netip.AddrPort
+	desk *desk
+	// down processes answer nothing; gone tells that the roster knows it.
+	down, gone, suspect, stopping bool
+	// refuse is the answer to the next batches.
+	refuse  error
+	batches []dispatch.Batch
+	// instant ends each batch at once with the result.
+	instant *dispatch.Result
+}
+
+func newWorld(n int) *world {
+	w := &world{
+		now:    time.Unix(1.7e9, 0),
+		deaf:   make(map[netip.AddrPort]bool),
+		mute:   make(map[netip.AddrPort]bool),
+		starts: make(map[string]int),
+		limits: job.Limits{Tickets: 64, Range: 100, Window: 4, KeptBytes: 1 << 20, KeptFor: time.Hour, JobTimeout: time.Minute},
+	}
+	for i := range n {
+		w.boot(i)
+	}
+	return w
+}
+
+// boot starts a new incarnation in place i.
+func (w *world) boot(i int) *node {
+	w.incarnation++
+	n := &node{
+		w:    w,
+		self: ticket.Owner{DataCenter: "dc1", VM: fmt.Sprint("vm", i), Process: "hub", Incarnation: w.incarnation},
+		at:   netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i)),
+	}
+	for _, o := range w.nodes {
+		if o.at == n.at {
+			o.down, o.gone = true, true
+		}
+	}
+	owner := job.New(n.self, n, w.limits, w.clock)
+	fwd := &forwarder{
+		log:      slog.New(slog.DiscardHandler),
+		self:     n.self,
+		address:  n.at,
+		now:      w.clock,
+		net:      w,
+		members:  n,
+		holder:   job.NewHolder(1<<20, time.Hour, w.clock),
+		stopping: func() bool { return n.stopping },
+		waiting:  make(map[*awaited]struct{}),
+		unheld:   make(map[ticket.Owner]time.Time),
+	}
+	n.desk = &desk{self: n.self, owner: owner, fwd: fwd, keys: noKeys{}, tables: func() *tables.State { return &tables.State{} }}
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+func (w *world) clock() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now
+}
+
+// Submit makes node a placer that records starts.
+func (n *node) Submit(b dispatch.Batch) error {
+	if n.refuse != nil {
+		return n.refuse
+	}
+	n.w.mu.Lock()
+	for _, t := range b.Tasks {
+		n.w.starts[string(t)]++
+	}
+	n.w.mu.Unlock()
+	if n.instant != nil {
+		b.Done(0, *n.instant)
+		return nil
+	}
+	n.batches = append(n.batches, b)
+	return nil
+}
+
+// Cancel does nothing: what the fake has taken runs to its end.
+func (n *node) Cancel(string) {}
+
+// finish ends the oldest batch; each task is answered with its own body.
+func (n *node) finish() {
+	if len(n.batches) == 0 {
+		return
+	}
+	b := n.batches[0]
+	n.batches = n.batches[1:]
+	for i, t := range b.Tasks {
+		b.Done(i, dispatch.Result{Ran: refusal.RanYes, Done: true, Answer: t})
+	}
+}
+
+// stop is a planned stop.
+func (n *node) stop() {
+	n.stopping = true
+	for len(n.batches) > 0 {
+		n.finish()
+	}
+	_ = n.desk.owner.Stop(context.Background())
+	n.desk.fwd.handOver(context.Background(), append(n.desk.owner.Closed(1<<20), n.desk.fwd.holder.Closed()...))
+	n.down = true
+}
+
+// holder returns a process other than nodes 0 and 1 that holds something.
+func (w *world) holder() *node {
+	for _, n := range w.nodes[2:] {
+		if held, _ := n.desk.fwd.holder.Stats(); held > 0 {
+			return n
+		}
+	}
+	return w.nodes[0]
+}
+
+// Find makes node the roster that it sees.
+func (n *node) Find(_ time.Time, o ticket.Owner) (roster.Known, bool) {
+	for _, m := range n.w.nodes {
+		if m.self == o {
+			return m.known(), true
+		}
+	}
+	return roster.Known{}, false
+}
+
+// All returns the other members.
+func (n *node) All(time.Time) []roster.Known {
+	var out []roster.Known
+	for _, m := range n.w.nodes {
+		if m != n {
+			out = append(out, m.known())
+		}
+	}
+	return out
+}
+
+func (n *node) known() roster.Known {
+	k := roster.Known{Member: roster.Member{Owner: n.self, Address: n.at}, State: roster.Live}
+	switch {
+	case n.gone:
+		k.State = roster.Gone
+	case n.suspect:
+		k.State = roster.Suspect
+	}
+	return k
+}
+
+// Call makes world a network between its nodes.
+func (w *world) Call(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
+	var n *node
+	for _, m := range w.nodes {
+		if m.at == to && !m.down {
+			n = m
+		}
+	}
+	if n == nil {
+		return peer.ErrNotSent
+	}
+	if w.deaf[to] {
+		return peer.ErrLost
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	out, err := n.serve(ctx, method, raw)
+	if w.mute[to] {
+		return peer.ErrLost
+	}
+	if err != nil {
+		data, _ := json.Marshal(err)
+		return &peer.Failure{Message: err.Error(), Data: data}
+	}
+	raw, err = json.Marshal(out)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+func (n *node) serve(ctx context.Context, method string, raw []byte) (any, error) {
+	d := n.desk
+	switch method {
+	case methodSubmit:
+		return on(ctx, raw, d.owner.Submit)
+	case methodRequest:
+		return on(ctx, raw, d.owner.Request)
+	case methodLookup:
+		return on(ctx, raw, func(_ context.Context, r reference) (job.Answer, error) { return d.owner.Lookup(r.Caller, r.ID) })
+	case methodFind:
+		return on(ctx, raw, d.fwd.find)
+	case methodHeld:
+		return on(ctx, raw, d.fwd.answerHeld)
+	case methodHold:
+		return on(ctx, raw, d.fwd.hold)
+	}
+	return nil, errors.New(method)
+}
+
+func on[P, R any](ctx context.Context, raw []byte, fn func(context.Context, P) (R, error)) (any, error) {
+	var p P
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, err
+	}
+	return fn(ctx, p)
+}
+
+// mint takes a ticket of the node.
+func (n *node) mint() ticket.ID {
+	g, err := n.desk.Mint(context.Background(), lake)
+	if err != nil {
+		panic(err)
+	}
+	id, err := ticket.ParseID(g.Ticket)
+	if err != nil {
+		panic(err)
+	}
+	return id
+}
+
+// put submits an order of one task over the node.
+func (n *node) put(id ticket.JobID, body string) (job.Answer, error) {
+	s := job.Submission{Caller: lake, ID: id, Spec: job.Spec{Kind: "price", Tasks: []json.RawMessage{json.RawMessage(body)}}}
+	return n.desk.Submit(context.Background(), s)
+}
+
+// code returns the code of a refusal and what it says about "ran".
+func code(err error) (refusal.Code, refusal.Ran) {
+	var r *refusal.Refusal
+	if errors.As(err, &r) {
+		return r.Code, r.Ran
+	}
+	return "", ""
+}
--- a/job/closed.go
+++ b/job/closed.go
@@ -44,6 +44,9 @@
 // size estimates the memory of a closed ticket in bytes.
 func (t ClosedTicket) size() int64 {
 	n := int64(ticketOverhead)
+	if t.Window != nil {
+		n += int64(t.Window.Width())
+	}
 	for _, o := range t.Outcomes {
 		n += o.Outcome.size()
 	}
--- a/job/owner.go
+++ b/job/owner.go
@@ -291,9 +291,7 @@
 // has started, so it says "unknown", and says for good that the earlier
 // incarnation of its own name is gone.
 func (o *Owner) foreign(id ticket.Owner) error {
-	named := o.self
-	named.Incarnation = id.Incarnation
-	if id == named && id.Incarnation < o.self.Incarnation {
+	if id.Precedes(o.self) {
 		return refusal.New(refusal.OwnerGone, "")
 	}
 	return refusal.New(refusal.OwnerUnreachable, "another process has its address").After(foreignRetryAfter)
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -24,6 +24,13 @@
 	Incarnation uint64 `json:"incarnation"`
 }
 
+// Precedes tells whether o is an earlier incarnation of the process n.
+func (o Owner) Precedes(n Owner) bool {
+	earlier := o.Incarnation < n.Incarnation
+	n.Incarnation = o.Incarnation
+	return earlier && o == n
+}
+
 // ID is the name of a ticket.
 type ID struct {
 	Owner
--- a/ticket/window.go
+++ b/ticket/window.go
@@ -53,6 +53,9 @@
 // Low returns the lowest sequence that is not forgotten.
 func (w *Window) Low() uint64 { return w.low }
 
+// Width returns how many sequences the window spans, and its memory in bytes.
+func (w *Window) Width() int { return len(w.state) }
+
 // Take asks for the sequence; on Start it is marked as running.
 func (w *Window) Take(seq uint64) Verdict {
 	v := w.Peek(seq)
