Prove every refusal against the record of starts; the client follows the table

Cause: nothing showed that "not run" is true of each code, also after a late copy of the submission. The client kept a ticket whose owner stops or is lost, so that each further job was refused too, and ignored a balancer's Retry-After.

Ruled out: cases per package (a code without a case would not be noticed).

--- a/client/client.go
+++ b/client/client.go
@@ -36,6 +36,8 @@
 	// Backoff is the first pause before a repetition; it doubles up to
 	// MaxBackoff, with jitter.
 	Backoff, MaxBackoff time.Duration
+	// Transport carries the requests; nil takes one of its own.
+	Transport http.RoundTripper
 }
 
 // Client submits jobs. It may be used from many goroutines.
@@ -57,64 +59,86 @@
 	if cfg.MaxBackoff <= 0 {
 		cfg.MaxBackoff = 2 * time.Second
 	}
-	tr := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 256}
-	return &Client{cfg: cfg, hc: &http.Client{Transport: tr}}
+	if cfg.Transport == nil {
+		cfg.Transport = &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 256}
+	}
+	return &Client{cfg: cfg, hc: &http.Client{Transport: cfg.Transport}}
 }
 
 // Do submits the job under identities of its own until it has an answer, a
-// refusal that a repetition can't change, or ctx ends.
+// refusal that a repetition can't change, or ctx ends. It comes back with the
+// same identity as long as the outcome is open, and takes a new one only when
+// the old one is certain never to run.
 func (c *Client) Do(ctx context.Context, s job.Spec) (job.Answer, error) {
 	var id ticket.JobID
 	fresh := true
 	pause := c.cfg.Backoff
 	for {
-		var err error
-		if fresh {
-			id, err = c.Next(ctx)
-		}
+		a, err := c.try(ctx, &id, fresh, s)
 		if err == nil {
-			fresh = false
-			var a job.Answer
-			a, err = c.Put(ctx, c.entry(), id, s)
-			if err == nil {
-				return a, nil
-			}
+			return a, nil
 		}
 		var r *refusal.Refusal
 		if errors.As(err, &r) {
-			switch r.Again {
-			case refusal.AgainNever:
+			if final(r) {
 				return job.Answer{}, err
-			case refusal.AgainNew:
-				if !comesBack(r) {
-					return job.Answer{}, err
-				}
-				fresh = true
-			case refusal.AgainSame:
 			}
+			fresh = fresh && id == (ticket.JobID{}) || r.Again == refusal.AgainNew
+			c.drop(id.ID, r)
+		} else if id != (ticket.JobID{}) {
+			fresh = false
 		}
-		if !wait(ctx, pause, r) {
+		if !wait(ctx, pause, err) {
 			return job.Answer{}, errors.Wrapf(ErrGaveUp, "last: %v", err)
 		}
 		pause = min(pause*2, c.cfg.MaxBackoff)
 	}
 }
 
-// comesBack tells whether a new identity can fare better than the refused one.
-func comesBack(r *refusal.Refusal) bool {
+// try submits the job once, under a new identity when fresh.
+func (c *Client) try(ctx context.Context, id *ticket.JobID, fresh bool, s job.Spec) (job.Answer, error) {
+	if fresh {
+		next, err := c.Next(ctx)
+		if err != nil {
+			*id = ticket.JobID{}
+			return job.Answer{}, err
+		}
+		*id = next
+	}
+	return c.Put(ctx, c.entry(), *id, s)
+}
+
+// final tells whether coming back can't change anything: by the refusal's own
+// word, or because a new identity would fare no better.
+func final(r *refusal.Refusal) bool {
 	switch r.Code {
-	case refusal.BadRequest, refusal.NoRoute, refusal.NeedsID, refusal.Hopeless:
-		return false
+	case refusal.NoRoute, refusal.NeedsID, refusal.Hopeless:
+		return true
 	}
-	return true
+	return r.Again == refusal.AgainNever
 }
 
-func wait(ctx context.Context, pause time.Duration, r *refusal.Refusal) bool {
-	d := pause/2 + rand.N(pause)
-	if r != nil {
-		d = max(d, time.Duration(r.RetryAfterMS)*time.Millisecond)
+// drop gives up a ticket that is of no use for further jobs: its owner stops or
+// can't be reached, or it is used up. The job that was refused keeps its
+// identity where the refusal says so.
+func (c *Client) drop(id ticket.ID, r *refusal.Refusal) {
+	switch r.Code {
+	case refusal.Stopping, refusal.OwnerGone, refusal.OwnerUnreachable, refusal.OutOfRange:
+	default:
+		return
 	}
-	t := time.NewTimer(d)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.id == id {
+		c.renew()
+	}
+}
+
+// wait pauses before a repetition: at least as long as the refusal asks for,
+// and with jitter, so that callers who were refused together don't come back
+// together.
+func wait(ctx context.Context, pause time.Duration, err error) bool {
+	t := time.NewTimer(retryAfter(err) + pause/2 + rand.N(pause))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -124,6 +148,31 @@
 	}
 }
 
+func retryAfter(err error) time.Duration {
+	var r *refusal.Refusal
+	var b *busyError
+	switch {
+	case errors.As(err, &r):
+		return time.Duration(r.RetryAfterMS) * time.Millisecond
+	case errors.As(err, &b):
+		return b.after
+	}
+	return 0
+}
+
+// busyError is an answer that is no refusal of ours: a balancer's, or one that
+// was cut off.
+type busyError struct {
+	status int
+	after  time.Duration
+}
+
+// Error makes busyError an error.
+func (b *busyError) Error() string { return "status " + strconv.Itoa(b.status) }
+
+// Unwrap tells that the outcome is open.
+func (b *busyError) Unwrap() error { return ErrTransport }
+
 // Next takes the next identity, with a new ticket when the old one is used up
 // or when its owner refuses new work.
 func (c *Client) Next(ctx context.Context) (ticket.JobID, error) {
@@ -156,8 +205,11 @@
 func (c *Client) Renew() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.grant = job.Grant{}
-	c.next = 0
+	c.renew()
+}
+
+func (c *Client) renew() {
+	c.grant, c.id, c.next = job.Grant{}, ticket.ID{}, 0
 }
 
 // Put submits the job once under the id, over the given entry.
@@ -218,7 +270,8 @@
 	}
 	var r refusal.Refusal
 	if err := json.Unmarshal(b, &r); err != nil || r.Code == "" {
-		return errors.Wrap(ErrTransport, "status "+strconv.Itoa(resp.StatusCode))
+		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+		return &busyError{resp.StatusCode, time.Duration(max(seconds, 0)) * time.Second}
 	}
 	return &r
 }
--- a/hub/world_test.go
+++ b/hub/world_test.go
@@ -51,6 +51,8 @@
 	// refuse is the answer to the next batches.
 	refuse  error
 	batches []dispatch.Batch
+	// broken panics, repeatable is what the route says of the kind.
+	broken, repeatable bool
 	// instant ends each batch at once with the result.
 	instant *dispatch.Result
 }
@@ -95,19 +97,39 @@
 		waiting:  make(map[*awaited]struct{}),
 		unheld:   make(map[ticket.Owner]time.Time),
 	}
-	n.desk = &desk{self: n.self, owner: owner, fwd: fwd, keys: noKeys{}, tables: func() *tables.State { return &tables.State{} }}
+	n.desk = &desk{self: n.self, owner: owner, fwd: fwd, keys: noKeys{}, tables: n.tables}
 	w.nodes = append(w.nodes, n)
 	return n
 }
 
+func (n *node) tables() *tables.State {
+	st, err := tables.Build(0, tables.Rows{
+		Routes: []tables.Route{{Kind: "price", Half: "north", Pool: "quick", Repeatable: n.repeatable}},
+		Pools:  []tables.Pool{{Name: "quick", Half: "north"}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return st
+}
+
 func (w *world) clock() time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.now
 }
 
+func (w *world) pass(d time.Duration) {
+	w.mu.Lock()
+	w.now = w.now.Add(d)
+	w.mu.Unlock()
+}
+
 // Submit makes node a placer that records starts.
 func (n *node) Submit(b dispatch.Batch) error {
+	if n.broken {
+		panic("broken")
+	}
 	if n.refuse != nil {
 		return n.refuse
 	}
