stand: faults that vanish, lag and thaw; full records of starts

A worker that vanishes can't be set over its own address, and the payload had no say over the service time, so the ideal of a job was only a mean.

Ruled out: one process per backend server (48 more processes); a control path on another worker's address (it can vanish too).

The log counts what is asked of it, reads an append's body before its delay (an append whose sender gave up takes effect, as on a slow store), and its VM list lags by a settable time.

--- a/stand/command.go
+++ b/stand/command.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,10 +34,11 @@
 			},
 			{
 				Name:  "worker",
-				Usage: "serve backend servers on consecutive ports",
+				Usage: "serve backend servers at several addresses",
 				Flags: []cli.Flag{
-					&cli.StringFlag{Name: "listen", Value: "127.0.0.1:9000", Usage: "address of the first"},
-					&cli.IntFlag{Name: "count", Value: 1, Usage: "how many"},
+					&cli.StringSliceFlag{Name: "listen", Value: []string{"127.0.0.1:9000"}, Usage: "addresses, each with :port, or :port@speed for a speed of its own"},
+					&cli.IntFlag{Name: "count", Value: 1, Usage: "how many, on consecutive ports of each address"},
+					&cli.StringFlag{Name: "control", Usage: "address of the controls, for all servers of the process"},
 					&cli.IntFlag{Name: "cores", Value: 64, Usage: "tasks at once, each"},
 					&cli.FloatFlag{Name: "speed", Value: 1, Usage: "2 halves the service times"},
 					&cli.DurationFlag{Name: "min", Value: 50 * time.Millisecond, Usage: "shortest service time"},
@@ -51,26 +54,55 @@
 }
 
 func runWorkers(ctx context.Context, c *cli.Command) error {
-	first, err := netip.ParseAddrPort(c.String("listen"))
+	workers, err := workersOf(c)
 	if err != nil {
-		return errors.Wrap(err, "listen")
+		return err
 	}
-	spread := Spread{Min: c.Duration("min"), Max: c.Duration("max"), Long: c.Duration("long"), LongShare: c.Float("long-share")}
+	f := NewFarm(workers)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	n := c.Int("count")
-	failed := make(chan error, n)
-	for i := range n {
-		addr := netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i))
-		w := NewWorker(addr.String(), c.Int("cores"), c.Float("speed"), spread, c.Uint64("seed")+uint64(i))
-		go func() { failed <- serve(ctx, addr.String(), w) }()
+	failed := make(chan error, 2)
+	go func() { failed <- f.Serve(ctx) }()
+	if at := c.String("control"); at != "" {
+		go func() { failed <- serve(ctx, at, f) }()
 	}
-	for range n {
-		if err := <-failed; err != nil {
-			return err
+	err = <-failed
+	cancel()
+	return err
+}
+
+func workersOf(c *cli.Command) ([]*Worker, error) {
+	spread := Spread{Min: c.Duration("min"), Max: c.Duration("max"), Long: c.Duration("long"), LongShare: c.Float("long-share")}
+	var out []*Worker
+	for _, text := range c.StringSlice("listen") {
+		first, speed, err := address(text, c.Float("speed"))
+		if err != nil {
+			return nil, err
+		}
+		for i := range c.Int("count") {
+			addr := netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i))
+			out = append(out, NewWorker(addr, c.Int("cores"), speed, spread, c.Uint64("seed")+uint64(len(out))))
 		}
 	}
-	return nil
+	return out, nil
+}
+
+// address reads "ip:port" or "ip:port@speed".
+func address(text string, speed float64) (netip.AddrPort, float64, error) {
+	at, own, ok := strings.Cut(text, "@")
+	a, err := netip.ParseAddrPort(at)
+	if err != nil {
+		return a, 0, errors.Wrap(err, "listen")
+	}
+	if ok {
+		if speed, err = strconv.ParseFloat(own, 64); err != nil {
+			return a, 0, errors.Wrap(err, "listen")
+		}
+	}
+	if speed <= 0 {
+		return a, 0, errors.Errorf("listen: %s: speed must be above 0", text)
+	}
+	return a, speed, nil
 }
 
 // serve answers HTTP at the address until ctx ends.
--- a/stand/log.go
+++ b/stand/log.go
@@ -4,10 +4,12 @@
 package stand
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +29,17 @@
 	LoseAnswers int `json:"lose_answers"`
 	// ForgetBelow drops the records of all streams below the offset.
 	ForgetBelow ledger.Offset `json:"forget_below"`
+	// VMsLagMS makes the VM list that much older than the truth.
+	VMsLagMS int64 `json:"vms_lag_ms"`
+}
+
+// LogCounts is what was asked of the log since its start.
+type LogCounts struct {
+	Appends     int64 `json:"appends"`
+	AppendBytes int64 `json:"append_bytes"`
+	Refused     int64 `json:"refused"`
+	Reads       int64 `json:"reads"`
+	ListReads   int64 `json:"list_reads"`
 }
 
 // Log is the stand-in of the platform's log and VM list.
@@ -38,7 +51,8 @@
 	mu      sync.Mutex
 	streams map[string]*stream
 	faults  LogFaults
-	vms     []ledger.VM
+	counts  LogCounts
+	vms     vmList
 }
 
 type stream struct {
@@ -67,44 +81,59 @@
 	l.mux.HandleFunc("GET /v1/vms", l.getVMs)
 	l.mux.HandleFunc("PUT /stand/vms", l.putVMs)
 	l.mux.HandleFunc("PUT /stand/faults", l.putFaults)
+	l.mux.HandleFunc("GET /stand/counts", l.getCounts)
 	return l
 }
 
 // ServeHTTP makes Log an http.Handler.
 func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	l.mu.Lock()
-	f := l.faults
-	l.mu.Unlock()
-	if !isControl(r) {
-		time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
-		if f.Down {
-			http.Error(w, "down", http.StatusServiceUnavailable)
-			return
-		}
+	if strings.HasPrefix(r.URL.Path, "/stand/") {
+		l.mux.ServeHTTP(w, r)
+		return
+	}
+	// The body is read before the delay: an append whose sender has given up
+	// meanwhile still takes effect, as on a slow store.
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRecord+1))
+	if err != nil || len(body) > maxRecord {
+		http.Error(w, "record too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	f := l.count(r)
+	time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
+	if f.Down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
 	}
 	l.mux.ServeHTTP(w, r)
 }
 
-func isControl(r *http.Request) bool {
-	return len(r.URL.Path) > 7 && r.URL.Path[:7] == "/stand/"
+// count counts a call that is not a control, and returns the faults in force.
+func (l *Log) count(r *http.Request) LogFaults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case r.URL.Path == "/v1/vms":
+		l.counts.ListReads++
+	case r.Method == http.MethodGet:
+		l.counts.Reads++
+	}
+	return l.faults
 }
 
 func (l *Log) append(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxRecord+1))
-	if err != nil || len(b) > maxRecord {
-		http.Error(w, "record too large", http.StatusRequestEntityTooLarge)
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
+	l.mu.Lock()
 	if !l.limit.Allow() {
+		l.counts.Refused++
+		l.mu.Unlock()
 		http.Error(w, "over the append rate", http.StatusTooManyRequests)
 		return
 	}
-	l.mu.Lock()
-	s := l.stream(r.PathValue("stream"))
-	off := s.first + ledger.Offset(len(s.records))
-	s.records = append(s.records, ledger.Record{Offset: off, At: time.Now(), Data: b})
-	close(s.grown)
-	s.grown = make(chan struct{})
+	off := l.add(l.stream(r.PathValue("stream")), b)
 	lose := l.faults.LoseAnswers > 0
 	if lose {
 		l.faults.LoseAnswers--
@@ -118,6 +147,17 @@
 	}{off})
 }
 
+// add puts the record on the stream and wakes its readers.
+func (l *Log) add(s *stream, b []byte) ledger.Offset {
+	off := s.first + ledger.Offset(len(s.records))
+	s.records = append(s.records, ledger.Record{Offset: off, At: time.Now(), Data: b})
+	close(s.grown)
+	s.grown = make(chan struct{})
+	l.counts.Appends++
+	l.counts.AppendBytes += int64(len(b))
+	return off
+}
+
 func (l *Log) read(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	if err != nil {
@@ -183,24 +223,10 @@
 	return s
 }
 
-func (l *Log) getVMs(w http.ResponseWriter, _ *http.Request) {
+func (l *Log) getCounts(w http.ResponseWriter, _ *http.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	reply(w, struct {
-		VMs []ledger.VM `json:"vms"`
-	}{l.vms})
-}
-
-func (l *Log) putVMs(w http.ResponseWriter, r *http.Request) {
-	var in struct {
-		VMs []ledger.VM `json:"vms"`
-	}
-	if !decode(w, r, &in) {
-		return
-	}
-	l.mu.Lock()
-	l.vms = in.VMs
-	l.mu.Unlock()
+	reply(w, l.counts)
 }
 
 func (l *Log) putFaults(w http.ResponseWriter, r *http.Request) {
--- a/stand/worker.go
+++ b/stand/worker.go
@@ -1,11 +1,12 @@
 package stand
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -16,7 +17,8 @@
 type WorkerFaults struct {
 	// Fail answers every task with 500 at once, after counting the start.
 	Fail bool `json:"fail"`
-	// Freeze holds every call until the fault is taken away.
+	// Freeze holds every call until the fault is taken away. What was read by
+	// then still runs, also when its sender has given up.
 	Freeze bool `json:"freeze"`
 	// Reset cuts the connection in the middle of the answer.
 	Reset bool `json:"reset"`
@@ -26,6 +28,9 @@
 	Refuse bool `json:"refuse"`
 	// Slow multiplies the service time, 0 counts as 1.
 	Slow float64 `json:"slow"`
+	// Vanish closes the listener and every connection: new connections are
+	// refused. It is taken away over the control address.
+	Vanish bool `json:"vanish"`
 }
 
 // Spread is a distribution of service times: evenly from Min to Max, and
@@ -35,108 +40,137 @@
 	LongShare      float64
 }
 
+// Draw draws a service time.
+func (s Spread) Draw(rnd *rand.Rand) time.Duration {
+	if rnd.Float64() < s.LongShare {
+		return s.Long
+	}
+	d := s.Min
+	if s.Max > s.Min {
+		d += time.Duration(rnd.Int64N(int64(s.Max - s.Min)))
+	}
+	return d
+}
+
+// Mean returns the mean of the distribution.
+func (s Spread) Mean() time.Duration {
+	short := float64(s.Min+max(s.Max, s.Min)) / 2
+	return time.Duration(short*(1-s.LongShare) + float64(s.Long)*s.LongShare)
+}
+
+// Payload is the part of a task's body that the stand-in reads: the service
+// time at speed 1, so that whoever sends the task knows it. Without it the
+// stand-in draws the time from its Spread.
+type Payload struct {
+	ServiceMS float64 `json:"service_ms"`
+}
+
 // Worker is the stand-in of a backend server.
 type Worker struct {
-	name   string
-	cores  chan struct{}
+	addr   netip.AddrPort
+	cores  int
 	speed  float64
 	spread Spread
+	mux    *http.ServeMux
 
 	mu     sync.Mutex
 	faults WorkerFaults
 	thaw   chan struct{}
-	starts map[string]int
+	record *record
 	rnd    *rand.Rand
+	// vanished is called with the lock held when Vanish changes.
+	vanished func(gone bool)
 }
 
 // NewWorker makes a backend server with the given cores; a speed of 2 halves
 // the service times.
-func NewWorker(name string, cores int, speed float64, spread Spread, seed uint64) *Worker {
-	return &Worker{
-		name:   name,
-		cores:  make(chan struct{}, cores),
-		speed:  speed,
-		spread: spread,
-		thaw:   make(chan struct{}),
-		starts: make(map[string]int),
-		rnd:    rand.New(rand.NewPCG(seed, 1)),
+func NewWorker(addr netip.AddrPort, cores int, speed float64, spread Spread, seed uint64) *Worker {
+	k := &Worker{
+		addr:     addr,
+		cores:    cores,
+		speed:    speed,
+		spread:   spread,
+		mux:      http.NewServeMux(),
+		thaw:     make(chan struct{}),
+		record:   newRecord(addr),
+		rnd:      rand.New(rand.NewPCG(seed, 1)),
+		vanished: func(bool) {},
 	}
+	k.mux.HandleFunc("POST /v1/tasks/{kind}", k.run)
+	k.mux.HandleFunc("GET /stand/starts", func(w http.ResponseWriter, r *http.Request) { serveStarts(w, r, []*Worker{k}) })
+	k.mux.HandleFunc("PUT /stand/faults", func(w http.ResponseWriter, r *http.Request) { putFaults(w, r, []*Worker{k}) })
+	return k
 }
 
 // ServeHTTP runs tasks and the controls of the stand-in.
-func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch {
-	case r.URL.Path == "/stand/starts":
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		reply(w, k.starts)
-	case r.URL.Path == "/stand/faults" && r.Method == http.MethodPut:
-		k.putFaults(w, r)
-	case r.Method == http.MethodPost && strings.HasPrefix(r.URL.Path, "/v1/tasks/"):
-		k.run(w, r)
-	default:
-		http.NotFound(w, r)
-	}
-}
+func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) { k.mux.ServeHTTP(w, r) }
 
-func (k *Worker) putFaults(w http.ResponseWriter, r *http.Request) {
-	var in WorkerFaults
-	if !decode(w, r, &in) {
-		return
-	}
+// SetFaults replaces the faults in force.
+func (k *Worker) SetFaults(f WorkerFaults) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.faults = in
-	if !in.Freeze {
+	if k.faults.Freeze && !f.Freeze {
 		close(k.thaw)
 		k.thaw = make(chan struct{})
 	}
+	if f.Vanish != k.faults.Vanish {
+		k.vanished(f.Vanish)
+	}
+	k.faults = f
 }
 
 func (k *Worker) run(w http.ResponseWriter, r *http.Request) {
-	k.mu.Lock()
-	f, thaw := k.faults, k.thaw
-	k.mu.Unlock()
-	if f.Freeze {
-		<-thaw
-	}
-	select {
-	case k.cores <- struct{}{}:
-		defer func() { <-k.cores }()
-	default:
-		f.Refuse = true
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecord))
+	if err != nil {
+		return
 	}
-	if f.Refuse {
+	f := k.arrive()
+	task := r.Header.Get(delivery.HeaderTask)
+	d, ok := k.begin(f, task, r.PathValue("kind"), body)
+	if !ok {
 		w.Header().Set(delivery.HeaderRan, "no")
 		http.Error(w, "no core is free", http.StatusTooManyRequests)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	task := r.Header.Get(delivery.HeaderTask)
-	time.Sleep(k.start(task, f))
+	time.Sleep(d)
+	k.mu.Lock()
+	k.record.running(-1)
+	k.mu.Unlock()
 	k.answer(w, task, f, body)
 }
 
-// start counts the start and draws the service time.
-func (k *Worker) start(task string, f WorkerFaults) time.Duration {
+// arrive counts a request, waits while the server is frozen, and returns the
+// faults that hold for the request.
+func (k *Worker) arrive() WorkerFaults {
+	k.mu.Lock()
+	k.record.summary.Requests++
+	f, thaw := k.faults, k.thaw
+	k.mu.Unlock()
+	if f.Freeze {
+		<-thaw
+	}
+	return f
+}
+
+// begin takes a core and counts the start, and returns the service time; false
+// means that the task is refused.
+func (k *Worker) begin(f WorkerFaults, task, kind string, body []byte) (time.Duration, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.starts[task]++
-	if f.Fail {
-		return 0
+	if f.Refuse || k.record.summary.Running >= k.cores {
+		k.record.summary.Refused++
+		return 0, false
 	}
-	d := k.spread.Min
-	if k.spread.Max > k.spread.Min {
-		d += time.Duration(k.rnd.Int64N(int64(k.spread.Max - k.spread.Min)))
+	k.record.running(1)
+	k.record.start(time.Now(), task, kind)
+	if f.Fail {
+		return 0, true
 	}
-	if k.rnd.Float64() < k.spread.LongShare {
-		d = k.spread.Long
+	var p Payload
+	if json.Unmarshal(body, &p) != nil || p.ServiceMS <= 0 {
+		p.ServiceMS = float64(k.spread.Draw(k.rnd)) / float64(time.Millisecond)
 	}
-	slow := max(f.Slow, 1)
-	return time.Duration(float64(d) * slow / k.speed)
+	return time.Duration(p.ServiceMS * max(f.Slow, 1) / k.speed * float64(time.Millisecond)), true
 }
 
 func (k *Worker) answer(w http.ResponseWriter, task string, f WorkerFaults, body []byte) {
@@ -144,7 +178,7 @@
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
-	out := fmt.Sprintf(`{"server":%q,"got":%d}`, k.name, len(body))
+	out := fmt.Sprintf(`{"server":%q,"task":%q,"got":%d}`, k.addr, task, len(body))
 	w.Header().Set(delivery.HeaderTask, task)
 	w.Header().Set("Content-Type", "application/json")
 	if f.Short || f.Reset {
--- /dev/null
+++ b/stand/worker_test.go
@@ -0,0 +1,190 @@
+package stand
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"snipehub.example/delivery"
+)
+
+var spread = Spread{Min: time.Millisecond, Max: 2 * time.Millisecond}
+
+// farm serves two workers of two cores at free ports.
+func farm(t *testing.T) (*Farm, []netip.AddrPort) {
+	t.Helper()
+	var at []netip.AddrPort
+	var workers []*Worker
+	for range 2 {
+		s := httptest.NewServer(nil)
+		a := netip.MustParseAddrPort(s.Listener.Addr().String())
+		s.Close()
+		at = append(at, a)
+		workers = append(workers, NewWorker(a, 2, 1, spread, 1))
+	}
+	f := NewFarm(workers)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	c := delivery.New(1<<10, 4)
+	for _, a := range at {
+		for range 1000 {
+			if deliver(c, a, "up").Kind == delivery.Done {
+				break
+			}
+		}
+	}
+	return f, at
+}
+
+func deliver(c *delivery.Client, to netip.AddrPort, task string) delivery.Outcome {
+	return c.Deliver(context.Background(), delivery.Attempt{
+		Server: to, Kind: "price", Task: task, Body: []byte("{}"), Expires: time.Now().Add(10 * time.Second),
+	})
+}
+
+func ask(h http.Handler, method, path, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return w
+}
+
+func faults(t *testing.T, h http.Handler, server netip.AddrPort, body string) {
+	t.Helper()
+	if w := ask(h, http.MethodPut, "/stand/faults?server="+server.String(), body); w.Code != http.StatusOK {
+		t.Fatalf("faults: %d %s", w.Code, w.Body)
+	}
+}
+
+// Each fault of a backend server, as the dispatcher's delivery client sees it,
+// and whether the task was started by the server's own record.
+func TestWorkerFaults(t *testing.T) {
+	tests := []struct {
+		name, faults string
+		want         delivery.Kind
+		starts       int
+		reason       string
+	}{
+		{"none", `{}`, delivery.Done, 1, ""},
+		{"fails everything", `{"fail":true}`, delivery.Unknown, 1, "status 500"},
+		{"reset in mid-answer", `{"reset":true}`, delivery.Unknown, 1, "cut off"},
+		{"short body", `{"short":true}`, delivery.Unknown, 1, "cut off"},
+		{"refuses", `{"refuse":true}`, delivery.NotRun, 0, "refused"},
+		{"vanished", `{"vanish":true}`, delivery.NotRun, 0, "connection refused"},
+	}
+	f, at := farm(t)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			faults(t, f, at[0], tt.faults)
+			defer faults(t, f, at[0], `{}`)
+			o := deliver(delivery.New(1<<10, 4), at[0], tt.name)
+			if o.Kind != tt.want || !strings.Contains(o.Reason, tt.reason) {
+				t.Errorf("got %+v, want kind %v with %q", o, tt.want, tt.reason)
+			}
+			var starts map[string]int
+			_ = json.Unmarshal(ask(f, http.MethodGet, "/stand/starts", "").Body.Bytes(), &starts)
+			if starts[tt.name] != tt.starts {
+				t.Errorf("%d starts, want %d", starts[tt.name], tt.starts)
+			}
+			if o := deliver(delivery.New(1<<10, 4), at[1], "other "+tt.name); o.Kind != delivery.Done {
+				t.Errorf("the other server: %+v", o)
+			}
+		})
+	}
+}
+
+// A vanished server is back at the same address when the fault is taken away.
+func TestVanishAndReturn(t *testing.T) {
+	f, at := farm(t)
+	c := delivery.New(1<<10, 4)
+	faults(t, f, at[0], `{"vanish":true}`)
+	if o := deliver(c, at[0], "gone"); o.Kind != delivery.NotRun {
+		t.Errorf("while gone: %+v", o)
+	}
+	faults(t, f, at[0], `{}`)
+	if o := deliver(c, at[0], "back"); o.Kind != delivery.Done {
+		t.Errorf("after the return: %+v", o)
+	}
+}
+
+func run(k *Worker, task string) (time.Duration, int) {
+	began := time.Now()
+	r := httptest.NewRequest(http.MethodPost, "/v1/tasks/price", strings.NewReader(`{"service_ms":100}`))
+	r.Header.Set(delivery.HeaderTask, task)
+	w := httptest.NewRecorder()
+	k.ServeHTTP(w, r)
+	return time.Since(began), w.Code
+}
+
+// The payload's service time is divided by the speed; a slow server takes its
+// multiple.
+func TestServiceTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := NewWorker(netip.AddrPort{}, 1, 2, spread, 1)
+		if d, _ := run(k, "a"); d != 50*time.Millisecond {
+			t.Errorf("at speed 2: %v", d)
+		}
+		k.SetFaults(WorkerFaults{Slow: 10})
+		if d, _ := run(k, "b"); d != 500*time.Millisecond {
+			t.Errorf("slow tenfold: %v", d)
+		}
+	})
+}
+
+// A frozen server answers nothing, and runs what it had read when it thaws.
+func TestFreeze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := NewWorker(netip.AddrPort{}, 1, 1, spread, 1)
+		k.SetFaults(WorkerFaults{Freeze: true})
+		done := make(chan time.Duration)
+		go func() {
+			d, _ := run(k, "a")
+			done <- d
+		}()
+		time.Sleep(time.Minute)
+		if len(k.record.starts) != 0 {
+			t.Error("started while frozen")
+		}
+		k.SetFaults(WorkerFaults{})
+		if d := <-done; d != time.Minute+100*time.Millisecond {
+			t.Errorf("answered after %v", d)
+		}
+	})
+}
+
+// The record tells which kind asked and when; a core that is taken refuses.
+func TestRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := NewWorker(netip.MustParseAddrPort("127.0.0.1:9"), 1, 1, spread, 1)
+		go run(k, "a")
+		synctest.Wait()
+		if _, code := run(k, "b"); code != http.StatusTooManyRequests {
+			t.Errorf("status %d while the core is taken", code)
+		}
+		time.Sleep(time.Second)
+		run(k, "a")
+		var full struct{ Starts []Start }
+		_ = json.Unmarshal(ask(k, http.MethodGet, "/stand/starts?view=full", "").Body.Bytes(), &full)
+		if n := len(full.Starts); n != 2 || full.Starts[1].Kind != "price" || full.Starts[1].At.Sub(full.Starts[0].At) != time.Second {
+			t.Errorf("full record: %+v", full)
+		}
+		var sum struct{ Servers []Summary }
+		_ = json.Unmarshal(ask(k, http.MethodGet, "/stand/starts?view=summary", "").Body.Bytes(), &sum)
+		s := sum.Servers[0]
+		if s.Requests != 3 || s.Starts != 2 || s.Refused != 1 || s.Doubles != 1 || s.Peak != 1 || s.Running != 0 {
+			t.Errorf("summary: %+v", s)
+		}
+	})
+}
