--- /dev/null
+++ b/load/arrival.go
@@ -0,0 +1,95 @@
+package load
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipehub.example/job"
+)
+
+// arrival is one job of a run, as planned before it begins.
+type arrival struct {
+	at time.Duration
+	// caller and dispatcher are indexes into the deployment's.
+	caller, dispatcher int
+	kind               string
+	// service is each task's service time at speed 1.
+	service []time.Duration
+}
+
+// plan draws all arrivals of a run. The times come from a Poisson process and
+// not from the answers (open loop), so that slow answers don't lower the load
+// and hide themselves.
+func plan(s Scenario, d Deployment, seed uint64) ([]arrival, error) {
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	spread := s.Service.spread()
+	perJob := s.JobTasks.mean() * spread.Mean().Seconds()
+	var out []arrival
+	var begin time.Duration
+	tasks := 0
+	for _, p := range s.Phases {
+		rate := p.Load * d.power() / perJob
+		end := begin + p.For.D()
+		for t := begin + gap(rnd, rate); t < end; t += gap(rnd, rate) {
+			a := arrival{at: t, caller: pickCaller(rnd, d.Callers), dispatcher: rnd.IntN(d.Dispatchers)}
+			if rnd.Float64() < s.Skew {
+				a.dispatcher = 0
+			}
+			a.kind = d.rows.Routes[rnd.IntN(len(d.rows.Routes))].Kind
+			for range s.JobTasks.draw(rnd) {
+				a.service = append(a.service, spread.Draw(rnd))
+			}
+			// Checked here and not at the end: a scenario of very short tasks
+			// would otherwise fill the machine's memory while it is planned.
+			if tasks += len(a.service); tasks > maxTasks {
+				return nil, errors.Errorf("load: more than %d tasks are planned", maxTasks)
+			}
+			out = append(out, a)
+		}
+		begin = end
+	}
+	return out, nil
+}
+
+func gap(rnd *rand.Rand, rate float64) time.Duration {
+	return time.Duration(rnd.ExpFloat64() / rate * float64(time.Second))
+}
+
+func pickCaller(rnd *rand.Rand, all []Caller) int {
+	var sum float64
+	for _, c := range all {
+		sum += c.Share
+	}
+	x := rnd.Float64() * sum
+	for i, c := range all {
+		if x -= c.Share; x < 0 {
+			return i
+		}
+	}
+	return len(all) - 1
+}
+
+// ideal is the job's response time when each task starts at once on the
+// fastest backend server.
+func (a arrival) ideal(fastest float64) time.Duration {
+	var longest time.Duration
+	for _, d := range a.service {
+		longest = max(longest, d)
+	}
+	return time.Duration(float64(longest) / fastest)
+}
+
+// spec is what is submitted: each task carries its service time for the
+// stand-in.
+func (a arrival) spec() job.Spec {
+	s := job.Spec{Kind: a.kind, Tasks: make([]json.RawMessage, len(a.service))}
+	for i, d := range a.service {
+		b := append([]byte(`{"service_ms":`), strconv.FormatFloat(float64(d)/float64(time.Millisecond), 'f', 3, 64)...)
+		s.Tasks[i] = append(b, '}')
+	}
+	return s
+}
--- /dev/null
+++ b/load/call.go
@@ -0,0 +1,93 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipehub.example/ledger"
+)
+
+// ErrCall means that a stand-in or a dispatcher did not answer as it should.
+var ErrCall = errors.New("load: call failed")
+
+var controls = &http.Client{
+	Transport: &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 2},
+	Timeout:   20 * time.Second,
+}
+
+// get reads the path; a nil out ignores the body.
+func get(ctx context.Context, at netip.AddrPort, path string, out any) error {
+	b, err := exchange(ctx, http.MethodGet, at, path, nil)
+	if err != nil || out == nil {
+		return err
+	}
+	if text, ok := out.(*string); ok {
+		*text = string(b)
+		return nil
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return errors.Wrapf(ErrCall, "%s%s: %v", at, path, err)
+	}
+	return nil
+}
+
+func put(ctx context.Context, at netip.AddrPort, path string, in any) error {
+	b, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "load")
+	}
+	_, err = exchange(ctx, http.MethodPut, at, path, b)
+	return err
+}
+
+func exchange(ctx context.Context, method string, at netip.AddrPort, path string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+at.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "load")
+	}
+	resp, err := controls.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(ErrCall, err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Wrap(ErrCall, err.Error())
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Wrapf(ErrCall, "%s%s: status %d: %s", at, path, resp.StatusCode, b)
+	}
+	return b, nil
+}
+
+func (r *Running) putVMs(ctx context.Context, vms []VM) error {
+	var in struct {
+		VMs []ledger.VM `json:"vms"`
+	}
+	for _, v := range vms {
+		in.VMs = append(in.VMs, ledger.VM{Name: v.Name, Address: v.Address, DataCenter: v.DataCenter})
+	}
+	return put(ctx, r.Platform, "/stand/vms", in)
+}
+
+// sleep waits for d; false means that ctx has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- a/load/command.go
+++ b/load/command.go
@@ -2,20 +2,28 @@
 //
 // It drives real dispatcher processes and stand-in backend servers, always
 // bounded in time and count, and measures response time over the ideal and
-// messages per task.
+// messages per task. The processes are this program, started again with hidden
+// commands; the daemons themselves start nothing.
 package load
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
+	"os"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
 	"snipehub.example/hub"
 	"snipehub.example/stand"
 )
 
+// ErrSafety means that a run broke what must always hold.
+var ErrSafety = errors.New("load: what must be 0 is not")
+
 // Command returns the command line of snipeload.
 func Command() *cli.Command {
 	daemon := hub.Command()
@@ -23,45 +31,111 @@
 	standIn := stand.Command()
 	standIn.Hidden = true
 	return &cli.Command{
-		Name:  "snipeload",
-		Usage: "bounded load and measures",
-		Commands: []*cli.Command{
-			{
-				Name:  "demo",
-				Usage: "bring up stand-ins and dispatchers as processes, run jobs, and print the measures",
-				Flags: []cli.Flag{
-					&cli.IntFlag{Name: "dispatchers", Value: 3},
-					&cli.IntFlag{Name: "workers", Value: 3},
-					&cli.IntFlag{Name: "cores", Value: 16},
-					&cli.IntFlag{Name: "jobs", Value: 100},
-					&cli.IntFlag{Name: "tasks", Value: 8},
-				},
-				Action: demo,
-			},
-			daemon,
-			standIn,
+		Name:     "snipeload",
+		Usage:    "bounded load and measures",
+		Commands: []*cli.Command{demoCommand(), runCommand(), scenariosCommand(), daemon, standIn},
+	}
+}
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "run",
+		Usage:     "drive a scenario against a deployment and print the measures",
+		ArgsUsage: "SCENARIO (a name of the table, or a TOML file)",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Value: "lakeshore", Usage: "a name under examples/, or a TOML file"},
+			&cli.StringFlag{Name: "policy", Usage: "placement policy in place of the deployment's"},
+			&cli.IntFlag{Name: "dispatchers", Usage: "how many, in place of the deployment's number"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of arrivals, sizes and service times"},
+			&cli.IntFlag{Name: "repeat", Value: 1, Usage: "runs, with the seeds that follow"},
+			&cli.StringFlag{Name: "out", Usage: "write the reports to this JSON file"},
 		},
+		Action: run,
 	}
 }
 
-func demo(ctx context.Context, c *cli.Command) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Minute)
-	defer cancel()
-	d, err := Deploy(ctx, Plan{
-		Dispatchers: c.Int("dispatchers"),
-		Workers:     c.Int("workers"),
-		Cores:       c.Int("cores"),
-		Min:         20 * time.Millisecond,
-		Max:         60 * time.Millisecond,
-	})
+func run(ctx context.Context, c *cli.Command) error {
+	s, err := FindScenario(c.Args().First())
 	if err != nil {
 		return err
 	}
-	defer d.Close()
-	r, err := d.Run(ctx, c.Int("jobs"), c.Int("tasks"))
+	d, err := ReadDeployment(c.String("deployment"))
 	if err != nil {
 		return err
 	}
-	fmt.Fprintln(c.Root().Writer, r)
+	if n := c.Int("dispatchers"); n > 0 {
+		d.Dispatchers = n
+	}
+	var all []Report
+	for i := range c.Int("repeat") {
+		r, err := bounded(ctx, d, s, Options{Policy: c.String("policy"), Seed: c.Uint64("seed") + uint64(i)})
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(c.Root().Writer, r)
+		all = append(all, r)
+	}
+	if path := c.String("out"); path != "" {
+		if err := writeReports(path, all); err != nil {
+			return err
+		}
+	}
+	return safe(all)
+}
+
+// bounded runs with a time limit that no run of an allowed scenario reaches.
+func bounded(ctx context.Context, d Deployment, s Scenario, o Options) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.length()+2*patience+time.Minute)
+	defer cancel()
+	return Run(ctx, d, s, o)
+}
+
+func safe(all []Report) error {
+	for _, r := range all {
+		if r.Safety.Broken() {
+			return errors.Wrapf(ErrSafety, "%s, policy %s: %+v", r.Scenario, r.Policy, r.Safety)
+		}
+	}
+	return nil
+}
+
+func writeReports(path string, all []Report) error {
+	b, err := json.MarshalIndent(all, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "load")
+	}
+	if err := os.WriteFile(path, append(b, '\n'), 0o644); err != nil {
+		return errors.Wrap(err, "load")
+	}
 	return nil
 }
+
+// ReadReports reads what "run" has written.
+func ReadReports(path string) ([]Report, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "load")
+	}
+	var all []Report
+	if err := json.Unmarshal(b, &all); err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	return all, nil
+}
+
+func scenariosCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "scenarios",
+		Usage: "list the scenarios",
+		Action: func(_ context.Context, c *cli.Command) error {
+			listScenarios(c.Root().Writer)
+			return nil
+		},
+	}
+}
+
+func listScenarios(w io.Writer) {
+	for _, s := range Scenarios() {
+		fmt.Fprintf(w, "%3d %-10s %-70s since %s\n", s.Number, s.Name, s.Title, s.Since)
+	}
+}
--- a/load/deploy.go
+++ b/load/deploy.go
@@ -2,201 +2,200 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
-	"net"
-	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"snipehub.example/ledger"
 	"snipehub.example/operator"
-	"snipehub.example/tables"
+	"snipehub.example/settings"
 )
 
-// Plan says what to bring up.
-type Plan struct {
-	Dispatchers, Workers, Cores int
-	Min, Max                    time.Duration
+// Running is a deployment whose processes run.
+type Running struct {
+	Deployment
+	dir         string
+	platform    *process
+	farms       []*process
+	dispatchers []*process
+	places      []dispatcher
 }
 
-// Deployment is a set of running processes.
-type Deployment struct {
-	plan    Plan
-	dir     string
-	procs   []*exec.Cmd
-	log     netip.AddrPort
-	Workers []netip.AddrPort
-	Callers []netip.AddrPort
-}
+// readyTimeout bounds the wait for one process.
+const readyTimeout = 30 * time.Second
 
-// Deploy brings up the stand-ins and the dispatchers of the plan, as processes
-// of this program, and loads tables that route the kind "demo" to all workers.
-func Deploy(ctx context.Context, p Plan) (*Deployment, error) {
+// Deploy brings up the stand-ins and the dispatchers as processes of this
+// program, and brings the tables into force.
+func Deploy(ctx context.Context, d Deployment) (*Running, error) {
 	dir, err := os.MkdirTemp("", "snipeload")
 	if err != nil {
 		return nil, errors.Wrap(err, "deploy")
 	}
-	d := &Deployment{plan: p, dir: dir}
-	if err := d.up(ctx); err != nil {
-		d.Close()
+	r := &Running{Deployment: d, dir: dir, places: d.places()}
+	if err := r.up(ctx); err != nil {
+		r.Close()
 		return nil, err
 	}
-	return d, nil
+	return r, nil
 }
 
-func (d *Deployment) up(ctx context.Context) error {
-	ports, err := freePorts(1 + d.plan.Workers + 2*d.plan.Dispatchers)
-	if err != nil {
+func (r *Running) up(ctx context.Context) error {
+	if err := r.startPlatform(ctx); err != nil {
 		return err
 	}
-	d.log = ports[0]
-	d.Workers = ports[1 : 1+d.plan.Workers]
-	rest := ports[1+d.plan.Workers:]
-	if err := d.start("snipestand", "log", "--listen", d.log.String()); err != nil {
-		return err
-	}
-	for _, w := range d.Workers {
-		err := d.start("snipestand", "worker", "--listen", w.String(), "--cores", fmt.Sprint(d.plan.Cores),
-			"--min", d.plan.Min.String(), "--max", d.plan.Max.String())
-		if err != nil {
+	for i := range r.Controls {
+		if err := r.startFarm(i); err != nil {
 			return err
 		}
 	}
-	for i := range d.plan.Dispatchers {
-		d.Callers = append(d.Callers, rest[2*i])
-		if err := d.startDispatcher(i, rest[2*i], rest[2*i+1], rest[1]); err != nil {
+	for i := range r.places {
+		if err := r.startDispatcher(i); err != nil {
 			return err
 		}
 	}
-	if err := await(ctx, d.log, "/v1/vms"); err != nil {
-		return err
-	}
-	if _, err := operator.Apply(ctx, ledger.New(d.log, d.log, 5*time.Second), d.rows(), "demo"); err != nil {
-		return err
-	}
-	for _, a := range append(d.Callers, d.Workers...) {
-		path := "/readyz"
-		if !contains(d.Callers, a) {
-			path = "/stand/starts"
+	for i, at := range r.Controls {
+		if err := r.ready(ctx, r.farms[i], at, "/stand/starts?view=summary"); err != nil {
+			return err
 		}
-		if err := await(ctx, a, path); err != nil {
+	}
+	for i, p := range r.places {
+		if err := r.ready(ctx, r.dispatchers[i], p.callers, "/readyz"); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func contains(all []netip.AddrPort, a netip.AddrPort) bool {
-	for _, o := range all {
-		if o == a {
-			return true
-		}
+func (r *Running) startPlatform(ctx context.Context) error {
+	var err error
+	r.platform, err = r.start("platform", "snipestand", "log", "--listen", r.Platform.String())
+	if err != nil {
+		return err
 	}
-	return false
-}
-
-func (d *Deployment) rows() tables.Rows {
-	r := tables.Rows{
-		Routes: []tables.Route{{Kind: "demo", Half: "north", Pool: "north-demo"}},
-		Pools:  []tables.Pool{{Name: "north-demo", Half: "north"}},
+	if err := r.ready(ctx, r.platform, r.Platform, "/stand/counts"); err != nil {
+		return err
 	}
-	for _, w := range d.Workers {
-		r.Servers = append(r.Servers, tables.Server{Pool: "north-demo", Address: w, DataCenter: "dc1", Slots: d.plan.Cores})
+	if err := r.putVMs(ctx, r.VMs); err != nil {
+		return err
 	}
-	return r
+	_, err = operator.Apply(ctx, ledger.New(r.Platform, r.Platform, 5*time.Second), r.rows, "snipeload")
+	return err
 }
 
-func (d *Deployment) startDispatcher(i int, callers, peers, seed netip.AddrPort) error {
-	name := fmt.Sprintf("hub%d", i)
-	path := filepath.Join(d.dir, name+".toml")
-	text := fmt.Sprintf(`[process]
-data_center = "dc1"
-vm = "vm%d"
-name = %q
-[listen]
-callers = %q
-peers = %q
-[platform]
-log = %q
-vms = %q
-[peers]
-seeds = [%q]
-[callers]
-open = true
-`, i, name, callers, peers, d.log, d.log, seed)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		return errors.Wrap(err, "deploy")
+// startFarm starts the i-th part of the backend servers: those of a data
+// centre, when there are as many parts as data centres.
+func (r *Running) startFarm(i int) error {
+	byCores := make(map[int][]string)
+	for n, w := range r.Workers {
+		if n*len(r.Controls)/len(r.Workers) == i {
+			byCores[w.Cores] = append(byCores[w.Cores], fmt.Sprintf("%s@%g", w.Address, w.Speed))
+		}
+	}
+	if len(byCores) != 1 {
+		return errors.Errorf("deploy: the workers of %s differ in cores", r.Controls[i])
 	}
-	return d.start("snipehubd", "--config", path)
+	args := []string{"snipestand", "worker", "--control", r.Controls[i].String()}
+	for cores, list := range byCores {
+		args = append(args, "--cores", strconv.Itoa(cores))
+		for _, w := range list {
+			args = append(args, "--listen", w)
+		}
+	}
+	p, err := r.start("farm"+itoa(i), args...)
+	if err == nil {
+		r.farms = append(r.farms, p)
+	}
+	return err
 }
 
-func (d *Deployment) start(args ...string) error {
-	exe, err := os.Executable()
+func (r *Running) startDispatcher(i int) error {
+	b, err := settings.Encode(r.settingsOf(i))
 	if err != nil {
 		return errors.Wrap(err, "deploy")
 	}
-	cmd := exec.Command(exe, args...)
-	out, err := os.Create(filepath.Join(d.dir, fmt.Sprintf("%s-%d.log", args[0], len(d.procs))))
-	if err != nil {
+	path := filepath.Join(r.dir, "dispatcher"+itoa(i)+".toml")
+	if err := os.WriteFile(path, b, 0o600); err != nil {
 		return errors.Wrap(err, "deploy")
 	}
-	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
-		return errors.Wrap(err, "deploy")
+	p, err := r.start("dispatcher"+itoa(i), "snipehubd", "--config", path)
+	if err == nil {
+		r.dispatchers = append(r.dispatchers, p)
 	}
-	_ = out.Close()
-	d.procs = append(d.procs, cmd)
-	return nil
+	return err
 }
 
-// Close ends all processes.
-func (d *Deployment) Close() {
-	for i := len(d.procs) - 1; i >= 0; i-- {
-		_ = d.procs[i].Process.Kill()
-		_ = d.procs[i].Wait()
+func (r *Running) settingsOf(i int) settings.Config {
+	cfg, p := r.cfg, r.places[i]
+	cfg.Process = settings.Process{DataCenter: p.vm.DataCenter, VM: p.vm.Name, Name: p.name}
+	cfg.Listen.Callers, cfg.Listen.Peers = p.callers, p.peers
+	cfg.Platform.Log, cfg.Platform.VMs = r.Platform, r.Platform
+	cfg.Peers.Seeds, cfg.Peers.Ports = nil, nil
+	for j, o := range r.places {
+		if j < len(r.VMs) {
+			cfg.Peers.Seeds = append(cfg.Peers.Seeds, o.peers)
+		}
+		if !slices.Contains(cfg.Peers.Ports, o.peers.Port()) {
+			cfg.Peers.Ports = append(cfg.Peers.Ports, o.peers.Port())
+		}
+	}
+	cfg.Callers.Open, cfg.Callers.Tokens = false, nil
+	for _, c := range r.Callers {
+		sum := sha256.Sum256([]byte(c.Token))
+		cfg.Callers.Tokens = append(cfg.Callers.Tokens,
+			settings.Token{Caller: c.Name, Team: c.Team, SHA256: hex.EncodeToString(sum[:])})
 	}
-	_ = os.RemoveAll(d.dir)
+	return cfg
 }
 
-// await asks for the path until it is answered with 200.
-func await(ctx context.Context, a netip.AddrPort, path string) error {
-	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+func (r *Running) start(name string, args ...string) (*process, error) {
+	return startProcess(filepath.Join(r.dir, name+".log"), args...)
+}
+
+// ready waits until the address answers the path with 200.
+func (r *Running) ready(ctx context.Context, p *process, at netip.AddrPort, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+path, nil)
-		if err != nil {
-			return errors.Wrap(err, "await")
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
+		if get(ctx, at, path, nil) == nil {
+			return nil
 		}
-		select {
-		case <-ctx.Done():
-			return errors.Errorf("%s%s does not get ready", a, path)
-		case <-time.After(50 * time.Millisecond):
+		if !p.alive() || !sleep(ctx, 20*time.Millisecond) {
+			return errors.Errorf("%s%s does not get ready: %s", at, path, r.outputs())
 		}
 	}
 }
 
-// freePorts finds n ports of the loopback address that are free now.
-func freePorts(n int) ([]netip.AddrPort, error) {
-	out := make([]netip.AddrPort, n)
-	for i := range out {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "ports")
+// outputs returns what the processes have printed last.
+func (r *Running) outputs() string {
+	paths, _ := filepath.Glob(filepath.Join(r.dir, "*.log"))
+	var s string
+	for _, p := range paths {
+		if t := tail(p); t != "" {
+			s += "\n" + filepath.Base(p) + ": " + t
 		}
-		defer func() { _ = ln.Close() }()
-		out[i] = ln.Addr().(*net.TCPAddr).AddrPort()
 	}
-	return out, nil
+	return s[:min(len(s), 4*maxLogBytes)]
+}
+
+// Close ends all processes.
+func (r *Running) Close() {
+	all := slices.Concat(r.dispatchers, r.farms)
+	if r.platform != nil {
+		all = append(all, r.platform)
+	}
+	for _, p := range all {
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range all {
+		<-p.done
+	}
+	_ = os.RemoveAll(r.dir)
 }
--- /dev/null
+++ b/load/deployment.go
@@ -0,0 +1,178 @@
+package load
+
+import (
+	"bytes"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/BurntSushi/toml"
+	"github.com/go-faster/errors"
+
+	"snipehub.example/operator"
+	"snipehub.example/settings"
+	"snipehub.example/tables"
+)
+
+// Deployment says what to bring up: a file of examples/.
+type Deployment struct {
+	Name string `toml:"name"`
+	// Settings and Tables are files beside the deployment's own.
+	Settings string `toml:"settings"`
+	Tables   string `toml:"tables"`
+	// Platform is the address of the log and the VM list.
+	Platform netip.AddrPort `toml:"platform"`
+	// Dispatchers are spread evenly over the VMs; on each VM their ports
+	// count up from CallerPort and PeerPort.
+	Dispatchers int    `toml:"dispatchers"`
+	CallerPort  uint16 `toml:"caller_port"`
+	PeerPort    uint16 `toml:"peer_port"`
+	// Controls are the control addresses of the processes that stand in for
+	// the backend servers, one for each data centre.
+	Controls []netip.AddrPort `toml:"controls"`
+	VMs      []VM             `toml:"vms"`
+	Callers  []Caller         `toml:"callers"`
+	Workers  []Worker         `toml:"workers"`
+
+	cfg  settings.Config
+	rows tables.Rows
+	// fixed are the dispatchers' places, when they don't follow from the VMs.
+	fixed []dispatcher
+}
+
+// Caller is one who submits jobs, with its share of all jobs.
+type Caller struct {
+	Name  string  `toml:"name"`
+	Team  string  `toml:"team"`
+	Token string  `toml:"token"`
+	Share float64 `toml:"share"`
+}
+
+// VM is an entry VM: a loopback address that several dispatchers share.
+type VM struct {
+	Name       string     `toml:"name"`
+	Address    netip.Addr `toml:"address"`
+	DataCenter string     `toml:"data_center"`
+}
+
+// Worker is a backend server to stand in for.
+type Worker struct {
+	Address    netip.AddrPort `toml:"address"`
+	Rack       string         `toml:"rack"`
+	DataCenter string         `toml:"data_center"`
+	Cores      int            `toml:"cores"`
+	Speed      float64        `toml:"speed"`
+}
+
+// dispatcher is the place of one dispatcher process.
+type dispatcher struct {
+	name           string
+	vm             VM
+	callers, peers netip.AddrPort
+}
+
+// strictTOML decodes the file and refuses keys that v does not have.
+func strictTOML(path string, v any) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "load")
+	}
+	md, err := toml.NewDecoder(bytes.NewReader(b)).Decode(v)
+	if err != nil {
+		return errors.Errorf("%s: %v", path, err)
+	}
+	if extra := md.Undecoded(); len(extra) > 0 {
+		return errors.Errorf("%s: %s: unknown key", path, extra[0])
+	}
+	return nil
+}
+
+// ReadDeployment reads a deployment with its settings and tables. A name
+// without a path means examples/NAME/deployment.toml.
+func ReadDeployment(path string) (Deployment, error) {
+	var d Deployment
+	if filepath.Base(path) == path && filepath.Ext(path) == "" {
+		path = filepath.Join("examples", path, "deployment.toml")
+	}
+	if err := strictTOML(path, &d); err != nil {
+		return d, err
+	}
+	dir := filepath.Dir(path)
+	var err error
+	if d.cfg, err = settings.Load(filepath.Join(dir, d.Settings)); err != nil {
+		return d, err
+	}
+	if d.rows, err = operator.ReadFiles([]string{filepath.Join(dir, d.Tables)}); err != nil {
+		return d, err
+	}
+	if err := d.check(); err != nil {
+		return d, errors.Errorf("%s: %v", path, err)
+	}
+	return d, nil
+}
+
+func (d *Deployment) check() error {
+	listed := make(map[netip.AddrPort]bool, len(d.rows.Servers))
+	for _, s := range d.rows.Servers {
+		listed[s.Address] = true
+	}
+	for _, w := range d.Workers {
+		switch {
+		case !listed[w.Address]:
+			return errors.Errorf("workers: %s is not in the tables", w.Address)
+		case w.Cores <= 0 || w.Speed <= 0:
+			return errors.Errorf("workers: %s: cores and speed must be above 0", w.Address)
+		}
+	}
+	switch {
+	case len(d.VMs) == 0 || len(d.Workers) == 0 || len(d.Callers) == 0 || len(d.Controls) == 0:
+		return errors.New("vms, workers, callers and controls must not be empty")
+	case d.Dispatchers < 1 || d.Dispatchers > maxDispatchers:
+		return errors.Errorf("dispatchers: must be 1 to %d", maxDispatchers)
+	}
+	return nil
+}
+
+// maxDispatchers bounds the processes of a deployment.
+const maxDispatchers = 100
+
+// places returns where the dispatchers go: one on each VM in turn.
+func (d *Deployment) places() []dispatcher {
+	if d.fixed != nil {
+		return d.fixed
+	}
+	out := make([]dispatcher, d.Dispatchers)
+	for i := range out {
+		vm := d.VMs[i%len(d.VMs)]
+		n := uint16(i / len(d.VMs))
+		out[i] = dispatcher{
+			name:    "hub" + itoa(int(n)),
+			vm:      vm,
+			callers: netip.AddrPortFrom(vm.Address, d.CallerPort+n),
+			peers:   netip.AddrPortFrom(vm.Address, d.PeerPort+n),
+		}
+	}
+	return out
+}
+
+// power is the sum of cores, each weighted by its speed: the tasks' seconds of
+// service, at speed 1, that all backend servers do in a second. A deployment
+// with fewer connections than cores can't use more cores than connections.
+func (d *Deployment) power() float64 {
+	var cores, power float64
+	for _, w := range d.Workers {
+		cores += float64(w.Cores)
+		power += float64(w.Cores) * w.Speed
+	}
+	conns := float64(d.Dispatchers * d.cfg.Dispatch.Connections)
+	return power * min(1, conns/cores)
+}
+
+// fastest is the highest speed of a backend server.
+func (d *Deployment) fastest() float64 {
+	var top float64
+	for _, w := range d.Workers {
+		top = max(top, w.Speed)
+	}
+	return top
+}
--- /dev/null
+++ b/load/measure.go
@@ -0,0 +1,185 @@
+package load
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// warmUp is left out of the quantiles: the system is still empty then.
+	warmUp = 2 * time.Second
+	// rampUp is the longest service time of an ordinary task.
+	rampUp = 3 * time.Second
+	// ratioScale is how finely ratios are recorded.
+	ratioScale = 1000
+	maxRatio   = 10_000
+)
+
+// spreadOf collects one distribution.
+type spreadOf struct {
+	h     *hdrhistogram.Histogram
+	scale float64
+}
+
+func newSpread(scale float64) spreadOf {
+	return spreadOf{h: hdrhistogram.New(1, int64(maxRatio*scale), 3), scale: scale}
+}
+
+func (s spreadOf) add(v float64) {
+	_ = s.h.RecordValue(min(max(int64(v*s.scale), 1), s.h.HighestTrackableValue()))
+}
+
+func (s spreadOf) quantile(q float64) float64 { return float64(s.h.ValueAtQuantile(q)) / s.scale }
+
+func (s spreadOf) quantiles() Quantiles {
+	return Quantiles{
+		N: s.h.TotalCount(), P50: s.quantile(50), P90: s.quantile(90), P99: s.quantile(99),
+		Max: float64(s.h.Max()) / s.scale,
+	}
+}
+
+func (s spreadOf) cdf() []Point {
+	var out []Point
+	for q := 0.0; q <= 99.95; q++ {
+		out = append(out, Point{s.quantile(q), q / 100})
+	}
+	return append(out, Point{s.quantile(99.9), 0.999})
+}
+
+func (o outcome) ratio() float64 { return float64(o.response) / float64(o.ideal) }
+
+// measure fills in what follows from the outcomes alone.
+func (r *Report) measure(s Scenario, callers []Caller, all []outcome) {
+	ratio, response := newSpread(ratioScale), newSpread(10)
+	r.Refusals = make(map[string]int)
+	seconds := make([]spreadOf, int(s.length()/time.Second)+1)
+	r.Seconds = make([]Second, len(seconds))
+	for _, o := range all {
+		r.count(o)
+		second := &r.Seconds[o.at/time.Second]
+		second.Offered += len(o.service)
+		if o.verdict == refused {
+			second.Refused += len(o.service)
+		}
+		if o.verdict != done {
+			continue
+		}
+		h := &seconds[o.at/time.Second]
+		if h.h == nil {
+			*h = newSpread(ratioScale)
+		}
+		h.add(o.ratio())
+		if end := int((o.at + o.response) / time.Second); end < len(r.Seconds) {
+			r.Seconds[end].Done += len(o.service)
+		}
+		if o.at >= warmUp {
+			ratio.add(o.ratio())
+			response.add(float64(o.response) / float64(time.Millisecond))
+		}
+	}
+	for i, h := range seconds {
+		if h.h != nil {
+			r.Seconds[i].P50 = h.quantile(50)
+		}
+	}
+	r.Ratio, r.Response, r.CDF = ratio.quantiles(), response.quantiles(), ratio.cdf()
+	r.Goodput = goodput(s, all)
+	r.Fairness = fairness(callers, all)
+}
+
+func (r *Report) count(o outcome) {
+	r.Jobs.Offered++
+	r.Tasks += len(o.service)
+	r.Messages.Repeats += int64(o.repeats)
+	if o.code != "" {
+		r.Refusals[string(o.code)]++
+	}
+	if o.wrong {
+		r.Safety.WrongAnswers++
+	}
+	switch o.verdict {
+	case done:
+		r.Jobs.Done++
+	case failed:
+		r.Jobs.Failed++
+	case refused:
+		r.Jobs.Refused++
+	case unknown:
+		r.Jobs.Unknown++
+	case cancelled:
+		r.Jobs.Cancelled++
+	case lost:
+		r.Jobs.Lost++
+		r.Safety.LostAnswers++
+	}
+}
+
+// goodput is the tasks of done jobs that ended in each phase, a second. The
+// first rampUp of a long phase is left out: jobs that arrive in it end later,
+// and those that end in it are the phase's before.
+func goodput(s Scenario, all []outcome) []float64 {
+	out := make([]float64, len(s.Phases))
+	var begin time.Duration
+	for i, p := range s.Phases {
+		end := begin + p.For.D()
+		if p.For.D() >= 2*rampUp {
+			begin += rampUp
+		}
+		for _, o := range all {
+			if t := o.at + o.response; o.verdict == done && t >= begin && t < end {
+				out[i] += float64(len(o.service))
+			}
+		}
+		out[i] /= (end - begin).Seconds()
+		begin = end
+	}
+	return out
+}
+
+// fairness compares what the callers got of what they offered, in tasks.
+func fairness(callers []Caller, all []outcome) Fairness {
+	offered, got := make([]float64, len(callers)), make([]float64, len(callers))
+	ratios := make([][]float64, len(callers))
+	for _, o := range all {
+		offered[o.caller] += float64(len(o.service))
+		if o.verdict == done {
+			got[o.caller] += float64(len(o.service))
+			ratios[o.caller] = append(ratios[o.caller], o.ratio())
+		}
+	}
+	f := Fairness{Callers: make(map[string]float64)}
+	var shares, medians []float64
+	for i, c := range callers {
+		if offered[i] == 0 {
+			continue
+		}
+		share := got[i] / offered[i]
+		f.Callers[c.Name] = share
+		shares = append(shares, share)
+		if len(ratios[i]) > 0 {
+			slices.Sort(ratios[i])
+			medians = append(medians, ratios[i][len(ratios[i])/2])
+		}
+	}
+	f.Jain = jain(shares)
+	if len(medians) > 0 {
+		f.Spread = slices.Max(medians) / slices.Min(medians)
+	}
+	return f
+}
+
+// jain is Jain's fairness index of the values: 1 when all are equal, 1/n when
+// one has everything. Nobody having anything is equal too.
+func jain(v []float64) float64 {
+	var sum, squares float64
+	for _, x := range v {
+		sum += x
+		squares += x * x
+	}
+	if squares == 0 {
+		return 1
+	}
+	return sum * sum / (float64(len(v)) * squares)
+}
--- /dev/null
+++ b/load/measure_test.go
@@ -0,0 +1,162 @@
+package load
+
+import (
+	"encoding/json"
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"snipehub.example/job"
+	"snipehub.example/refusal"
+	"snipehub.example/stand"
+)
+
+func near(a, b, tolerance float64) bool { return math.Abs(a-b) <= tolerance }
+
+func TestIdeal(t *testing.T) {
+	tests := []struct {
+		service []time.Duration
+		fastest float64
+		want    time.Duration
+	}{
+		{[]time.Duration{100 * time.Millisecond}, 1, 100 * time.Millisecond},
+		{[]time.Duration{100 * time.Millisecond, time.Second, 50 * time.Millisecond}, 1, time.Second},
+		{[]time.Duration{time.Second}, 2, 500 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		if got := (arrival{service: tt.service}).ideal(tt.fastest); got != tt.want {
+			t.Errorf("%v at %v: %v, want %v", tt.service, tt.fastest, got, tt.want)
+		}
+	}
+}
+
+// The stand-in reads back exactly the service time that the ideal is made of.
+func TestPayloadCarriesService(t *testing.T) {
+	a := arrival{kind: "check", service: []time.Duration{123456 * time.Microsecond}}
+	var p stand.Payload
+	if err := json.Unmarshal(a.spec().Tasks[0], &p); err != nil || p.ServiceMS != 123.456 {
+		t.Errorf("%s: %v, %v", a.spec().Tasks[0], p, err)
+	}
+}
+
+func outcomeAt(at, response time.Duration, caller, tasks int, v verdict) outcome {
+	a := arrival{at: at, caller: caller, service: make([]time.Duration, tasks)}
+	return outcome{arrival: a, response: response, ideal: time.Second, verdict: v}
+}
+
+func TestMeasure(t *testing.T) {
+	s := Scenario{Phases: []Phase{lasting(6*time.Second, 1), lasting(2*time.Second, 1)}}
+	callers := []Caller{{Name: "a"}, {Name: "b"}}
+	all := []outcome{
+		outcomeAt(0, time.Second, 0, 10, done),                     // in the ramp, and warming up
+		outcomeAt(3*time.Second, time.Second, 0, 30, done),         // in the first phase
+		outcomeAt(5*time.Second, 2*time.Second, 1, 8, done),        // ends in the second
+		outcomeAt(7*time.Second, 5*time.Second, 1, 4, done),        // ends after it
+		outcomeAt(7*time.Second, time.Millisecond, 1, 12, refused), // no goodput
+		outcomeAt(7*time.Second, time.Minute, 1, 1, lost),          // no answer
+	}
+	var r Report
+	r.measure(s, callers, all)
+	if want := []float64{10, 4}; !reflect.DeepEqual(r.Goodput, want) {
+		t.Errorf("goodput %v, want %v", r.Goodput, want)
+	}
+	if want := (Counts{Offered: 6, Done: 4, Refused: 1, Lost: 1}); r.Jobs != want {
+		t.Errorf("jobs %+v", r.Jobs)
+	}
+	if r.Ratio.N != 3 || !near(r.Ratio.P50, 2, 0.01) || !near(r.Ratio.Max, 5, 0.01) {
+		t.Errorf("ratio %+v", r.Ratio)
+	}
+	if r.Safety.LostAnswers != 1 || r.Tasks != 65 {
+		t.Errorf("safety %+v, tasks %d", r.Safety, r.Tasks)
+	}
+	f := r.Fairness
+	if f.Callers["a"] != 1 || !near(f.Callers["b"], 12.0/25, 1e-9) || !near(f.Spread, 5, 0.01) {
+		t.Errorf("fairness %+v", f)
+	}
+	if r.Seconds[7].Offered != 17 || r.Seconds[7].Refused != 12 || r.Seconds[7].Done != 8 {
+		t.Errorf("second 7: %+v", r.Seconds[7])
+	}
+}
+
+func TestJain(t *testing.T) {
+	tests := []struct {
+		v    []float64
+		want float64
+	}{
+		{[]float64{1, 1, 1, 1}, 1},
+		{[]float64{1, 0, 0, 0}, 0.25},
+		{[]float64{0, 0}, 1},
+		{nil, 1},
+	}
+	for _, tt := range tests {
+		if got := jain(tt.v); got != tt.want {
+			t.Errorf("%v: %v, want %v", tt.v, got, tt.want)
+		}
+	}
+}
+
+// What callers were told is held against the backend servers' own record.
+func TestVerify(t *testing.T) {
+	answer := func(text string) job.Answer {
+		return job.Answer{State: job.Done, Tasks: []job.TaskResult{{Done: true, Answer: json.RawMessage(text)}}}
+	}
+	ok := outcome{id: "j", verdict: done, tasks: answer(`{"a": 1}`).Tasks}
+	tests := []struct {
+		name   string
+		o      outcome
+		starts []string
+		again  []job.Answer
+		want   Safety
+	}{
+		{"one start", ok, []string{"j/0/0", "j/1/0"}, []job.Answer{answer(`{"a":1}`)}, Safety{}},
+		{"two attempts started", ok, []string{"j/0/0", "j/0/1", "j/0/2"}, nil, Safety{DoubleStarts: 1}},
+		{"the same attempt twice", ok, []string{"j/1/0", "j/1/0"}, nil, Safety{DoubleStarts: 1}},
+		{"refused but ran", outcome{id: "j", verdict: refused, notRun: []int{0, 1}}, []string{"j/1/0"}, nil, Safety{NotRunButRan: 1}},
+		{"refused and not run", outcome{id: "j", verdict: refused, notRun: []int{0}}, []string{"k/0/0"}, nil, Safety{}},
+		{"two answers", ok, nil, []job.Answer{answer(`{"a":2}`)}, Safety{Conflicts: 1}},
+	}
+	for _, tt := range tests {
+		var starts []stand.Start
+		for _, id := range tt.starts {
+			starts = append(starts, stand.Start{Task: id})
+		}
+		got := verify([]outcome{tt.o}, starts, map[string][]job.Answer{"j": tt.again})
+		if got != tt.want {
+			t.Errorf("%s: %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// A done answer is whole only when each task has the answer to itself.
+func TestWhole(t *testing.T) {
+	tests := []struct {
+		name  string
+		tasks []string
+		want  bool
+	}{
+		{"own answers", []string{`{"task":"j/0/0"}`, `{"task":"j/1/3"}`}, true},
+		{"swapped", []string{`{"task":"j/1/0"}`, `{"task":"j/0/0"}`}, false},
+		{"another job's", []string{`{"task":"jj/0/0"}`, `{"task":"j/1/0"}`}, false},
+		{"one missing", []string{`{"task":"j/0/0"}`}, false},
+	}
+	for _, tt := range tests {
+		o := outcome{id: "j", arrival: arrival{service: make([]time.Duration, 2)}}
+		a := job.Answer{State: job.Done}
+		for _, text := range tt.tasks {
+			a.Tasks = append(a.Tasks, job.TaskResult{Ran: refusal.RanYes, Done: true, Answer: json.RawMessage(text)})
+		}
+		o.take(a)
+		if o.wrong == tt.want {
+			t.Errorf("%s: wrong %v", tt.name, o.wrong)
+		}
+	}
+}
+
+func TestParseMetrics(t *testing.T) {
+	sum := make(map[string]float64)
+	parseMetrics("# TYPE snipehub_refusals counter\nsnipehub_refusals{code=\"a b\"} 2\nsnipehub_refusals{code=\"c\"} 3\nsnipehub.heartbeats 7\nbroken\n", sum)
+	if want := map[string]float64{"refusals": 5, "heartbeats": 7}; !reflect.DeepEqual(sum, want) {
+		t.Errorf("%v, want %v", sum, want)
+	}
+}
--- /dev/null
+++ b/load/plan_test.go
@@ -0,0 +1,102 @@
+package load
+
+import (
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+)
+
+func TestScenarios(t *testing.T) {
+	last := 0
+	names := make(map[string]bool)
+	for _, s := range Scenarios() {
+		if err := s.check(); err != nil {
+			t.Errorf("%s: %v", s.Name, err)
+		}
+		if s.Number <= last || names[s.Name] || s.Title == "" || s.Since == "" {
+			t.Errorf("%d %s: the number does not follow %d, the name stands twice, or a text is missing", s.Number, s.Name, last)
+		}
+		last, names[s.Name] = s.Number, true
+	}
+}
+
+// Both users' deployments are as the brief gives them.
+func TestExamples(t *testing.T) {
+	tests := []struct {
+		name  string
+		power float64
+	}{
+		{"lakeshore", 48 * 64},
+		{"teranga", 48 * 32},
+	}
+	for _, tt := range tests {
+		d, err := ReadDeployment(filepath.Join("..", "examples", tt.name, "deployment.toml"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d.power() != tt.power || d.Dispatchers != 48 || len(d.Workers) != 48 || d.cfg.Dispatch.Connections != 64 || d.cfg.Dispatch.JobSlots != 8 {
+			t.Errorf("%s: %v cores, %d dispatchers, %d workers", tt.name, d.power(), d.Dispatchers, len(d.Workers))
+		}
+		seen := make(map[string]bool)
+		for _, p := range d.places() {
+			seen[p.callers.String()], seen[p.peers.String()] = true, true
+		}
+		if len(seen) != 96 {
+			t.Errorf("%s: %d addresses of dispatchers, want 96", tt.name, len(seen))
+		}
+	}
+}
+
+// With a seed the plan is the same each time, and offers what its phases say.
+func TestPlan(t *testing.T) {
+	d, err := ReadDeployment("../examples/lakeshore/deployment.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := FindScenario("skew")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Phases = []Phase{lasting(60*time.Second, 0.5)}
+	a, err := plan(s, d, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, _ := plan(s, d, 1)
+	c, _ := plan(s, d, 2)
+	if !reflect.DeepEqual(a, b) || reflect.DeepEqual(a, c) {
+		t.Error("the plan does not follow from its seed")
+	}
+	var work time.Duration
+	first := 0
+	for _, x := range a {
+		if x.dispatcher == 0 {
+			first++
+		}
+		for _, d := range x.service {
+			work += d
+		}
+	}
+	if load := work.Seconds() / 60 / d.power(); !near(load, 0.5, 0.02) {
+		t.Errorf("offered load %.3f, want 0.5", load)
+	}
+	if share := float64(first) / float64(len(a)); !near(share, 0.5+0.5/48, 0.03) {
+		t.Errorf("share of the first dispatcher %.3f", share)
+	}
+	s.Phases = []Phase{lasting(maxRun, 5)}
+	s.Service = Service{Min: 1000, Max: 1000}
+	if _, err := plan(s, d, 1); err == nil {
+		t.Error("a plan over the bound on tasks was accepted")
+	}
+}
+
+func TestRange(t *testing.T) {
+	r := Range{Min: 1, Max: 100}
+	if m := r.mean(); !near(m, 21.19, 0.01) {
+		t.Errorf("mean %v", m)
+	}
+	if m := (Range{Min: 5, Max: 5}).mean(); m != 5 {
+		t.Errorf("mean of one size %v", m)
+	}
+}
--- /dev/null
+++ b/load/probe.go
@@ -0,0 +1,145 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"snipehub.example/stand"
+)
+
+// reading is the counts of all processes at one time.
+type reading struct {
+	at         time.Time
+	metrics    map[string]float64
+	log        stand.LogCounts
+	requests   int64
+	refused    int64
+	dispatcher time.Duration
+	stands     time.Duration
+	// memory is the largest resident memory of a dispatcher, in bytes.
+	memory int64
+}
+
+// read reads all processes that are alive.
+func (r *Running) read(ctx context.Context) reading {
+	out := reading{at: time.Now(), metrics: make(map[string]float64)}
+	for i, p := range r.dispatchers {
+		var text string
+		if !p.alive() || get(ctx, r.places[i].callers, "/metrics", &text) != nil {
+			continue
+		}
+		parseMetrics(text, out.metrics)
+		cpu, mem := p.usage()
+		out.dispatcher += cpu
+		out.memory = max(out.memory, mem)
+	}
+	for i, c := range r.Controls {
+		var sum struct {
+			Servers []stand.Summary `json:"servers"`
+		}
+		_ = get(ctx, c, "/stand/starts?view=summary", &sum)
+		for _, s := range sum.Servers {
+			out.requests += s.Requests
+			out.refused += s.Refused
+		}
+		cpu, _ := r.farms[i].usage()
+		out.stands += cpu
+	}
+	_ = get(ctx, r.Platform, "/stand/counts", &out.log)
+	return out
+}
+
+// parseMetrics adds up the values of a text exposition by name, whatever their
+// labels.
+func parseMetrics(text string, sum map[string]float64) {
+	sc := bufio.NewScanner(strings.NewReader(text))
+	for sc.Scan() {
+		line := sc.Text()
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		end := strings.LastIndexByte(line, ' ')
+		if end < 0 {
+			continue
+		}
+		v, err := strconv.ParseFloat(line[end+1:], 64)
+		if err != nil {
+			continue
+		}
+		name, _, _ := strings.Cut(line[:end], "{")
+		name = strings.TrimPrefix(strings.ReplaceAll(name, ".", "_"), "snipehub_")
+		sum[strings.TrimSpace(name)] += v
+	}
+}
+
+// messages fills in the exchanges between two readings.
+func (m *Messages) between(a, b reading, tasks int) {
+	n := func(name string) int64 { return int64(b.metrics[name] - a.metrics[name]) }
+	m.Refusals = b.refused - a.refused
+	m.Dials = max(n("task_refusals")-m.Refusals, 0)
+	m.Handovers = n("handovers")
+	m.Forwards = n("forwards")
+	m.Heartbeats = n("heartbeats")
+	m.Log = b.log.Appends + b.log.Reads + b.log.ListReads - a.log.Appends - a.log.Reads - a.log.ListReads
+	placement := m.Refusals + m.Dials + m.Handovers
+	m.Placement = float64(placement) / float64(max(tasks, 1))
+	m.Total = float64(placement+m.Forwards+m.Repeats+m.Heartbeats+m.Log) / float64(max(tasks, 1))
+}
+
+func (c *Cost) between(a, b reading, tasks int) {
+	spent := b.dispatcher - a.dispatcher
+	wall := b.at.Sub(a.at).Seconds()
+	c.TaskMicros = float64(spent.Microseconds()) / float64(max(tasks, 1))
+	c.DispatcherCores = spent.Seconds() / wall
+	c.StandCores = (b.stands - a.stands).Seconds() / wall
+	c.DispatcherMB = float64(b.memory) / (1 << 20)
+}
+
+// starts reads every start that the backend servers have recorded.
+func (r *Running) starts(ctx context.Context) ([]stand.Start, error) {
+	var all []stand.Start
+	for _, c := range r.Controls {
+		var out struct {
+			Starts []stand.Start `json:"starts"`
+		}
+		if err := get(ctx, c, "/stand/starts?view=full", &out); err != nil {
+			return nil, err
+		}
+		all = append(all, out.Starts...)
+	}
+	return all, nil
+}
+
+func thisMachine() Machine {
+	m := Machine{Cores: runtime.NumCPU(), Go: runtime.Version()}
+	if b, err := os.ReadFile("/proc/cpuinfo"); err == nil {
+		_, rest, _ := strings.Cut(string(b), "model name")
+		line, _, _ := strings.Cut(rest, "\n")
+		m.CPU = strings.Trim(line, " \t:")
+	}
+	if b, err := os.ReadFile("/proc/meminfo"); err == nil {
+		if f := strings.Fields(string(b)); len(f) > 1 {
+			kb, _ := strconv.Atoi(f[1])
+			m.MemoryGB = (kb + 1<<19) >> 20
+		}
+	}
+	if b, err := os.ReadFile("/proc/loadavg"); err == nil {
+		m.Load, _ = strconv.ParseFloat(strings.Fields(string(b))[0], 64)
+	}
+	return m
+}
+
+// commit names the source that was run, with "+" when it was changed since.
+func commit() string {
+	b, err := exec.Command("git", "describe", "--always", "--dirty=+").Output()
+	if err != nil {
+		return "unknown"
+	}
+	return strings.TrimSpace(string(b))
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,203 @@
+package load
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Report is the result of one run.
+type Report struct {
+	Scenario   string    `json:"scenario"`
+	Title      string    `json:"title"`
+	Deployment string    `json:"deployment"`
+	Policy     string    `json:"policy"`
+	At         time.Time `json:"at"`
+	Commit     string    `json:"commit"`
+	Machine    Machine   `json:"machine"`
+	Setting    Setting   `json:"setting"`
+
+	Jobs  Counts `json:"jobs"`
+	Tasks int    `json:"tasks"`
+	// Ratio is response time over ideal of done jobs, Response their response
+	// time in milliseconds. Jobs that arrived in the first warmUp are left out.
+	Ratio    Quantiles `json:"ratio"`
+	Response Quantiles `json:"response_ms"`
+	// Goodput is the tasks of done jobs that ended in each phase, a second,
+	// without the ramp at its begin.
+	Goodput []float64 `json:"goodput"`
+	// Refusals counts the jobs that were refused or unknown, by code.
+	Refusals map[string]int `json:"refusals"`
+	Messages Messages       `json:"messages"`
+	Fairness Fairness       `json:"fairness"`
+	Safety   Safety         `json:"safety"`
+	Cost     Cost           `json:"cost"`
+	Seconds  []Second       `json:"seconds"`
+	// CDF is points of the ratio's distribution, for plots.
+	CDF []Point `json:"cdf"`
+}
+
+// Machine is where a run was made.
+type Machine struct {
+	CPU      string `json:"cpu"`
+	Cores    int    `json:"cores"`
+	MemoryGB int    `json:"memory_gb"`
+	Go       string `json:"go"`
+	// Load is the machine's load average before the run: above a few, other
+	// programs ran beside it.
+	Load float64 `json:"load"`
+}
+
+// Setting is what was run.
+type Setting struct {
+	Dispatchers int     `json:"dispatchers"`
+	Connections int     `json:"connections"`
+	JobSlots    int     `json:"job_slots"`
+	Workers     int     `json:"workers"`
+	Cores       int     `json:"cores"`
+	Capacity    float64 `json:"capacity"`
+	Seed        uint64  `json:"seed"`
+	Seconds     float64 `json:"seconds"`
+}
+
+// Counts is jobs by how they ended for their caller.
+type Counts struct {
+	Offered   int `json:"offered"`
+	Done      int `json:"done"`
+	Failed    int `json:"failed"`
+	Refused   int `json:"refused"`
+	Unknown   int `json:"unknown"`
+	Cancelled int `json:"cancelled"`
+	Lost      int `json:"lost"`
+}
+
+// Quantiles of a distribution.
+type Quantiles struct {
+	N   int64   `json:"n"`
+	P50 float64 `json:"p50"`
+	P90 float64 `json:"p90"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Messages counts exchanges beyond the one that each task needs, each with its
+// answer as one, for all tasks together.
+type Messages struct {
+	// Refusals are attempts that a backend server refused.
+	Refusals int64 `json:"refusals"`
+	// Dials are attempts that reached no backend server.
+	Dials     int64 `json:"dials"`
+	Handovers int64 `json:"handovers"`
+	// Forwards are callers' calls passed on to the owner.
+	Forwards int64 `json:"forwards"`
+	// Repeats are submissions that callers sent again.
+	Repeats    int64 `json:"repeats"`
+	Heartbeats int64 `json:"heartbeats"`
+	// Log is reads and appends at the platform.
+	Log int64 `json:"log"`
+	// Placement is refusals, dials and hand-overs for each task; Total is
+	// everything above for each task.
+	Placement float64 `json:"placement"`
+	Total     float64 `json:"total"`
+	// Partial tells that dispatchers were killed, whose own counts are lost.
+	Partial bool `json:"partial,omitempty"`
+}
+
+// Fairness compares the callers.
+type Fairness struct {
+	// Jain is Jain's index of the callers' done share of what they offered:
+	// 1 is equal, 1/callers is all for one.
+	Jain float64 `json:"jain"`
+	// Spread is the largest of the callers' median ratios over the smallest.
+	Spread  float64            `json:"spread"`
+	Callers map[string]float64 `json:"callers"`
+}
+
+// Safety is what must be 0 in each run.
+type Safety struct {
+	// DoubleStarts are tasks that backend servers started more than once.
+	DoubleStarts int `json:"double_starts"`
+	// LostAnswers are jobs without a final answer when the caller gave up.
+	LostAnswers int `json:"lost_answers"`
+	// NotRunButRan are tasks that a caller was told had not run, but that a
+	// backend server started.
+	NotRunButRan int `json:"not_run_but_ran"`
+	// WrongAnswers are done jobs with a missing or foreign answer.
+	WrongAnswers int `json:"wrong_answers"`
+	// Conflicts are resubmissions whose answer differed from the first.
+	Conflicts int `json:"conflicts"`
+}
+
+// Broken tells whether anything that must be 0 is not.
+func (s Safety) Broken() bool { return s != Safety{} }
+
+// Cost is what the processes took.
+type Cost struct {
+	// TaskMicros is the dispatchers' processor time for each task, with
+	// everything else that they did in the run.
+	TaskMicros float64 `json:"task_micros"`
+	// DispatcherMB is the largest resident memory of a dispatcher at the end.
+	DispatcherMB float64 `json:"dispatcher_mb"`
+	// StandCores and DispatcherCores are cores in use on average.
+	StandCores      float64 `json:"stand_cores"`
+	DispatcherCores float64 `json:"dispatcher_cores"`
+}
+
+// Second is one second of a run.
+type Second struct {
+	// Offered counts tasks of jobs that arrived, Done those of done jobs that
+	// ended in it.
+	Offered int `json:"offered"`
+	Done    int `json:"done"`
+	Refused int `json:"refused"`
+	// P50 is the median ratio of the done jobs that arrived in it.
+	P50 float64 `json:"p50"`
+}
+
+// Point is a point of a curve.
+type Point struct {
+	X float64 `json:"x"`
+	Y float64 `json:"y"`
+}
+
+// String writes the report as a table for a person.
+func (r Report) String() string {
+	var b strings.Builder
+	line := func(name, format string, args ...any) {
+		fmt.Fprintf(&b, "%-20s %s\n", name, fmt.Sprintf(format, args...))
+	}
+	s := r.Setting
+	line("scenario", "%s on %s, policy %s (commit %s)", r.Scenario, r.Deployment, r.Policy, r.Commit)
+	line("deployment", "%d dispatchers of %d connections, %d backend servers, %d cores; capacity %.0f tasks/s",
+		s.Dispatchers, s.Connections, s.Workers, s.Cores, s.Capacity)
+	j := r.Jobs
+	line("jobs", "%d offered, %d done, %d failed, %d refused, %d unknown, %d cancelled, %d lost; %d tasks",
+		j.Offered, j.Done, j.Failed, j.Refused, j.Unknown, j.Cancelled, j.Lost, r.Tasks)
+	line("response over ideal", "p50 %.3f, p90 %.3f, p99 %.3f, max %.2f", r.Ratio.P50, r.Ratio.P90, r.Ratio.P99, r.Ratio.Max)
+	line("response", "p50 %.0f ms, p90 %.0f ms, p99 %.0f ms", r.Response.P50, r.Response.P90, r.Response.P99)
+	line("goodput", "%.0f tasks/s by phase", r.Goodput)
+	line("refusals", "%s", codes(r.Refusals))
+	m := r.Messages
+	line("messages", "%.4f a task beyond one, of which placement %.4f: refusals %d, dials %d, hand-overs %d, forwards %d, repeats %d, heartbeats %d, log %d",
+		m.Total, m.Placement, m.Refusals, m.Dials, m.Handovers, m.Forwards, m.Repeats, m.Heartbeats, m.Log)
+	line("fairness", "Jain %.3f, medians of callers differ by %.2f times", r.Fairness.Jain, r.Fairness.Spread)
+	f := r.Safety
+	line("must be 0", "double starts %d, lost answers %d, not run but ran %d, wrong answers %d, conflicts %d",
+		f.DoubleStarts, f.LostAnswers, f.NotRunButRan, f.WrongAnswers, f.Conflicts)
+	c := r.Cost
+	line("cost", "%.0f µs of dispatcher a task, %.2f cores in dispatchers, %.2f in stand-ins, %.0f MB at most", c.TaskMicros, c.DispatcherCores, c.StandCores, c.DispatcherMB)
+	return b.String()
+}
+
+func codes(m map[string]int) string {
+	if len(m) == 0 {
+		return "none"
+	}
+	var out []string
+	for c, n := range m {
+		out = append(out, fmt.Sprintf("%s %d", c, n))
+	}
+	sort.Strings(out)
+	return strings.Join(out, ", ")
+}
--- /dev/null
+++ b/load/scenario.go
@@ -0,0 +1,170 @@
+package load
+
+import (
+	"math"
+	"math/rand/v2"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipehub.example/settings"
+	"snipehub.example/stand"
+)
+
+// Scenario says what is offered to a deployment and what goes wrong meanwhile.
+type Scenario struct {
+	Number int    `toml:"number"`
+	Name   string `toml:"name"`
+	Title  string `toml:"title"`
+	Since  string `toml:"since"`
+	// Phases follow each other; jobs arrive by a Poisson process in each.
+	Phases []Phase `toml:"phases"`
+	// JobTasks bounds the sizes of jobs, which are drawn evenly on a
+	// logarithmic scale.
+	JobTasks Range `toml:"job_tasks"`
+	// Service is the distribution of service times at speed 1; its zero value
+	// means the ordinary one.
+	Service Service `toml:"service"`
+	// Speeds, when set, replace the speeds of the deployment's backend
+	// servers, in turn.
+	Speeds []float64 `toml:"speeds"`
+	// Skew is the share of all jobs that go to the first dispatcher; the rest
+	// is spread evenly over all.
+	Skew    float64  `toml:"skew"`
+	Actions []Action `toml:"actions"`
+}
+
+// Phase is a stretch of time with one rate of arrivals.
+type Phase struct {
+	For settings.Duration `toml:"for"`
+	// Load is the offered load as a share of the capacity.
+	Load float64 `toml:"load"`
+}
+
+// Range is an inclusive range of sizes.
+type Range struct {
+	Min int `toml:"min"`
+	Max int `toml:"max"`
+}
+
+// Service is a distribution of service times; see stand.Spread.
+type Service struct {
+	Min       settings.Duration `toml:"min"`
+	Max       settings.Duration `toml:"max"`
+	Long      settings.Duration `toml:"long"`
+	LongShare float64           `toml:"long_share"`
+}
+
+func (s Service) spread() stand.Spread {
+	return stand.Spread{Min: s.Min.D(), Max: s.Max.D(), Long: s.Long.D(), LongShare: s.LongShare}
+}
+
+// Fault is something that goes wrong, or that callers do, at a point in time.
+type Fault string
+
+// The faults.
+const (
+	// FailWorker makes one backend server fail everything it starts.
+	FailWorker Fault = "fail_worker"
+	// SlowWorker makes one backend server ten times slower.
+	SlowWorker Fault = "slow_worker"
+	// FreezeWorker makes one backend server answer nothing.
+	FreezeWorker Fault = "freeze_worker"
+	// RackGone takes away all backend servers of a rack.
+	RackGone Fault = "rack_gone"
+	// KillVMs kills the dispatchers on a share of the VMs, and takes these
+	// off the VM list a little later.
+	KillVMs Fault = "kill_vms"
+	// CancelWave cancels a share of the jobs in flight.
+	CancelWave Fault = "cancel_wave"
+	// ResubmitWave submits a share of the jobs in flight again, each over
+	// another dispatcher.
+	ResubmitWave Fault = "resubmit_wave"
+	// LogDown takes the platform's log and VM list down.
+	LogDown Fault = "log_down"
+)
+
+// Action is a fault at a time after the start of the arrivals.
+type Action struct {
+	At    settings.Duration `toml:"at"`
+	Do    Fault             `toml:"do"`
+	Share float64           `toml:"share"`
+}
+
+// The bounds of a run. A scenario over them is refused.
+const (
+	maxRun   = 2 * time.Minute
+	maxTasks = 2_000_000
+)
+
+func (s Scenario) length() time.Duration {
+	var d time.Duration
+	for _, p := range s.Phases {
+		d += p.For.D()
+	}
+	return d
+}
+
+func (s Scenario) check() error {
+	switch {
+	case s.Name == "":
+		return errors.New("name must be set")
+	case len(s.Phases) == 0 || s.length() > maxRun:
+		return errors.Errorf("phases must be there and last %v at most", maxRun)
+	case s.JobTasks.Min < 1 || s.JobTasks.Max < s.JobTasks.Min:
+		return errors.New("job_tasks: needs 1 <= min <= max")
+	case s.Service.Min <= 0 || s.Service.Max < s.Service.Min:
+		return errors.New("service: needs 0 < min <= max")
+	}
+	for _, p := range s.Phases {
+		if p.Load <= 0 || p.Load > 5 {
+			return errors.New("phases: load must be above 0 and at most 5")
+		}
+	}
+	for _, v := range s.Speeds {
+		if v <= 0 {
+			return errors.New("speeds: must be above 0")
+		}
+	}
+	return nil
+}
+
+// FindScenario returns the scenario of that name, or reads it from a TOML
+// file, over the defaults of the table.
+func FindScenario(name string) (Scenario, error) {
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	if filepath.Ext(name) != ".toml" {
+		return Scenario{}, errors.Errorf("no scenario %q", name)
+	}
+	s := Scenario{JobTasks: ordinaryJobs, Service: ordinaryService}
+	if err := strictTOML(name, &s); err != nil {
+		return s, err
+	}
+	if err := s.check(); err != nil {
+		return s, errors.Errorf("%s: %v", name, err)
+	}
+	return s, nil
+}
+
+// mean is the mean of the sizes that draw returns.
+func (r Range) mean() float64 {
+	var sum, weight float64
+	for n := r.Min; n <= r.Max; n++ {
+		w := math.Log(float64(n+1)) - math.Log(float64(n))
+		sum += w * float64(n)
+		weight += w
+	}
+	return sum / weight
+}
+
+// draw draws a size, evenly on a logarithmic scale: as many jobs of 1 to 10
+// tasks as of 10 to 100.
+func (r Range) draw(rnd *rand.Rand) int {
+	low, high := math.Log(float64(r.Min)), math.Log(float64(r.Max+1))
+	return min(int(math.Exp(low+rnd.Float64()*(high-low))), r.Max)
+}
--- /dev/null
+++ b/load/verify.go
@@ -0,0 +1,66 @@
+package load
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"snipehub.example/job"
+	"snipehub.example/stand"
+)
+
+// verify compares what callers were told with what the backend servers have
+// recorded. It returns what must be 0, but for lost and wrong answers, which
+// the outcomes alone tell.
+func verify(all []outcome, starts []stand.Start, again map[string][]job.Answer) Safety {
+	var s Safety
+	count := make(map[string]int, len(starts))
+	for _, st := range starts {
+		n := count[taskOf(st.Task)] + 1
+		count[taskOf(st.Task)] = n
+		if n == 2 {
+			s.DoubleStarts++
+		}
+	}
+	for _, o := range all {
+		for _, i := range o.notRun {
+			if count[o.id+"/"+itoa(i)] > 0 {
+				s.NotRunButRan++
+			}
+		}
+		for _, a := range again[o.id] {
+			if o.verdict != done || !sameTasks(o.tasks, a.Tasks) {
+				s.Conflicts++
+			}
+		}
+	}
+	return s
+}
+
+// taskOf returns job and index of a task id, without the attempt.
+func taskOf(id string) string {
+	i := strings.LastIndexByte(id, '/')
+	if i < 0 {
+		return id
+	}
+	return id[:i]
+}
+
+func sameTasks(a, b []job.TaskResult) bool {
+	return slices.EqualFunc(a, b, func(x, y job.TaskResult) bool {
+		return x.Done == y.Done && string(canonical(x.Answer)) == string(canonical(y.Answer))
+	})
+}
+
+// canonical is the JSON value without white space.
+func canonical(m json.RawMessage) []byte {
+	var v any
+	if json.Unmarshal(m, &v) != nil {
+		return m
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return m
+	}
+	return b
+}
