--- a/load/deploy.go
+++ b/load/deploy.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -86,7 +87,8 @@
 	if err := r.putVMs(ctx, r.VMs); err != nil {
 		return err
 	}
-	_, err = operator.Apply(ctx, ledger.New(r.Platform, r.Platform, 5*time.Second), r.rows, "snipeload")
+	log := ledger.New(r.Platform, r.Platform, 5*time.Second, (&net.Dialer{}).DialContext)
+	_, err = operator.Apply(ctx, log, r.rows, "snipeload")
 	return err
 }
 
--- a/stand/log_test.go
+++ b/stand/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -30,7 +31,7 @@
 	s := httptest.NewServer(l)
 	defer s.Close()
 	addr := netip.MustParseAddrPort(s.Listener.Addr().String())
-	c := ledger.New(addr, addr, time.Minute)
+	c := ledger.New(addr, addr, time.Minute, (&net.Dialer{}).DialContext)
 	ask(l, http.MethodPut, "/stand/faults", `{"lose_answers":1}`)
 	if _, err := c.Append(t.Context(), "s", []byte("one")); !errors.Is(err, ledger.ErrDown) {
 		t.Errorf("the lost answer: %v", err)
--- a/stand/worker_test.go
+++ b/stand/worker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -38,7 +39,7 @@
 			t.Error(err)
 		}
 	})
-	c := delivery.New(1<<10, 4)
+	c := delivery.New(1<<10, 4, (&net.Dialer{}).DialContext)
 	for _, a := range at {
 		for range 1000 {
 			if deliver(c, a, "up").Kind == delivery.Done {
@@ -89,7 +90,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			faults(t, f, at[0], tt.faults)
 			defer faults(t, f, at[0], `{}`)
-			o := deliver(delivery.New(1<<10, 4), at[0], tt.name)
+			o := deliver(delivery.New(1<<10, 4, (&net.Dialer{}).DialContext), at[0], tt.name)
 			if o.Kind != tt.want || !strings.Contains(o.Reason, tt.reason) {
 				t.Errorf("got %+v, want kind %v with %q", o, tt.want, tt.reason)
 			}
@@ -98,7 +99,7 @@
 			if starts[tt.name] != tt.starts {
 				t.Errorf("%d starts, want %d", starts[tt.name], tt.starts)
 			}
-			if o := deliver(delivery.New(1<<10, 4), at[1], "other "+tt.name); o.Kind != delivery.Done {
+			if o := deliver(delivery.New(1<<10, 4, (&net.Dialer{}).DialContext), at[1], "other "+tt.name); o.Kind != delivery.Done {
 				t.Errorf("the other server: %+v", o)
 			}
 		})
@@ -108,7 +109,7 @@
 // A vanished server is back at the same address when the fault is taken away.
 func TestVanishAndReturn(t *testing.T) {
 	f, at := farm(t)
-	c := delivery.New(1<<10, 4)
+	c := delivery.New(1<<10, 4, (&net.Dialer{}).DialContext)
 	faults(t, f, at[0], `{"vanish":true}`)
 	if o := deliver(c, at[0], "gone"); o.Kind != delivery.NotRun {
 		t.Errorf("while gone: %+v", o)
