load: slopes of costs by size, with a fit and its error

Change: `snipeload slopes` measures processor time by tasks of a job, memory by kept answers, tickets and queued tasks on a process; tables by rows in this process; idle processor time, traffic (system calls' bytes), memory, status and log reads by 3 to 48 dispatchers.

--- /dev/null
+++ b/load/bench.go
@@ -0,0 +1,95 @@
+package load
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"snipehub.example/client"
+	"snipehub.example/job"
+	"snipehub.example/settings"
+)
+
+const (
+	// benchService is short, so that a few seconds give many tasks; the
+	// stand-in only waits meanwhile.
+	benchService = 10 * time.Millisecond
+	benchCores   = 4096
+	benchCallers = 8
+)
+
+// bench is one dispatcher with one large backend server, for slopes.
+type bench struct {
+	*Running
+	clients []*client.Client
+}
+
+func newBench(ctx context.Context) (*bench, error) {
+	d, err := demoDeployment(1, 1, benchCores)
+	if err != nil {
+		return nil, err
+	}
+	d.cfg.Dispatch.MaxWait = settings.Duration(time.Hour)
+	d.cfg.Dispatch.TaskTimeout = settings.Duration(2 * time.Minute)
+	up, err := Deploy(ctx, d)
+	if err != nil {
+		return nil, err
+	}
+	b := &bench{Running: up}
+	for range benchCallers {
+		b.clients = append(b.clients, b.client())
+	}
+	return b, nil
+}
+
+func (b *bench) client() *client.Client {
+	return client.New(client.Config{Entries: []netip.AddrPort{b.entry()}, Token: b.Callers[0].Token})
+}
+
+func (b *bench) entry() netip.AddrPort { return b.places[0].callers }
+
+// job is a job of n tasks of the given service time.
+func (b *bench) job(n int, service time.Duration) job.Spec {
+	a := arrival{kind: b.rows.Routes[0].Kind, service: make([]time.Duration, n)}
+	for i := range a.service {
+		a.service[i] = service
+	}
+	return a.spec()
+}
+
+// repeat runs the job on all clients, each with perClient at a time, until n
+// have been done or the time is over. It returns how many were done.
+func (b *bench) repeat(ctx context.Context, s job.Spec, perClient int, n int64, limit time.Duration) int64 {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var taken, finished atomic.Int64
+	var wg sync.WaitGroup
+	for _, c := range b.clients {
+		for range perClient {
+			wg.Go(func() {
+				for taken.Add(1) <= n && ctx.Err() == nil {
+					if b.once(ctx, c, s) {
+						finished.Add(1)
+					}
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return finished.Load()
+}
+
+// once submits the job once; a job that is refused counts as not done.
+func (b *bench) once(ctx context.Context, c *client.Client, s job.Spec) bool {
+	id, err := c.Next(ctx)
+	if err != nil {
+		return false
+	}
+	a, err := c.Put(ctx, b.entry(), id, s)
+	return err == nil && a.State == job.Done
+}
+
+// usage returns the dispatcher's processor time and memory.
+func (b *bench) usage() (time.Duration, int64) { return b.dispatchers[0].usage() }
--- a/load/process.go
+++ b/load/process.go
@@ -83,6 +83,24 @@
 	return cpu, pages * int64(os.Getpagesize())
 }
 
+// traffic is the bytes that the process has read and written by system calls:
+// its connections, and its few files.
+func (p *process) traffic() int64 {
+	b, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "io"))
+	if err != nil {
+		return 0
+	}
+	var sum int64
+	for _, line := range strings.Split(string(b), "\n") {
+		name, v, _ := strings.Cut(line, ": ")
+		if name == "rchar" || name == "wchar" {
+			n, _ := strconv.ParseInt(v, 10, 64)
+			sum += n
+		}
+	}
+	return sum
+}
+
 // tail returns the end of a process's output, for error messages.
 func tail(path string) string {
 	b, err := os.ReadFile(path)
--- /dev/null
+++ b/load/slopes.go
@@ -0,0 +1,244 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipehub.example/stand"
+)
+
+// slopeOf is one measurement of the slopes command.
+type slopeOf struct {
+	name string
+	run  func(ctx context.Context) ([]Slope, error)
+}
+
+// slopes is what "snipeload slopes" measures, in this order.
+var slopes = []slopeOf{
+	{"cpu", cpuSlopes},
+	{"kept", keptSlopes},
+	{"tickets", ticketSlopes},
+	{"queue", queueSlopes},
+	{"tables", tableSlopes},
+	{"members", memberSlopes},
+}
+
+// The names of the slopes that the capacity page is computed from.
+const (
+	slopeCPU       = "processor time of a job"
+	slopeKept      = "memory of kept answers"
+	slopeTicket    = "memory of tickets"
+	slopeQueue     = "memory of queued tasks"
+	slopeRows      = "memory of backend server rows"
+	slopeApply     = "time to apply an edit of one row"
+	slopeEditBytes = "bytes of an edit"
+	slopeIdleCPU   = "idle processor time by members"
+	slopeIdleBytes = "idle traffic by members"
+	slopeIdleRSS   = "idle memory by members"
+	slopeStatus    = "bytes of a status by members"
+	slopeLogReads  = "log reads by members"
+)
+
+// cpuSlopes measures the dispatcher's processor time of a job by its tasks: the
+// slope is the cost of a task, the intercept that of a job.
+func cpuSlopes(ctx context.Context) ([]Slope, error) {
+	b, err := newBench(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer b.Close()
+	b.repeat(ctx, b.job(8, benchService), 4, 500, 5*time.Second)
+	var points []Point
+	for _, n := range []int{1, 4, 16, 64, 256, 1000} {
+		before, _ := b.usage()
+		jobs := b.repeat(ctx, b.job(n, benchService), max(1, 8/n), int64(max(6000/n, 16)), 8*time.Second)
+		after, _ := b.usage()
+		if jobs == 0 {
+			return nil, errors.Errorf("slopes: no job of %d tasks was done", n)
+		}
+		points = append(points, Point{float64(n), float64((after - before).Microseconds()) / float64(jobs)})
+	}
+	return []Slope{newSlope(slopeCPU, "tasks of the job", "µs of dispatcher", points, relative)}, nil
+}
+
+// ticketLife is how many jobs are submitted under one ticket when answers are
+// to be kept: a window forgets what lies further back.
+const ticketLife = 1000
+
+// keptSlopes measures the dispatcher's memory by the answers that it keeps, of
+// one task each.
+func keptSlopes(ctx context.Context) ([]Slope, error) {
+	b, err := newBench(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer b.Close()
+	var points []Point
+	total := int64(0)
+	for range 8 {
+		total += b.repeat(ctx, b.job(1, time.Millisecond), 8, ticketLife*benchCallers, 10*time.Second)
+		for _, c := range b.clients {
+			c.Renew()
+		}
+		_, mem := b.usage()
+		points = append(points, Point{float64(total), float64(mem)})
+	}
+	return []Slope{newSlope(slopeKept, "answers of one task", "bytes resident", points, absolute)}, nil
+}
+
+// ticketSlopes measures the dispatcher's memory by the tickets that it holds.
+func ticketSlopes(ctx context.Context) ([]Slope, error) {
+	b, err := newBench(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer b.Close()
+	var points []Point
+	for i := range 9000 {
+		c := b.clients[i%len(b.clients)]
+		c.Renew()
+		if _, err := c.Next(ctx); err != nil {
+			return nil, errors.Wrap(err, "slopes: ticket")
+		}
+		if n := i + 1; n%1500 == 0 {
+			_, mem := b.usage()
+			points = append(points, Point{float64(n), float64(mem)})
+		}
+	}
+	return []Slope{newSlope(slopeTicket, "tickets", "bytes resident", points, absolute)}, nil
+}
+
+// queueSlopes measures the dispatcher's memory by the tasks that wait, while
+// the backend server is frozen.
+func queueSlopes(ctx context.Context) ([]Slope, error) {
+	b, err := newBench(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer b.Close()
+	if err := put(ctx, b.Controls[0], "/stand/faults", stand.WorkerFaults{Freeze: true}); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	var points []Point
+	const step, perJob = 20, 1000
+	for i := range 6 {
+		for n := range step {
+			wg.Go(func() { b.once(ctx, b.clients[n%len(b.clients)], b.job(perJob, benchService)) })
+		}
+		if !sleep(ctx, 1500*time.Millisecond) {
+			return nil, ctx.Err()
+		}
+		_, mem := b.usage()
+		points = append(points, Point{float64((i + 1) * step * perJob), float64(mem)})
+	}
+	return []Slope{newSlope(slopeQueue, "waiting tasks", "bytes resident", points, absolute)}, nil
+}
+
+// memberSlopes measures what an idle dispatcher spends on control by the
+// number of dispatchers.
+func memberSlopes(ctx context.Context) ([]Slope, error) {
+	out := []Slope{
+		{Name: slopeIdleCPU, Y: "µs a second, each"},
+		{Name: slopeIdleBytes, Y: "bytes a second read and written, each"},
+		{Name: slopeIdleRSS, Y: "bytes resident, the largest"},
+		{Name: slopeStatus, Y: "bytes"},
+		{Name: slopeLogReads, Y: "reads a second, all"},
+	}
+	for _, n := range []int{3, 6, 12, 24, 48} {
+		d, err := ReadDeployment("lakeshore")
+		if err != nil {
+			return nil, err
+		}
+		d.Dispatchers = n
+		values, err := idle(ctx, d)
+		if err != nil {
+			return nil, err
+		}
+		for i, v := range values {
+			out[i].Points = append(out[i].Points, Point{float64(n), v})
+		}
+	}
+	for i, s := range out {
+		out[i] = newSlope(s.Name, "dispatchers", s.Y, s.Points, absolute)
+	}
+	return out, nil
+}
+
+const (
+	idleSettle = 3 * time.Second
+	idleFor    = 5 * time.Second
+)
+
+// idle brings up a deployment without load and returns what memberSlopes
+// lists, in that order.
+func idle(ctx context.Context, d Deployment) ([]float64, error) {
+	up, err := Deploy(ctx, d)
+	if err != nil {
+		return nil, err
+	}
+	defer up.Close()
+	sleep(ctx, idleSettle)
+	a, bytesA := up.read(ctx), up.traffic()
+	if !sleep(ctx, idleFor) {
+		return nil, ctx.Err()
+	}
+	b, bytesB := up.read(ctx), up.traffic()
+	var status string
+	if err := get(ctx, up.places[0].callers, "/status", &status); err != nil {
+		return nil, err
+	}
+	seconds, n := b.at.Sub(a.at).Seconds(), float64(d.Dispatchers)
+	return []float64{
+		float64((b.dispatcher - a.dispatcher).Microseconds()) / seconds / n,
+		float64(bytesB-bytesA) / seconds / n,
+		float64(b.memory),
+		float64(len(status)),
+		float64(b.log.Reads+b.log.ListReads-a.log.Reads-a.log.ListReads) / seconds,
+	}, nil
+}
+
+// traffic is the bytes that all dispatchers have read and written, the
+// answers to this tool included.
+func (r *Running) traffic() int64 {
+	var sum int64
+	for _, p := range r.dispatchers {
+		sum += p.traffic()
+	}
+	return sum
+}
+
+func measureSlopes(ctx context.Context, only []string, report func(s Slope)) ([]Slope, error) {
+	var out []Slope
+	for _, m := range slopes {
+		if len(only) > 0 && !slices.Contains(only, m.name) {
+			continue
+		}
+		got, err := m.run(ctx)
+		if err != nil {
+			return out, errors.Wrap(err, m.name)
+		}
+		for _, s := range got {
+			report(s)
+		}
+		out = append(out, got...)
+	}
+	return out, nil
+}
+
+// String writes the fit and its points.
+func (s Slope) String() string {
+	text := fmt.Sprintf("%s: %s of %s by %s\n ", s.Name, s.Fit, s.Y, s.X)
+	for _, p := range s.Points {
+		text += fmt.Sprintf(" (%.0f, %.5g)", p.X, p.Y)
+	}
+	return text
+}
