--- /dev/null
+++ b/load/capacity.go
@@ -0,0 +1,208 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// size is a size of the whole system, and the shape of its load.
+type size struct {
+	workers       float64
+	starts        float64 // tasks a second
+	teams         float64
+	dataCenters   float64
+	changesPerDay float64
+	// meanJob is tasks a job, meanService seconds a task.
+	meanJob, meanService float64
+	// connections is how many tasks one dispatcher process runs at once.
+	connections float64
+	// keptFor is how long answers are kept, in seconds.
+	keptFor float64
+}
+
+// The budget for control on each node.
+const (
+	budgetCPU   = 0.012 * 1e6 // µs a second
+	budgetBytes = 25_000
+	budgetRSS   = 64 << 20
+)
+
+const secondsPerDay = 86400
+
+// letterSize is the size that the users expect within two years. Jobs and
+// service times are those of the ordinary scenarios: jobs of 1 to 100 tasks
+// cost more for each task than those of 1,300.
+func letterSize() size {
+	return size{
+		workers: 13_000, starts: 510_000, teams: 190, dataCenters: 7, changesPerDay: 14_000,
+		meanJob: ordinaryJobs.mean(), meanService: ordinaryService.spread().Mean().Seconds(),
+		connections: 64, keptFor: 600,
+	}
+}
+
+func (z size) dispatchers() float64 { return math.Ceil(z.starts * z.meanService / z.connections) }
+
+func (z size) jobsPerDispatcher() float64 { return z.starts / z.meanJob / z.dispatchers() }
+
+func (z size) changes() float64 { return z.changesPerDay / secondsPerDay }
+
+// need is one quantity of a role at a size.
+type need struct {
+	role, quantity string
+	value          float64
+	unit           string
+	// budget is 0 where none is set; breaks is the number of dispatchers (or
+	// rows) at which the budget is reached, 0 where it is not linear in them.
+	budget, breaks float64
+	breaksOf       string
+	from           string
+}
+
+// needs computes what each role takes at the size.
+func needs(z size, all []Slope) ([]need, error) {
+	f := make(map[string]Fit)
+	for _, s := range all {
+		f[s.Name] = s.Fit
+	}
+	for _, name := range []string{
+		slopeCPU, slopeKept, slopeTicket, slopeQueue, slopeRows, slopeApply, slopeEditBytes,
+		slopeIdleCPU, slopeIdleBytes, slopeIdleRSS, slopeStatus, slopeLogReads,
+	} {
+		if _, ok := f[name]; !ok {
+			return nil, errors.Errorf("capacity: the slopes lack %q", name)
+		}
+	}
+	out := dispatcherNeeds(z, f)
+	out = append(out, readerNeeds(z, f)...)
+	out = append(out, memberNeeds(z, f)...)
+	return append(out, platformNeeds(z, f)...), nil
+}
+
+func dispatcherNeeds(z size, f map[string]Fit) []need {
+	const role = "dispatcher"
+	jobs := z.jobsPerDispatcher()
+	cpu := jobs * f[slopeCPU].At(z.meanJob)
+	return []need{
+		{role: role, quantity: "processes in all", value: z.dispatchers(), unit: "processes", from: "starts × mean service time / connections"},
+		{role: role, quantity: "task starts, each", value: z.starts / z.dispatchers(), unit: "messages/s", from: "one exchange with a backend server a task"},
+		{role: role, quantity: "jobs, each", value: jobs, unit: "messages/s", from: "starts / mean job"},
+		{role: role, quantity: "processor for tasks and jobs, each", value: cpu / 1e6, unit: "cores", from: slopeCPU},
+		{role: role, quantity: "kept answers, each", value: jobs * z.keptFor * f[slopeKept].Slope / (1 << 20), unit: "MB", from: slopeKept + ", one task each: a lower bound"},
+		{role: role, quantity: "a ticket of each team", value: z.teams * f[slopeTicket].Slope / (1 << 20), unit: "MB", from: slopeTicket},
+		{role: role, quantity: "100,000 tasks waiting", value: 100_000 * f[slopeQueue].Slope / (1 << 20), unit: "MB", from: slopeQueue},
+	}
+}
+
+func readerNeeds(z size, f map[string]Fit) []need {
+	const role = "table reader"
+	apply := f[slopeApply]
+	cpu := z.changes() * apply.At(z.workers)
+	return []need{
+		{role: role, quantity: "rows of backend servers", value: z.workers * f[slopeRows].Slope / (1 << 20), unit: "MB", budget: budgetRSS >> 20, from: slopeRows},
+		{
+			role: role, quantity: "processor for edits", value: cpu, unit: "µs/s", budget: budgetCPU, from: slopeApply,
+			breaks: reach(apply, budgetCPU/z.changes()), breaksOf: "rows",
+		},
+		{role: role, quantity: "edits", value: z.changes() * f[slopeEditBytes].At(z.workers), unit: "bytes/s", budget: budgetBytes, from: slopeEditBytes},
+	}
+}
+
+func memberNeeds(z size, f map[string]Fit) []need {
+	const role = "roster member"
+	n := z.dispatchers()
+	linear := func(quantity, unit, slope string, budget float64) need {
+		return need{
+			role: role, quantity: quantity, value: f[slope].At(n), unit: unit, budget: budget, from: slope,
+			breaks: reach(f[slope], budget), breaksOf: "dispatchers",
+		}
+	}
+	return []need{
+		linear("idle processor", "µs/s", slopeIdleCPU, budgetCPU),
+		linear("idle traffic, in and out", "bytes/s", slopeIdleBytes, budgetBytes),
+		linear("idle memory, whole process", "bytes", slopeIdleRSS, budgetRSS),
+	}
+}
+
+func platformNeeds(z size, f map[string]Fit) []need {
+	n := z.dispatchers()
+	return []need{
+		{role: "operators' client", quantity: "status of every dispatcher", value: n * f[slopeStatus].At(n) / (1 << 20), unit: "MB", from: slopeStatus},
+		{role: "platform", quantity: "polls of the log and the VM list", value: f[slopeLogReads].At(n), unit: "reads/s", from: slopeLogReads},
+		{role: "platform", quantity: "reads woken by edits", value: z.changes() * n, unit: "reads/s", from: "each edit wakes each reader"},
+		{role: "platform", quantity: "appends of edits", value: z.changes(), unit: "appends/s", from: "14,000 changes a day"},
+	}
+}
+
+// reach is the x at which the line gets to the budget; 0 when it never does.
+func reach(f Fit, budget float64) float64 {
+	if f.Slope <= 0 {
+		return 0
+	}
+	return max((budget-f.Intercept)/f.Slope, 0)
+}
+
+// capacityMarkdown writes slopes and needs as tables.
+func capacityMarkdown(f SlopeFile, all []need) string {
+	var b strings.Builder
+	m := f.Machine
+	fmt.Fprintf(&b, "%s, %d cores, %d GB, %s; commit %s, %s; load average before: %.1f.\n\n",
+		m.CPU, m.Cores, m.MemoryGB, m.Go, f.Commit, f.At.Format("2006-01-02 15:04 UTC"), m.Load)
+	b.WriteString("| slope | of | by | slope ± standard error | intercept | R² | sizes |\n| --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, s := range f.Slopes {
+		first, last := s.Points[0].X, s.Points[len(s.Points)-1].X
+		fmt.Fprintf(&b, "| %s | %s | %s | %.4g ± %.2g | %.4g | %.3f | %d from %.0f to %.0f |\n",
+			s.Name, s.Y, s.X, s.Fit.Slope, s.Fit.SlopeError, s.Fit.Intercept, s.Fit.R2, len(s.Points), first, last)
+	}
+	b.WriteString("\n| role | quantity | at the letter's size | budget | reached at | from |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, n := range all {
+		fmt.Fprintf(&b, "| %s | %s | %.4g %s | %s | %s | %s |\n", n.role, n.quantity, n.value, n.unit, n.limit(), n.broken(), n.from)
+	}
+	return b.String()
+}
+
+func (n need) limit() string {
+	switch {
+	case n.budget == 0:
+		return "none set"
+	case n.value > n.budget:
+		return fmt.Sprintf("**over** %.4g", n.budget)
+	}
+	return fmt.Sprintf("within %.4g", n.budget)
+}
+
+func (n need) broken() string {
+	if n.breaks == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%.0f %s", n.breaks, n.breaksOf)
+}
+
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "capacity",
+		Usage:     "compute what each role takes at the size of the letter, from measured slopes",
+		ArgsUsage: "SLOPES.json",
+		Flags:     []cli.Flag{&cli.StringFlag{Name: "page", Usage: "Markdown page whose marked part is replaced; prints without it"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			f, err := readSlopes(c.Args().First())
+			if err != nil {
+				return err
+			}
+			all, err := needs(letterSize(), f.Slopes)
+			if err != nil {
+				return err
+			}
+			text := capacityMarkdown(f, all)
+			if page := c.String("page"); page != "" {
+				return replaceInPage(page, text)
+			}
+			fmt.Fprint(c.Root().Writer, text)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/load/capacity_test.go
@@ -0,0 +1,56 @@
+package load
+
+import "testing"
+
+// The needs follow from the lines: with lines whose values are known, each is
+// worked out by hand.
+func TestNeeds(t *testing.T) {
+	z := size{workers: 1000, starts: 6400, teams: 10, changesPerDay: 86400, meanJob: 10, meanService: 1, connections: 64, keptFor: 10}
+	lines := map[string]Fit{
+		slopeCPU: {Slope: 100, Intercept: 500}, slopeKept: {Slope: 1 << 20}, slopeTicket: {Slope: 1 << 20}, slopeQueue: {Slope: 1 << 10},
+		slopeRows: {Slope: 1 << 20}, slopeApply: {Slope: 2}, slopeEditBytes: {Intercept: 200},
+		slopeIdleCPU: {Slope: 200, Intercept: 2000}, slopeIdleBytes: {Slope: 10}, slopeIdleRSS: {Intercept: 1 << 20},
+		slopeStatus: {Slope: 1 << 20}, slopeLogReads: {Slope: 0.2},
+	}
+	var all []Slope
+	for name, f := range lines {
+		all = append(all, Slope{Name: name, Fit: f})
+	}
+	got, err := needs(z, all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		quantity       string
+		value, reached float64
+		limit          string
+	}{
+		{"processes in all", 100, 0, "none set"},
+		{"jobs, each", 6.4, 0, "none set"},
+		{"processor for tasks and jobs, each", 6.4 * 1500 / 1e6, 0, "none set"},
+		{"kept answers, each", 64, 0, "none set"},
+		{"rows of backend servers", 1000, 0, "**over** 64"},
+		{"processor for edits", 2000, 6000, "within 1.2e+04"},
+		{"idle processor", 22000, 50, "**over** 1.2e+04"},
+		{"idle traffic, in and out", 1000, 2500, "within 2.5e+04"},
+		{"reads woken by edits", 100, 0, "none set"},
+	}
+	for _, tt := range tests {
+		found := false
+		for _, n := range got {
+			if n.quantity != tt.quantity {
+				continue
+			}
+			found = true
+			if !near(n.value, tt.value, 1e-6) || !near(n.breaks, tt.reached, 1e-6) || n.limit() != tt.limit {
+				t.Errorf("%s: %v, reached at %v, %s; want %+v", n.quantity, n.value, n.breaks, n.limit(), tt)
+			}
+		}
+		if !found {
+			t.Errorf("%s: missing", tt.quantity)
+		}
+	}
+	if _, err := needs(z, all[1:]); err == nil {
+		t.Error("needs were computed without one of the slopes")
+	}
+}
--- a/load/slopescommand.go
+++ b/load/slopescommand.go
@@ -59,3 +59,15 @@
 	}
 	return nil
 }
+
+func readSlopes(path string) (SlopeFile, error) {
+	var f SlopeFile
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return f, errors.Wrap(err, "slopes")
+	}
+	if err := json.Unmarshal(b, &f); err != nil {
+		return f, errors.Wrap(err, path)
+	}
+	return f, nil
+}
