--- a/load/arrival.go
+++ b/load/arrival.go
@@ -86,7 +86,7 @@
 // spec is what is submitted: each task carries its service time for the
 // stand-in.
 func (a arrival) spec() job.Spec {
-	s := job.Spec{Kind: a.kind, Tasks: make([]json.RawMessage, len(a.service))}
+	s := job.Spec{Kind: a.kind, TimeoutMS: jobTimeout.Milliseconds(), Tasks: make([]json.RawMessage, len(a.service))}
 	for i, d := range a.service {
 		b := append([]byte(`{"service_ms":`), strconv.FormatFloat(float64(d)/float64(time.Millisecond), 'f', 3, 64)...)
 		s.Tasks[i] = append(b, '}')
--- a/load/bench.go
+++ b/load/bench.go
@@ -50,13 +50,15 @@
 
 func (b *bench) entry() netip.AddrPort { return b.places[0].callers }
 
-// job is a job of n tasks of the given service time.
+// job is a job of n tasks of the given service time, with the default timeout.
 func (b *bench) job(n int, service time.Duration) job.Spec {
 	a := arrival{kind: b.rows.Routes[0].Kind, service: make([]time.Duration, n)}
 	for i := range a.service {
 		a.service[i] = service
 	}
-	return a.spec()
+	s := a.spec()
+	s.TimeoutMS = 0
+	return s
 }
 
 // repeat runs the job on all clients, each with perClient at a time, until n
--- a/load/measure.go
+++ b/load/measure.go
@@ -14,7 +14,9 @@
 	rampUp = 3 * time.Second
 	// ratioScale is how finely ratios are recorded.
 	ratioScale = 1000
-	maxRatio   = 10_000
+	// highest is the largest ratio, and response time in milliseconds, that is
+	// told apart.
+	highest = 100_000
 )
 
 // spreadOf collects one distribution.
@@ -24,7 +26,7 @@
 }
 
 func newSpread(scale float64) spreadOf {
-	return spreadOf{h: hdrhistogram.New(1, int64(maxRatio*scale), 3), scale: scale}
+	return spreadOf{h: hdrhistogram.New(1, int64(highest*scale), 3), scale: scale}
 }
 
 func (s spreadOf) add(v float64) {
--- a/load/measure_test.go
+++ b/load/measure_test.go
@@ -52,7 +52,7 @@
 		outcomeAt(0, time.Second, 0, 10, done),                     // in the ramp, and warming up
 		outcomeAt(3*time.Second, time.Second, 0, 30, done),         // in the first phase
 		outcomeAt(5*time.Second, 2*time.Second, 1, 8, done),        // ends in the second
-		outcomeAt(7*time.Second, 5*time.Second, 1, 4, done),        // ends after it
+		outcomeAt(7*time.Second, 40*time.Second, 1, 4, done),       // ends after it
 		outcomeAt(7*time.Second, time.Millisecond, 1, 12, refused), // no goodput
 		outcomeAt(7*time.Second, time.Minute, 1, 1, lost),          // no answer
 	}
@@ -64,14 +64,17 @@
 	if want := (Counts{Offered: 6, Done: 4, Refused: 1, Lost: 1}); r.Jobs != want {
 		t.Errorf("jobs %+v", r.Jobs)
 	}
-	if r.Ratio.N != 3 || !near(r.Ratio.P50, 2, 0.01) || !near(r.Ratio.Max, 5, 0.01) {
+	if r.Ratio.N != 3 || !near(r.Ratio.P50, 2, 0.01) || !near(r.Ratio.Max, 40, 0.1) {
 		t.Errorf("ratio %+v", r.Ratio)
 	}
 	if r.Safety.LostAnswers != 1 || r.Tasks != 65 {
 		t.Errorf("safety %+v, tasks %d", r.Safety, r.Tasks)
 	}
+	if !near(r.Response.Max, 40_000, 100) {
+		t.Errorf("response %+v", r.Response)
+	}
 	f := r.Fairness
-	if f.Callers["a"] != 1 || !near(f.Callers["b"], 12.0/25, 1e-9) || !near(f.Spread, 5, 0.01) {
+	if f.Callers["a"] != 1 || !near(f.Callers["b"], 12.0/25, 1e-9) || !near(f.Spread, 40, 0.01) {
 		t.Errorf("fairness %+v", f)
 	}
 	if r.Seconds[7].Offered != 17 || r.Seconds[7].Refused != 12 || r.Seconds[7].Done != 8 {
--- /dev/null
+++ b/load/run_test.go
@@ -0,0 +1,46 @@
+package load
+
+import (
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"snipehub.example/internal/program"
+	"snipehub.example/settings"
+)
+
+// TestMain lets the test binary stand in for snipeload, which starts itself
+// again for each process of a deployment.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && slices.Contains([]string{"snipehubd", "snipestand"}, os.Args[1]) {
+		os.Exit(program.Run(Command()))
+	}
+	os.Exit(m.Run())
+}
+
+// Real processes, a backend server that begins to fail everything, and jobs that
+// are submitted again in mid-flight over the other dispatcher: every job
+// has a final answer, and the backend servers' record agrees with it.
+func TestRun(t *testing.T) {
+	d, err := demoDeployment(2, 3, 16)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Scenario{
+		Name: "test", JobTasks: Range{Min: 1, Max: 4}, Phases: []Phase{lasting(1500*time.Millisecond, 0.2)},
+		Service: Service{Min: settings.Duration(20 * time.Millisecond), Max: settings.Duration(200 * time.Millisecond)},
+		Actions: []Action{at(500*time.Millisecond, ResubmitWave, 1), at(time.Second, FailWorker, 0)},
+	}
+	r, err := Run(t.Context(), d, s, Options{Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	j := r.Jobs
+	if r.Safety.Broken() || j.Offered == 0 || j.Done == 0 || j.Done+j.Failed+j.Refused+j.Unknown != j.Offered {
+		t.Errorf("safety %+v, jobs %+v", r.Safety, j)
+	}
+	if r.Messages.Repeats == 0 {
+		t.Error("nothing was submitted again")
+	}
+}
--- a/load/submit.go
+++ b/load/submit.go
@@ -48,8 +48,10 @@
 }
 
 const (
+	// jobTimeout is the bound that callers give their jobs.
+	jobTimeout = 20 * time.Second
 	// patience is how long a caller tries for a final answer.
-	patience = 45 * time.Second
+	patience = 30 * time.Second
 	// pause is the wait before a caller comes back when it was given none.
 	pause = 100 * time.Millisecond
 )
