--- a/delivery/conn.go
+++ b/delivery/conn.go
@@ -28,14 +28,17 @@
 	sealed  bool
 }
 
-// dial makes the connections of the transport.
-func dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
+// counting makes the connections that dial opens count.
+func counting(dial Dial) Dial {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
 	}
-	return &conn{Conn: c}, nil
 }
 
 // Write writes unless the connection is sealed. The lock is held through the
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -16,6 +16,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -69,14 +70,17 @@
 	maxBytes int64
 }
 
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // New makes a client that accepts answers of up to maxBytes and keeps up to
-// perServer idle connections to each backend server.
-func New(maxBytes int64, perServer int) *Client {
+// perServer idle connections to each backend server; dial opens them.
+func New(maxBytes int64, perServer int, dial Dial) *Client {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	tr := &http.Transport{
 		Proxy:                  nil,
-		DialContext:            dial,
+		DialContext:            counting(dial),
 		MaxIdleConnsPerHost:    perServer,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -132,7 +132,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			s := serve(t, tt.do)
-			c := New(limit, 1)
+			c := New(limit, 1, (&net.Dialer{}).DialContext)
 			defer c.Close()
 			lease := time.Minute
 			if tt.cause == NoTime {
@@ -158,7 +158,7 @@
 	}
 	addr := ln.Addr().(*net.TCPAddr).AddrPort()
 	_ = ln.Close()
-	o := New(limit, 1).Deliver(t.Context(), attempt(addr, time.Minute))
+	o := New(limit, 1, (&net.Dialer{}).DialContext).Deliver(t.Context(), attempt(addr, time.Minute))
 	if o.Kind != NotRun || o.Cause != NoConnection {
 		t.Errorf("kind %d, cause %d: %s", o.Kind, o.Cause, o.Reason)
 	}
@@ -170,7 +170,7 @@
 // caller fails although its task never left this process.
 func TestNothingWrittenIsNotRun(t *testing.T) {
 	s := serve(t, say(answer("200 OK", "Snipe-Task: "+task+"\r\n", "{}")))
-	c := New(limit, 1)
+	c := New(limit, 1, (&net.Dialer{}).DialContext)
 	defer c.Close()
 	tr := c.hc.Transport.(*http.Transport)
 	var made *conn
@@ -238,7 +238,7 @@
 		}
 		_, _ = io.WriteString(c, answer("200 OK", "Snipe-Task: "+id+"\r\n", id))
 	})
-	c := New(limit, 1)
+	c := New(limit, 1, (&net.Dialer{}).DialContext)
 	defer c.Close()
 	if o := c.Deliver(t.Context(), attempt(s.addr, 50*time.Millisecond)); o.Kind != Unknown || o.Cause != NoTime {
 		t.Errorf("late: kind %d, cause %d: %s", o.Kind, o.Cause, o.Reason)
@@ -263,7 +263,7 @@
 		}
 		_, _ = io.WriteString(c, answer("200 OK", "Snipe-Task: "+task+"\r\n", "{}"))
 	})
-	c := New(limit, 1)
+	c := New(limit, 1, (&net.Dialer{}).DialContext)
 	defer c.Close()
 	if o := c.Deliver(t.Context(), attempt(s.addr, time.Minute)); o.Kind != Done {
 		t.Fatalf("first: %+v", o)
--- a/dispatch/plan/guard.go
+++ b/dispatch/plan/guard.go
@@ -102,7 +102,7 @@
 		return route, refusal.New(refusal.BadRequest, "no tasks")
 	case !p.world.MayPlace:
 		return route, refusal.New(refusal.CutOff, "")
-	case !p.reachable(route.Pool):
+	case !p.reach(route.Pool).usable:
 		return route, refusal.New(refusal.NoServer, route.Pool).After(leastRetryAfter)
 	case !now.Before(j.Expires):
 		return route, refusal.New(refusal.Hopeless, "its time is over")
@@ -131,10 +131,7 @@
 // of its pool, in every data centre, were free.
 func (p *Planner) least(name string, j Job) time.Duration {
 	u := p.kind(j.Kind)
-	slots := 0
-	for _, s := range p.world.Tables.Servers(name) {
-		slots += s.Slots
-	}
+	slots := p.reach(name).slots
 	if !u.Known() || slots == 0 {
 		return 0
 	}
--- a/dispatch/plan/plan.go
+++ b/dispatch/plan/plan.go
@@ -111,6 +111,7 @@
 	expiry  expiries
 	queues  []*line
 	byPool  map[string]*line
+	reaches map[string]reach
 	turn    int
 	kinds   map[string]*pool.Usual
 	flights map[uint64]*flight
@@ -178,6 +179,7 @@
 		fleet:   pool.New(cfg.DataCenter, cfg.Policy, cfg.AsideShare),
 		jobs:    make(map[string]*work),
 		byPool:  make(map[string]*line),
+		reaches: make(map[string]reach),
 		kinds:   make(map[string]*pool.Usual),
 		flights: make(map[uint64]*flight),
 		teams:   make(map[string]*team),
--- a/dispatch/plan/plan_test.go
+++ b/dispatch/plan/plan_test.go
@@ -228,7 +228,7 @@
 }
 
 func (m *model) tables(t *rapid.T) {
-	rows := m.st.Rows
+	rows := m.st.Rows()
 	rows.Servers = append([]tables.Server(nil), rows.Servers...)
 	i := rapid.IntRange(0, len(rows.Servers)-1).Draw(t, "server")
 	rows.Servers[i].Leaving = !rows.Servers[i].Leaving
--- a/dispatch/plan/world.go
+++ b/dispatch/plan/world.go
@@ -29,6 +29,7 @@
 	if !changed {
 		return
 	}
+	clear(p.reaches)
 	for name := range p.kinds {
 		if _, ok := w.Tables.Route(name); !ok {
 			delete(p.kinds, name)
@@ -61,18 +62,27 @@
 	return l
 }
 
-// reachable tells whether any backend server of the pool may be used by a
-// dispatcher whom this one can give work.
-func (p *Planner) reachable(name string) bool {
+// reach is what the tables say of a pool over all data centres.
+type reach struct {
+	slots int
+	// usable tells whether any server may be used by a dispatcher to whom
+	// this one can give work.
+	usable bool
+}
+
+// reach looks at a pool's servers once for each version of the tables; a look
+// for each job would cost as much as the pool has servers.
+func (p *Planner) reach(name string) reach {
+	r, ok := p.reaches[name]
+	if ok {
+		return r
+	}
 	for _, s := range p.world.Tables.Servers(name) {
-		if s.Leaving {
-			continue
-		}
-		if s.DataCenter == p.cfg.DataCenter {
-			return true
-		}
+		r.slots += s.Slots
+		r.usable = r.usable || !s.Leaving && s.DataCenter == p.cfg.DataCenter
 	}
-	return false
+	p.reaches[name] = r
+	return r
 }
 
 // reroute moves what waits of the work to the pool that its kind goes to now.
--- a/dispatch/pool/pool.go
+++ b/dispatch/pool/pool.go
@@ -122,7 +122,7 @@
 
 func rows(st *tables.State, dataCenter string) map[key]*row {
 	out := make(map[key]*row)
-	for _, v := range st.Rows.Servers {
+	for _, v := range st.Rows().Servers {
 		if v.DataCenter != dataCenter {
 			continue
 		}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -31,6 +31,7 @@
 // Hub is one dispatcher process.
 type Hub struct {
 	cfg    settings.Config
+	net    Network
 	log    *slog.Logger
 	self   ticket.Owner
 	clock  *clock.Service
@@ -41,25 +42,51 @@
 	peers  *peer.Server
 	place  *dispatch.Dispatcher
 	owner  *job.Owner
+	fwd    *forwarder
+	desk   *desk
 	http   *http.Server
 	ln     net.Listener
 
 	stopping atomic.Bool
 }
 
+// Network is the way to listen and to connect. Tests put one in memory in its
+// place, to run several dispatchers on a fake clock.
+type Network interface {
+	Listen(network, addr string) (net.Listener, error)
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = time.Second
+
+// TCP is the network of the operating system.
+type TCP struct{}
+
+// Listen listens on a TCP address.
+func (TCP) Listen(network, addr string) (net.Listener, error) {
+	return net.Listen(network, addr)
+}
+
+// DialContext connects to a TCP address.
+func (TCP) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+}
+
 // New binds the addresses of the settings and makes the parts.
-func New(cfg settings.Config, log *slog.Logger) (*Hub, error) {
-	ln, err := net.Listen("tcp", cfg.Listen.Callers.String())
+func New(cfg settings.Config, log *slog.Logger, nw Network) (*Hub, error) {
+	ln, err := nw.Listen("tcp", cfg.Listen.Callers.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen.callers")
 	}
-	pln, err := net.Listen("tcp", cfg.Listen.Peers.String())
+	pln, err := nw.Listen("tcp", cfg.Listen.Peers.String())
 	if err != nil {
 		_ = ln.Close()
 		return nil, errors.Wrap(err, "listen.peers")
 	}
 	h := &Hub{
 		cfg:   cfg,
+		net:   nw,
 		log:   log,
 		ln:    ln,
 		clock: clock.New(),
@@ -77,8 +104,8 @@
 
 func (h *Hub) build(pln net.Listener) {
 	cfg := h.cfg
-	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D())
-	h.tables = tables.New(h.log, platform, cfg.Tables.Poll.D(), func(*tables.State) { h.place.Wake() })
+	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
+	h.tables = h.newTables(platform)
 	h.place = h.placing()
 	h.owner = job.New(h.self, h.place, job.Limits{
 		Tickets:    cfg.Limits.Tickets,
@@ -87,13 +114,27 @@
 		KeptBytes:  cfg.Limits.KeptAnswerBytes,
 		KeptFor:    cfg.Limits.KeptAnswerFor.D(),
 		JobTimeout: cfg.Limits.WriteTimeout.D(),
-	})
+	}, h.clock.Now)
 	h.roster = roster.New(h.member(), cfg.Peers.SuspectAfter.D())
-	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D())
+	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D(), h.net.DialContext)
 	h.peers = peer.NewServer(h.log, pln)
+	h.fwd = &forwarder{
+		log:      h.log,
+		self:     h.self,
+		address:  cfg.Listen.Peers,
+		seeds:    cfg.Peers.Seeds,
+		now:      h.clock.Now,
+		net:      dialed{h.dialer},
+		members:  h.roster,
+		holder:   job.NewHolder(cfg.Limits.HeldBytes, cfg.Limits.KeptAnswerFor.D(), h.clock.Now),
+		stopping: h.stopping.Load,
+		waiting:  make(map[*awaited]struct{}),
+		unheld:   make(map[ticket.Owner]time.Time),
+	}
+	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: noKeys{}, tables: h.tables.State}
 	h.handlePeers()
 	h.http = &http.Server{
-		Handler:           counter.New(h.log, cfg, h, h.meter),
+		Handler:           counter.New(h.log, cfg, callerService{h.desk, h}, h.meter),
 		ReadHeaderTimeout: cfg.Limits.ReadTimeout.D(),
 		ReadTimeout:       cfg.Limits.ReadTimeout.D(),
 		WriteTimeout:      cfg.Limits.WriteTimeout.D(),
@@ -129,6 +170,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Limits.StopDeadline.D())
 	defer cancel()
 	_ = h.owner.Stop(ctx)
+	h.fwd.handOver(ctx, append(h.owner.Closed(h.cfg.Limits.HandoffBytes), h.fwd.holder.Closed()...))
 	_ = h.http.Shutdown(ctx)
 	h.peers.Drain(ctx)
 }
@@ -146,8 +188,11 @@
 	root.Add(h.tables)
 	root.Add(h.place)
 	root.Add(h.peers)
+	root.Add(service("snapshots", h.snapshots))
 	root.Add(service("heartbeat", h.heartbeat))
 	root.Add(service("callers", h.serveHTTP))
+	root.Add(service("forwards", h.watchForwards))
+	root.Add(service("gauges", h.gauges))
 	return root
 }
 
@@ -176,6 +221,32 @@
 	return err
 }
 
+// callerService is what stands behind the counter.
+type callerService struct {
+	*desk
+	*Hub
+}
+
+func (h *Hub) handlePeers() {
+	peer.Handle(h.peers, methodBeat, func(_ context.Context, b roster.Beat) (roster.Beat, error) {
+		return h.roster.Answer(h.clock.Now(), b), nil
+	})
+	h.desk.handle(h.peers)
+}
+
+func (h *Hub) watchForwards(ctx context.Context) error {
+	sub := h.clock.Subscribe(watchEvery)
+	defer sub.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-sub.C:
+			h.fwd.watch(now)
+		}
+	}
+}
+
 // Ready tells whether the balancer should send callers here.
 func (h *Hub) Ready() bool {
 	return !h.stopping.Load() && h.tables.State().Version != ledger.None
--- a/hub/placing.go
+++ b/hub/placing.go
@@ -35,5 +35,5 @@
 			RetryBudget: cfg.RetryBudget,
 			AsideShare:  cfg.AsideShare,
 		},
-	}, delivery.New(h.cfg.Limits.AnswerBytes, cfg.Connections), directory{h}, h.clock, h.log, h.meter)
+	}, delivery.New(h.cfg.Limits.AnswerBytes, cfg.Connections, h.net.DialContext), directory{h}, h.clock, h.log, h.meter)
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,6 +7,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -58,8 +59,12 @@
 // Handle sets the handler of a method.
 func Handle[P, R any](s *Server, method string, fn func(ctx context.Context, p P) (R, error)) {
 	s.handlers[method] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		var sealed []byte
+		if err := json.Unmarshal(params, &sealed); err != nil {
+			return nil, errors.Wrap(err, "peer: parameters")
+		}
 		var p P
-		if err := json.Unmarshal(params, &p); err != nil {
+		if err := json.Unmarshal(sealed, &p); err != nil {
 			return nil, errors.Wrap(err, "peer: parameters")
 		}
 		return fn(ctx, p)
@@ -127,24 +132,38 @@
 type Dialer struct {
 	tls     *tls.Config
 	timeout time.Duration
+	open    Dial
 
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*jsonrpc2.Conn
 }
 
-// NewDialer makes a dialer; a nil config means plain TCP.
-func NewDialer(cfg *tls.Config, timeout time.Duration) *Dialer {
-	return &Dialer{tls: cfg, timeout: timeout, conns: make(map[netip.AddrPort]*jsonrpc2.Conn)}
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// NewDialer makes a dialer that opens connections by open; a nil config means
+// plain TCP.
+func NewDialer(cfg *tls.Config, timeout time.Duration, open Dial) *Dialer {
+	return &Dialer{tls: cfg, timeout: timeout, open: open, conns: make(map[netip.AddrPort]*jsonrpc2.Conn)}
 }
 
 // Call calls a method of the peer at the address, until ctx ends.
+//
+// The parameters travel as bytes (base64 in JSON): the library decodes a
+// request into maps and encodes it again, which sorts the keys and escapes the
+// text of a caller's bodies. A body would reach the backend server changed, and
+// a resubmission over another dispatcher would no longer match the first.
 func Call[R any](ctx context.Context, d *Dialer, to netip.AddrPort, method string, params any) (R, error) {
 	var out R
 	c, err := d.conn(ctx, to)
 	if err != nil {
 		return out, errors.Wrapf(ErrNotSent, "%s: %v", to, err)
 	}
-	err = c.Call(ctx, method, params, &out)
+	sealed, err := seal(params)
+	if err != nil {
+		return out, errors.Wrapf(ErrNotSent, "%s: %v", method, err)
+	}
+	err = c.Call(ctx, method, sealed, &out)
 	if err == nil {
 		return out, nil
 	}
@@ -159,6 +178,16 @@
 	return out, errors.Wrapf(ErrLost, "%s: %s: %v", to, method, err)
 }
 
+// seal encodes parameters. The encoder must not escape "<" and the like inside
+// a caller's body.
+func seal(params any) ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	err := e.Encode(params)
+	return b.Bytes(), err
+}
+
 func (d *Dialer) conn(ctx context.Context, to netip.AddrPort) (*jsonrpc2.Conn, error) {
 	d.mu.Lock()
 	c, ok := d.conns[to]
@@ -176,7 +205,7 @@
 func (d *Dialer) dial(ctx context.Context, to netip.AddrPort) (*jsonrpc2.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
-	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
+	nc, err := d.open(ctx, "tcp", to.String())
 	if err != nil {
 		return nil, err
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,6 +17,7 @@
 	"github.com/go-faster/errors"
 
 	"snipehub.example/dispatch/policy"
+	"snipehub.example/ticket"
 )
 
 // Duration is a time.Duration written as "5s" in TOML.
@@ -130,6 +131,10 @@
 	ReadTimeout     Duration `toml:"read_timeout"`
 	WriteTimeout    Duration `toml:"write_timeout"`
 	StopDeadline    Duration `toml:"stop_deadline"`
+	// HandoffBytes bounds what a process hands over when it stops, and
+	// HeldBytes what it holds of others that have stopped.
+	HandoffBytes int64 `toml:"handoff_bytes"`
+	HeldBytes    int64 `toml:"held_bytes"`
 }
 
 // Tables sets how the tables are followed.
@@ -138,7 +143,9 @@
 	Settle Duration `toml:"settle"`
 	// Snapshot is how often a snapshot is put on the log.
 	Snapshot Duration `toml:"snapshot"`
-	Poll     Duration `toml:"poll"`
+	// Poll is how long one read of the log waits for new records. The tables
+	// are confirmed once in this time, so it must be well below Settle.
+	Poll Duration `toml:"poll"`
 }
 
 // Dispatch sets how tasks are placed.
@@ -187,11 +194,13 @@
 			ReadTimeout:     Duration(10 * time.Second),
 			WriteTimeout:    Duration(2 * time.Minute),
 			StopDeadline:    Duration(30 * time.Second),
+			HandoffBytes:    8 << 20,
+			HeldBytes:       32 << 20,
 		},
 		Tables: Tables{
 			Settle:   Duration(8 * time.Second),
 			Snapshot: Duration(10 * time.Minute),
-			Poll:     Duration(5 * time.Second),
+			Poll:     Duration(2 * time.Second),
 		},
 		Dispatch: Dispatch{
 			Policy:      "random",
@@ -251,6 +260,13 @@
 		return bad("callers.tokens", "is empty; set callers.open = true to let everybody in")
 	case c.Callers.Open && len(c.Callers.Tokens) > 0:
 		return bad("callers.open", "contradicts callers.tokens")
+	case c.Tables.Poll <= 0 || 3*c.Tables.Poll > c.Tables.Settle:
+		return bad("tables.poll", "must be above 0 and at most a third of tables.settle")
+	case c.Tables.Snapshot <= 0:
+		return bad("tables.snapshot", "must be above 0, and at most a quarter of the time that the log keeps records")
+	}
+	if w := c.Limits.TicketWindow; w < 1 || w > ticket.MaxWidth {
+		return bad("limits.ticket_window", "must be from 1 to 65536")
 	}
 	if err := c.Dispatch.check(); err != nil {
 		return err
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -29,6 +29,13 @@
 	return strings.Join([]string{o.DataCenter, o.VM, o.Process, strconv.FormatUint(o.Incarnation, 36)}, separator)
 }
 
+// Precedes tells whether o is an earlier incarnation of the process n.
+func (o Owner) Precedes(n Owner) bool {
+	earlier := o.Incarnation < n.Incarnation
+	n.Incarnation = o.Incarnation
+	return earlier && o == n
+}
+
 // ID is the name of a ticket.
 type ID struct {
 	Owner
