--- a/dispatch/plan/end.go
+++ b/dispatch/plan/end.go
@@ -15,14 +15,18 @@
 		return
 	}
 	delete(p.flights, number)
-	p.busy--
 	w := f.w
 	if o.Kind != delivery.NotRun {
 		w.line.drain.ended++
 	}
-	p.fleet.End(now, f.server, verdict(o), now.Sub(f.started), p.kind(w.job.Kind))
-	p.quota(w.team, -1)
-	if p.again(now, w, f.task, o) {
+	if f.peer != nil {
+		p.returned(f.peer, o)
+	} else {
+		p.busy--
+		p.fleet.End(now, f.server, verdict(o), now.Sub(f.started), p.kind(w.job.Kind))
+		p.quota(w.team, -1)
+	}
+	if p.again(now, f, o) {
 		p.release()
 		return
 	}
@@ -60,23 +64,36 @@
 // Only a proved "not run" is safe. The outcome of a single request may also be
 // unknown when its route says that it may be repeated; a task of a job never,
 // because a part of an order may have run.
-func (p *Planner) again(now time.Time, w *work, task int, o delivery.Outcome) bool {
+func (p *Planner) again(now time.Time, f *flight, o delivery.Outcome) bool {
+	w := f.w
 	safe := o.Kind == delivery.NotRun
 	if o.Kind == delivery.Unknown && w.job.Request {
 		r, ok := p.world.Tables.Route(w.job.Kind)
 		safe = ok && r.Repeatable
 		w.maybe = true
 	}
-	tried := w.attempts[task] + 1
-	if !safe || w.ended || tried >= p.cfg.Attempts || !now.Before(w.job.Expires) {
+	t := w.tried[f.task]
+	t.number++
+	if f.peer != nil {
+		t.peers++
+	} else {
+		t.servers++
+	}
+	if !safe || w.ended || w.job.Guest || t.servers >= p.cfg.Attempts || !now.Before(w.job.Expires) {
 		return false
 	}
-	if w.attempts == nil {
-		w.attempts = make(map[int]int)
+	if w.tried == nil {
+		w.tried = make(map[int]tries)
 	}
-	w.attempts[task] = tried
-	w.held = append(w.held, task)
+	w.tried[f.task] = t
 	p.waiting++
+	if f.peer != nil && o.Kind == delivery.NotRun {
+		// No backend server was troubled, so the retry budget is not asked.
+		w.retries = append(w.retries, f.task)
+		w.line.Add(w.q, 1)
+		return true
+	}
+	w.held = append(w.held, f.task)
 	p.later = append(p.later, w)
 	return true
 }
--- a/dispatch/plan/guard.go
+++ b/dispatch/plan/guard.go
@@ -102,8 +102,10 @@
 		return route, refusal.New(refusal.BadRequest, "no tasks")
 	case !p.world.MayPlace:
 		return route, refusal.New(refusal.CutOff, "")
-	case !p.reach(route.Pool).usable:
+	case !p.usable(route.Pool):
 		return route, refusal.New(refusal.NoServer, route.Pool).After(leastRetryAfter)
+	case j.Guest && p.Free() == 0:
+		return route, refusal.New(refusal.Overloaded, "no room for a peer's task")
 	case !now.Before(j.Expires):
 		return route, refusal.New(refusal.Hopeless, "its time is over")
 	}
--- a/dispatch/plan/place.go
+++ b/dispatch/plan/place.go
@@ -86,19 +86,10 @@
 }
 
 func (p *Planner) start(now time.Time, w *work, s *pool.Server, r tables.Route) {
-	task := w.pop()
-	attempt := w.attempts[task]
-	if attempt == 0 {
-		p.budget.first()
-	}
-	if !w.q.Opened() {
-		p.open++
-	}
-	w.line.Take(w.q, p.cost(w))
-	p.waiting--
+	f := &flight{w: w, server: s, started: now}
+	attempt := p.take(f)
+	task := f.task
 	p.busy++
-	p.number++
-	p.flights[p.number] = &flight{w: w, task: task, server: s, started: now}
 	p.fleet.Start(now, s)
 	p.quota(w.team, 1)
 	lease := p.cfg.TaskTimeout
@@ -119,6 +110,25 @@
 	})
 }
 
+// take moves the next task of a work from its queue into flight, and returns
+// the number of the attempt.
+func (p *Planner) take(f *flight) int {
+	w := f.w
+	f.task = w.pop()
+	attempt := w.tried[f.task].number
+	if attempt == 0 {
+		p.budget.first()
+	}
+	if !w.q.Opened() {
+		p.open++
+	}
+	w.line.Take(w.q, p.cost(w))
+	p.waiting--
+	p.number++
+	p.flights[p.number] = f
+	return attempt
+}
+
 // pop takes the task of the work that goes next.
 func (w *work) pop() int {
 	if n := len(w.retries); n > 0 {
--- a/dispatch/plan/plan.go
+++ b/dispatch/plan/plan.go
@@ -44,6 +44,9 @@
 	MaxWait time.Duration
 	// RetryBudget is the share of first attempts that may be repeated.
 	RetryBudget float64
+	// HandAfter is the wait that a task is left to rather than handed over: a
+	// connection that frees within it is as near as a peer.
+	HandAfter time.Duration
 	// AsideShare is the largest part of a pool that is set aside.
 	AsideShare float64
 }
@@ -57,7 +60,10 @@
 	Expires time.Time
 	// Request tells that this is one request passed through.
 	Request bool
-	Tasks   int
+	// Guest tells that this is one task which a peer has handed over: it is
+	// tried once, and not handed on.
+	Guest bool
+	Tasks int
 }
 
 // Start asks the shell to run an attempt and to report it by Ended.
@@ -70,6 +76,32 @@
 	Expires time.Time
 }
 
+// Item is a task in a hand-over.
+type Item struct {
+	Number  uint64
+	Job     string
+	Task    int
+	Attempt int
+	Expires time.Time
+}
+
+// Hand asks the shell to hand tasks over to a peer, and to report what became
+// of each by Ended: "not run" only when the peer said so, or certainly did not
+// get it.
+type Hand struct {
+	Peer  string
+	Items []Item
+}
+
+// Peer is another dispatcher as the roster last heard of it.
+type Peer struct {
+	Name       string
+	DataCenter string
+	// Report numbers the heartbeat that Free comes from.
+	Report uint64
+	Free   int
+}
+
 // End says that the tasks From to To-1 of a job have ended.
 type End struct {
 	Job      string
@@ -85,6 +117,7 @@
 type Actions struct {
 	Starts []Start
 	Ends   []End
+	Hands  []Hand
 	News   []pool.News
 }
 
@@ -125,6 +158,8 @@
 	waiting int
 	open    int
 	last    time.Time
+	peers   peers
+	handed  int
 	out     Actions
 }
 
@@ -135,10 +170,10 @@
 	line *line
 	team *team
 	// next is the first task that was never tried; retries are those that may
-	// be tried again, with attempts counting for all.
-	next     int
-	retries  []int
-	attempts map[int]int
+	// be tried again, and tried tells how often they were.
+	next    int
+	retries []int
+	tried   map[int]tries
 	// held is the tasks that wait for the retry budget.
 	held []int
 	left int
@@ -150,11 +185,22 @@
 	index int
 }
 
+// tries counts what was done about a task that did not run.
+type tries struct {
+	// number is that of the next attempt.
+	number int
+	// servers counts the attempts on backend servers of this dispatcher,
+	// peers the hand-overs.
+	servers, peers int
+}
+
 // flight is an attempt under way.
 type flight struct {
-	w       *work
-	task    int
+	w    *work
+	task int
+	// server is nil when the task was handed to peer.
 	server  *pool.Server
+	peer    *peer
 	started time.Time
 }
 
@@ -190,13 +236,17 @@
 // Take places what can be placed and moves the actions into a.
 func (p *Planner) Take(now time.Time, a *Actions) {
 	p.place(now)
+	p.handOver(now)
 	p.out.News = append(p.out.News, p.fleet.News()...)
 	a.Starts = append(a.Starts[:0], p.out.Starts...)
 	a.Ends = append(a.Ends[:0], p.out.Ends...)
+	a.Hands = append(a.Hands[:0], p.out.Hands...)
 	a.News = append(a.News[:0], p.out.News...)
 	clear(p.out.Ends)
+	clear(p.out.Hands)
 	p.out.Starts = p.out.Starts[:0]
 	p.out.Ends = p.out.Ends[:0]
+	p.out.Hands = p.out.Hands[:0]
 	p.out.News = p.out.News[:0]
 }
 
@@ -206,6 +256,9 @@
 // Busy returns the number of attempts under way.
 func (p *Planner) Busy() int { return p.busy }
 
+// Handed returns the number of tasks that are with peers.
+func (p *Planner) Handed() int { return p.handed }
+
 // Free returns how many more tasks could start now.
 func (p *Planner) Free() int {
 	return max(min(p.cfg.Connections-p.busy, p.fleet.Room())-p.waiting, 0)
--- /dev/null
+++ b/dispatch/plan/sim_test.go
@@ -0,0 +1,307 @@
+package plan
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"snipehub.example/delivery"
+	"snipehub.example/dispatch/pool"
+	"snipehub.example/refusal"
+	"snipehub.example/tables"
+)
+
+// sim drives planners and workers through virtual time: a loop over timed
+// functions, with no network and no processes.
+type sim struct {
+	rnd      *rand.Rand
+	now      time.Time
+	queue    timeline
+	planners []*Planner
+	workers  map[netip.AddrPort]*simWorker
+	jobs     map[string]*simJob
+	n        int
+	until    time.Time
+
+	starts, refusals, handed int
+	messages, turned         int
+	beats                    uint64
+	done, failed, refused    int
+	ratios                   []float64
+}
+
+type simWorker struct {
+	slots, busy int
+	speed       float64
+	// fault, when set, answers in place of the worker after some time; a
+	// false return leaves the task to the worker.
+	fault  func(now time.Time) (time.Duration, delivery.Outcome, bool)
+	starts int
+}
+
+type simJob struct {
+	at      time.Time
+	owner   *Planner
+	service []time.Duration
+	left    int
+	failed  bool
+	// back takes the outcome of a task that was handed over.
+	back func(o delivery.Outcome)
+}
+
+type timed struct {
+	at time.Time
+	n  int
+	do func()
+}
+
+type timeline []timed
+
+func (q timeline) Len() int      { return len(q) }
+func (q timeline) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *timeline) Push(x any)   { *q = append(*q, x.(timed)) }
+
+func (q timeline) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].n < q[j].n
+}
+
+func (q *timeline) Pop() any {
+	last := len(*q) - 1
+	v := (*q)[last]
+	*q = (*q)[:last]
+	return v
+}
+
+const (
+	simLatency = 500 * time.Microsecond
+	simTick    = 50 * time.Millisecond
+)
+
+// newSim makes planners that share the servers of st; speeds go round.
+func newSim(seed uint64, cfg Config, planners int, st *tables.State, speeds ...float64) *sim {
+	s := &sim{
+		rnd: rand.New(rand.NewPCG(seed, 7)), now: epoch,
+		workers: make(map[netip.AddrPort]*simWorker), jobs: make(map[string]*simJob),
+	}
+	m := pool.Members{Sizes: make(map[string]int)}
+	for i := range planners {
+		m.Sizes[fmt.Sprint(i)] = cfg.Connections
+	}
+	for i, v := range st.Servers("quick") {
+		s.workers[v.Address] = &simWorker{slots: v.Slots, speed: speeds[i%len(speeds)]}
+	}
+	for i := range planners {
+		p := New(cfg, rand.New(rand.NewPCG(seed, uint64(i))))
+		w := world(st)
+		w.Members = pool.Members{Self: fmt.Sprint(i), Sizes: m.Sizes}
+		w.Dispatchers = planners
+		p.SetWorld(s.now, w)
+		s.planners = append(s.planners, p)
+	}
+	return s
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.n++
+	heap.Push(&s.queue, timed{s.now.Add(d), s.n, do})
+}
+
+// run lets time pass.
+func (s *sim) run(d time.Duration) {
+	s.until = s.now.Add(d)
+	for _, p := range s.planners {
+		s.tick(p)
+	}
+	s.beat()
+	for len(s.queue) > 0 && !s.queue[0].at.After(s.until) {
+		e := heap.Pop(&s.queue).(timed)
+		s.now = e.at
+		e.do()
+	}
+	s.now = s.until
+}
+
+func (s *sim) tick(p *Planner) {
+	p.Tick(s.now)
+	s.act(p)
+	if s.now.Before(s.until) {
+		s.after(simTick, func() { s.tick(p) })
+	}
+}
+
+func (s *sim) act(p *Planner) {
+	var a Actions
+	p.Take(s.now, &a)
+	for _, e := range a.Ends {
+		s.end(e)
+	}
+	for _, st := range a.Starts {
+		s.after(simLatency, func() { s.arrive(p, st) })
+	}
+	for _, h := range a.Hands {
+		s.messages += 2
+		s.after(simLatency, func() { s.handOver(p, h) })
+	}
+}
+
+// beat tells every planner what room the others have.
+func (s *sim) beat() {
+	s.beats++
+	for i, p := range s.planners {
+		var all []Peer
+		for k, o := range s.planners {
+			if k != i {
+				all = append(all, Peer{Name: fmt.Sprint(k), DataCenter: o.cfg.DataCenter, Report: s.beats, Free: o.Free()})
+			}
+		}
+		p.SetPeers(all)
+	}
+	if s.now.Before(s.until) {
+		s.after(time.Second, s.beat)
+	}
+}
+
+// handOver puts the tasks at the peer, as its guests.
+func (s *sim) handOver(p *Planner, h Hand) {
+	to := s.planners[0]
+	for i, o := range s.planners {
+		if fmt.Sprint(i) == h.Peer {
+			to = o
+		}
+	}
+	for _, it := range h.Items {
+		id := fmt.Sprintf("%s/%d/%d", it.Job, it.Task, it.Attempt)
+		j := s.jobs[it.Job]
+		s.jobs[id] = &simJob{service: j.service[it.Task : it.Task+1], left: 1, back: func(o delivery.Outcome) {
+			p.Ended(s.now, it.Number, o)
+			s.act(p)
+		}}
+		if to.Submit(s.now, Job{ID: id, Kind: "price", Caller: "x", Guest: true, Tasks: 1, Expires: it.Expires}) == nil {
+			s.handed++
+			continue
+		}
+		delete(s.jobs, id)
+		s.turned++
+		s.after(simLatency, func() {
+			p.Ended(s.now, it.Number, delivery.Outcome{Kind: delivery.NotRun, Cause: delivery.Refused})
+			s.act(p)
+		})
+	}
+	s.act(to)
+}
+
+func (s *sim) arrive(p *Planner, st Start) {
+	w := s.workers[st.Server]
+	s.starts++
+	answer := func(d time.Duration, o delivery.Outcome) {
+		if s.now.Add(d).After(st.Expires) {
+			d = st.Expires.Sub(s.now)
+			o = delivery.Outcome{Kind: delivery.Unknown, Cause: delivery.NoTime}
+		}
+		s.after(d+simLatency, func() {
+			p.Ended(s.now, st.Number, o)
+			s.act(p)
+		})
+	}
+	if w.fault != nil {
+		if d, o, ok := w.fault(s.now); ok {
+			w.starts++
+			answer(d, o)
+			return
+		}
+	}
+	if w.busy >= w.slots {
+		s.refusals++
+		answer(0, delivery.Outcome{Kind: delivery.NotRun, Cause: delivery.Refused})
+		return
+	}
+	w.busy++
+	w.starts++
+	d := time.Duration(float64(s.jobs[st.Job].service[st.Task]) / w.speed)
+	s.after(d, func() { w.busy-- })
+	answer(d, delivery.Outcome{Kind: delivery.Done, Status: 200})
+}
+
+func (s *sim) end(e End) {
+	j := s.jobs[e.Job]
+	if j.back != nil {
+		delete(s.jobs, e.Job)
+		o := e.Outcome
+		if e.Ran == refusal.RanNo {
+			o.Kind = delivery.NotRun
+		}
+		s.after(simLatency, func() { j.back(o) })
+		return
+	}
+	j.left -= e.To - e.From
+	j.failed = j.failed || e.Outcome.Kind != delivery.Done
+	if j.left > 0 {
+		return
+	}
+	delete(s.jobs, e.Job)
+	if j.failed {
+		s.failed++
+		return
+	}
+	s.done++
+	ideal := slices.Max(j.service) + 2*simLatency
+	s.ratios = append(s.ratios, float64(s.now.Sub(j.at))/float64(ideal))
+}
+
+// service draws a service time on a server of speed 1: 50 ms to 1 s, and one in
+// a hundred of 3 s.
+func (s *sim) service() time.Duration {
+	if s.rnd.IntN(100) == 0 {
+		return 3 * time.Second
+	}
+	return 50*time.Millisecond + time.Duration(s.rnd.ExpFloat64()*float64(100*time.Millisecond))
+}
+
+func (s *sim) submit(p *Planner, caller string, tasks int, limit time.Duration) bool {
+	s.n++
+	j := &simJob{at: s.now, owner: p, left: tasks}
+	for range tasks {
+		j.service = append(j.service, s.service())
+	}
+	id := fmt.Sprint("j", s.n)
+	s.jobs[id] = j
+	err := p.Submit(s.now, Job{ID: id, Kind: "price", Caller: caller, Team: caller, Tasks: tasks, Expires: s.now.Add(limit)})
+	if err != nil {
+		delete(s.jobs, id)
+		s.refused++
+		return false
+	}
+	s.act(p)
+	return true
+}
+
+// offer submits jobs of the given sizes at random planners, as a Poisson
+// process of the given rate of tasks a second, for d.
+func (s *sim) offer(rate float64, d, limit time.Duration, sizes ...int) {
+	mean := 0
+	for _, n := range sizes {
+		mean += n
+	}
+	gap := float64(mean) / float64(len(sizes)) / rate * float64(time.Second)
+	end := s.now.Add(d)
+	var next func()
+	next = func() {
+		if s.now.After(end) {
+			return
+		}
+		s.submit(s.planners[s.rnd.IntN(len(s.planners))], "x", sizes[s.rnd.IntN(len(sizes))], limit)
+		s.after(time.Duration(s.rnd.ExpFloat64()*gap), next)
+	}
+	s.after(0, next)
+}
+
+func (s *sim) quantile(q float64) float64 {
+	if len(s.ratios) == 0 {
+		return 0
+	}
+	slices.Sort(s.ratios)
+	return s.ratios[int(q*float64(len(s.ratios)-1))]
+}
--- a/dispatch/plan/world.go
+++ b/dispatch/plan/world.go
@@ -65,9 +65,8 @@
 // reach is what the tables say of a pool over all data centres.
 type reach struct {
 	slots int
-	// usable tells whether any server may be used by a dispatcher to whom
-	// this one can give work.
-	usable bool
+	// centers is the data centres in which it has usable servers.
+	centers map[string]bool
 }
 
 // reach looks at a pool's servers once for each version of the tables; a look
@@ -77,14 +76,24 @@
 	if ok {
 		return r
 	}
+	r.centers = make(map[string]bool)
 	for _, s := range p.world.Tables.Servers(name) {
 		r.slots += s.Slots
-		r.usable = r.usable || !s.Leaving && s.DataCenter == p.cfg.DataCenter
+		if !s.Leaving {
+			r.centers[s.DataCenter] = true
+		}
 	}
 	p.reaches[name] = r
 	return r
 }
 
+// usable tells whether any server of the pool may be used by this dispatcher,
+// or by one to whom it can give work.
+func (p *Planner) usable(name string) bool {
+	r := p.reach(name)
+	return r.centers[p.cfg.DataCenter] || p.cfg.Policy.HandsOver() && p.peers.any(r.centers)
+}
+
 // reroute moves what waits of the work to the pool that its kind goes to now.
 func (p *Planner) reroute(now time.Time, w *work) {
 	route, ok := p.world.Tables.Route(w.job.Kind)
--- a/dispatch/pool/fleet.go
+++ b/dispatch/pool/fleet.go
@@ -26,6 +26,7 @@
 	resting []*Server
 	away    []*Server
 	news    []News
+	room    int
 }
 
 // News is a change of a server's health, for the log.
@@ -69,6 +70,7 @@
 		if want[a] == nil {
 			f.unseat(s)
 			s.leaving = true
+			f.refresh(now, s)
 			f.tidy(s)
 		}
 	}
@@ -175,13 +177,19 @@
 
 // refresh puts the server into the lists of those with room, or takes it out.
 func (f *Fleet) refresh(now time.Time, s *Server) {
-	room := !s.leaving && s.state == inUse && s.busy < s.limit && !now.Before(s.restTill)
+	room := 0
+	if !s.leaving && s.state == inUse {
+		room = max(s.limit-s.busy, 0)
+	}
+	f.room += room - s.room
+	s.room = room
+	open := room > 0 && !now.Before(s.restTill)
 	class := s.class()
 	for _, t := range s.seats {
-		if t.index >= 0 && (!room || t.class != class) {
+		if t.index >= 0 && (!open || t.class != class) {
 			t.pool.free.remove(t)
 		}
-		if t.index < 0 && room {
+		if t.index < 0 && open {
 			t.pool.free.add(t, class)
 		}
 	}
@@ -341,12 +349,4 @@
 
 // Room returns how many more tasks this dispatcher may start by the limits of
 // its servers.
-func (f *Fleet) Room() int {
-	n := 0
-	for _, s := range f.servers {
-		if !s.leaving && s.state == inUse {
-			n += max(s.limit-s.busy, 0)
-		}
-	}
-	return n
-}
+func (f *Fleet) Room() int { return f.room }
--- a/dispatch/pool/server.go
+++ b/dispatch/pool/server.go
@@ -41,7 +41,9 @@
 	limit   int
 	leaving bool
 	busy    int
-	seats   []*Seat
+	// room is what the server adds to its fleet's room.
+	room  int
+	seats []*Seat
 	// working is the server's place in the list of those with tasks, or -1.
 	working int
 
