plan: hand over in batches worth a message, with the peer's room in answers

Change: a least size of a hand-over, room told with each answer, and guests are taken while they would start within HandAfter.

--- a/dispatch/plan/guard.go
+++ b/dispatch/plan/guard.go
@@ -104,7 +104,7 @@
 		return route, refusal.New(refusal.CutOff, "")
 	case !p.usable(route.Pool):
 		return route, refusal.New(refusal.NoServer, route.Pool).After(leastRetryAfter)
-	case j.Guest && p.Free() == 0:
+	case j.Guest && p.Free() == 0 && p.waiting >= p.soon(p.line(route.Pool)):
 		return route, refusal.New(refusal.Overloaded, "no room for a peer's task")
 	case !now.Before(j.Expires):
 		return route, refusal.New(refusal.Hopeless, "its time is over")
--- a/dispatch/plan/hand.go
+++ b/dispatch/plan/hand.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// Reported takes the room that a peer tells with an answer. Heartbeats alone are
+// up to a second old, in which a peer fills up several times.
+func (p *Planner) Reported(name string, free int) {
+	if e := p.peers.byName[name]; e != nil {
+		e.credit = free
+	}
+}
+
 // any tells whether there is a peer in one of the data centres.
 func (ps *peers) any(centers map[string]bool) bool {
 	for _, e := range ps.list {
@@ -80,7 +88,7 @@
 // handFrom hands one batch over and tells whether it did.
 func (p *Planner) handFrom(now time.Time, l *line) bool {
 	spare := l.Len() - p.soon(l)
-	if spare <= 0 {
+	if spare < p.cfg.HandLeast {
 		return false
 	}
 	to := p.receiver(p.reach(l.pool).centers)
@@ -88,7 +96,7 @@
 		return false
 	}
 	h := Hand{Peer: to.Name}
-	for n := min(spare, (to.credit+1)/2, handTasks); len(h.Items) < n; {
+	for n := min(spare, max(to.credit/2, p.cfg.HandLeast), handTasks); len(h.Items) < n; {
 		w := p.top(l)
 		if w == nil || !p.mayHand(w) || p.tooLate(now, w) || !p.routed(w, l) {
 			break
@@ -140,7 +148,7 @@
 	var near, far []*peer
 	for _, e := range p.peers.list {
 		switch {
-		case e.credit <= 0 || !centers[e.DataCenter]:
+		case e.credit < p.cfg.HandLeast || !centers[e.DataCenter]:
 		case e.DataCenter == p.cfg.DataCenter:
 			near = append(near, e)
 		default:
@@ -168,7 +176,5 @@
 	p.handed--
 	if o.Kind == delivery.NotRun {
 		e.credit = 0
-		return
 	}
-	e.credit++
 }
--- a/dispatch/plan/plan.go
+++ b/dispatch/plan/plan.go
@@ -47,6 +47,8 @@
 	// HandAfter is the wait that a task is left to rather than handed over: a
 	// connection that frees within it is as near as a peer.
 	HandAfter time.Duration
+	// HandLeast is the fewest tasks that are worth a hand-over.
+	HandLeast int
 	// AsideShare is the largest part of a pool that is set aside.
 	AsideShare float64
 }
--- a/dispatch/plan/plan_test.go
+++ b/dispatch/plan/plan_test.go
@@ -60,7 +60,7 @@
 	e, _ := policy.Find(name)
 	return Config{
 		DataCenter: "dc1", Policy: e.Policy, Connections: 64, QueuedTasks: 1 << 20, Attempts: 4,
-		TaskTimeout: 10 * time.Second, MaxWait: 10 * time.Second, RetryBudget: 0.1, AsideShare: 0.3, HandAfter: 20 * time.Millisecond,
+		TaskTimeout: 10 * time.Second, MaxWait: 10 * time.Second, RetryBudget: 0.1, AsideShare: 0.3, HandAfter: 20 * time.Millisecond, HandLeast: 1,
 	}
 }
 
--- a/dispatch/plan/sim_test.go
+++ b/dispatch/plan/sim_test.go
@@ -177,6 +177,7 @@
 		j := s.jobs[it.Job]
 		s.jobs[id] = &simJob{service: j.service[it.Task : it.Task+1], left: 1, back: func(o delivery.Outcome) {
 			p.Ended(s.now, it.Number, o)
+			p.Reported(h.Peer, to.Free())
 			s.act(p)
 		}}
 		if to.Submit(s.now, Job{ID: id, Kind: "price", Caller: "x", Guest: true, Tasks: 1, Expires: it.Expires}) == nil {
@@ -186,6 +187,7 @@
 		delete(s.jobs, id)
 		s.turned++
 		s.after(simLatency, func() {
+			p.Reported(h.Peer, 0)
 			p.Ended(s.now, it.Number, delivery.Outcome{Kind: delivery.NotRun, Cause: delivery.Refused})
 			s.act(p)
 		})
--- a/dispatch/plan/trial_test.go
+++ b/dispatch/plan/trial_test.go
@@ -13,24 +13,25 @@
 	tests := []struct {
 		name   string
 		policy string
-		slots  int
+		least  int
 		after  time.Duration
 	}{
 		{"random", "random", 0, 0},
 		{"two", "two", 0, 0},
 		{"share", "share", 0, 0},
-		{"share/8jobs", "share", 8, 0},
-		{"hand/after10ms", "hand", 0, 10 * time.Millisecond},
-		{"hand/after20ms", "hand", 0, 20 * time.Millisecond},
-		{"hand/after50ms", "hand", 0, 50 * time.Millisecond},
-		{"hand/after100ms", "hand", 0, 100 * time.Millisecond},
+		{"hand/after20ms/least1", "hand", 1, 20 * time.Millisecond},
+		{"hand/after20ms/least4", "hand", 4, 20 * time.Millisecond},
+		{"hand/after20ms/least8", "hand", 8, 20 * time.Millisecond},
+		{"hand/after50ms/least8", "hand", 8, 50 * time.Millisecond},
+		{"hand/after100ms/least8", "hand", 8, 100 * time.Millisecond},
+		{"hand/after100ms/least16", "hand", 16, 100 * time.Millisecond},
 	}
 	for _, load := range []int{30, 60, 80, 95} {
 		for _, tt := range tests {
 			b.Run(fmt.Sprintf("%d%%/%s", load, tt.name), func(b *testing.B) {
 				for range b.N {
 					cfg := config(tt.policy)
-					cfg.JobSlots = tt.slots
+					cfg.HandLeast = tt.least
 					cfg.HandAfter = tt.after
 					report(b, trial(b, cfg, load))
 				}
