A fault matrix over real dispatchers, in memory and on a fake clock

The parts are proved alone; that they hold together under faults was not shown.

Change: package hub/matrix runs four real hubs, the stand-in log and two stand-in backend servers over a network in memory, under synctest. Rows are 21 faults, each once and twice; columns are 11 steps of a submission, a table change and a planned stop. Each cell ends with the oracle: no task started twice, every "not run" true also after late copies, answers whole and one's own, versions never down, every dispatcher on the newest tables, every caller gets a final word, new jobs are done.

Left, with their causes: the roster forgets that a replaced incarnation is gone; a fresh reader has no tables once the log has forgotten the edits; a backend server that refuses for 10 s uses up the attempts of a task.

Ruled out: a simulator with its own model of a dispatcher (it would prove the model). What it can't show: a real freeze stops timers too; the process tests with SIGSTOP are for that.

--- /dev/null
+++ b/hub/matrix/matrix_test.go
@@ -0,0 +1,383 @@
+package matrix_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"snipehub.example/ledger"
+	"snipehub.example/operator"
+	"snipehub.example/stand"
+	"snipehub.example/tables"
+)
+
+// pairs also runs every pair of unlike faults, which takes minutes.
+var pairs = flag.Bool("matrix.pairs", false, "run the fault matrix with every pair of faults")
+
+// fault is one row of the matrix.
+type fault struct {
+	number int
+	name   string
+	// inject begins the fault and returns what ends it.
+	inject func(w *system) (heal func())
+	// cuts tells that the fault may cost the callers of the owner their
+	// answers: they may then be told "unknown" or "failed".
+	cuts bool
+}
+
+func none() {}
+
+var faults = []fault{
+	{1, "owner killed", func(w *system) func() { return w.killing(0) }, true},
+	{2, "other dispatcher killed", func(w *system) func() { return w.killing(1) }, true},
+	{3, "owner frozen", func(w *system) func() { return w.freezing(w.hubs[0].ip) }, true},
+	{4, "owner not heard", func(w *system) func() { return w.cutting(hubIPs(w, 0), hubIPs(w, 1, 2, 3), false) }, true},
+	{5, "owner hears nobody", func(w *system) func() { return w.cutting(hubIPs(w, 1, 2, 3), hubIPs(w, 0), false) }, true},
+	{6, "owner cut off both ways", func(w *system) func() { return w.cutting(hubIPs(w, 0), hubIPs(w, 1, 2, 3), true) }, true},
+	{7, "data centres cut", func(w *system) func() { return w.cutting(hubIPs(w, 0, 1), hubIPs(w, 2, 3), true) }, true},
+	{8, "data centre cut from the platform", func(w *system) func() {
+		return w.cutting(hubIPs(w, 0, 1), []string{platformIP}, true)
+	}, false},
+	{9, "data centre cut from both", func(w *system) func() {
+		return w.cutting(hubIPs(w, 0, 1), append(hubIPs(w, 2, 3), platformIP), true)
+	}, true},
+	{10, "owner alone", func(w *system) func() {
+		return w.cutting(hubIPs(w, 0), append(hubIPs(w, 1, 2, 3), platformIP), true)
+	}, true},
+	{11, "log down", func(w *system) func() { return w.logFault(stand.LogFaults{Down: true}) }, false},
+	{12, "log slow", func(w *system) func() { return w.logFault(stand.LogFaults{SlowMS: 2500}) }, false},
+	{13, "append answers lost", func(w *system) func() { return w.logFault(stand.LogFaults{LoseAnswers: 3}) }, false},
+	{14, "log forgets", func(w *system) func() { return w.logFault(stand.LogFaults{ForgetBelow: 1000}) }, false},
+	{15, "VM list late", func(w *system) func() { return w.restarting(1) }, true},
+	{16, "operators race", func(w *system) func() { return w.racing() }, false},
+	{17, "backend server killed", func(w *system) func() { return w.killingWorker(0) }, true},
+	{18, "backend server frozen", func(w *system) func() { return w.freezing(w.workers[0].ip) }, true},
+	{19, "backend server cuts answers", func(w *system) func() { return w.workerFault(0, stand.WorkerFaults{Reset: true}) }, true},
+	{20, "backend server refuses", func(w *system) func() { return w.workerFault(0, stand.WorkerFaults{Refuse: true}) }, false},
+	{21, "backend server fails everything", func(w *system) func() { return w.workerFault(0, stand.WorkerFaults{Fail: true}) }, true},
+}
+
+func hubIPs(w *system, is ...int) []string {
+	var out []string
+	for _, i := range is {
+		out = append(out, w.hubs[i].ip)
+	}
+	return out
+}
+
+func (w *system) killing(i int) func() {
+	old := w.hubs[i]
+	w.kill(old)
+	return func() { w.restart(i, old) }
+}
+
+// restart starts a new process on the VM of one that ended, unless somebody
+// else has done so.
+func (w *system) restart(i int, old *node) {
+	<-old.done
+	w.starting.Lock()
+	defer w.starting.Unlock()
+	if w.hubs[i] == old {
+		w.hubs[i] = w.startHub(i)
+	}
+}
+
+// restarting replaces a process at once; the VM list does not show it.
+func (w *system) restarting(i int) func() {
+	old := w.hubs[i]
+	w.kill(old)
+	w.restart(i, old)
+	return none
+}
+
+func (w *system) freezing(ip string) func() {
+	a := netip.MustParseAddr(ip)
+	w.net.setFrozen(a, true)
+	return func() { w.net.setFrozen(a, false) }
+}
+
+func (w *system) cutting(from, to []string, both bool) func() {
+	set := func(on bool) {
+		for _, f := range from {
+			for _, t := range to {
+				a, b := netip.MustParseAddr(f), netip.MustParseAddr(t)
+				w.net.setCut(a, b, on)
+				if both {
+					w.net.setCut(b, a, on)
+				}
+			}
+		}
+	}
+	set(true)
+	return func() { set(false) }
+}
+
+func (w *system) logFault(f stand.LogFaults) func() {
+	w.control("PUT", "http://"+platformAt+"/stand/faults", f)
+	return func() { w.control("PUT", "http://"+platformAt+"/stand/faults", stand.LogFaults{}) }
+}
+
+func (w *system) workerFault(i int, f stand.WorkerFaults) func() {
+	url := fmt.Sprintf("http://%s:%d/stand/faults", w.workers[i].ip, workerPort)
+	w.control("PUT", url, f)
+	return func() { w.control("PUT", url, stand.WorkerFaults{}) }
+}
+
+// killingWorker ends a backend server; its record of starts outlives it.
+func (w *system) killingWorker(i int) func() {
+	k := w.workers[i]
+	w.net.reset(netip.MustParseAddr(k.ip))
+	return func() { w.serve(k.ip, workerPort, k.w) }
+}
+
+// racing lets two operators change the route from the same version.
+func (w *system) racing() func() {
+	var wg sync.WaitGroup
+	for _, p := range []string{"pool-a", "pool-b"} {
+		wg.Go(func() { _ = w.operate(p) })
+	}
+	wg.Wait()
+	return none
+}
+
+// operate changes the tables by the operators' own code, once.
+func (w *system) operate(pool string) error {
+	at := netip.MustParseAddrPort(platformAt)
+	log := ledger.New(at, at, 2*time.Second, w.net.host(callerIP).DialContext)
+	_, err := operator.Apply(context.Background(), log, w.rows(pool), "test")
+	return err
+}
+
+// scenario is a course of events with numbered steps, the columns of the
+// matrix. It calls at before each step; a fault may begin there.
+type scenario struct {
+	name  string
+	steps []string
+	run   func(w *system, at func(step int), f fault)
+}
+
+var scenarios = []scenario{
+	{"submission", []string{"before the ticket", "before the submission", "tasks running", "answer given"}, submission},
+	{"table change", []string{"before the append", "after the append", "in force here", "in force everywhere"}, tableChange},
+	{"planned stop", []string{"before the signal", "draining", "ended"}, plannedStop},
+}
+
+const jobTasks = 6
+
+// submission is a caller that submits, believes its job lost, and submits it
+// again over other dispatchers.
+func submission(w *system, at func(int), _ fault) {
+	at(0)
+	id := w.ticketFrom(0) + ".0"
+	at(1)
+	var wg sync.WaitGroup
+	wg.Go(func() { w.put(w.hubs[1], id, jobTasks) })
+	time.Sleep(300 * time.Millisecond)
+	at(2)
+	wg.Go(func() { w.put(w.hubs[2], id, jobTasks) })
+	wg.Go(func() { w.put(w.hubs[0], id, jobTasks) })
+	wg.Wait()
+	at(3)
+	w.put(w.hubs[3], id, jobTasks)
+	time.Sleep(time.Second)
+}
+
+// tableChange is an operator who changes the route while jobs run.
+func tableChange(w *system, at func(int), _ fault) {
+	id := w.ticketFrom(0)
+	var wg sync.WaitGroup
+	wg.Go(func() { w.put(w.hubs[0], id+".0", jobTasks) })
+	at(0)
+	_ = w.operate("pool-b")
+	at(1)
+	time.Sleep(500 * time.Millisecond)
+	w.version(w.hubs[0])
+	at(2)
+	wg.Go(func() { w.put(w.hubs[1], id+".1", jobTasks) })
+	time.Sleep(6 * time.Second)
+	at(3)
+	wg.Wait()
+}
+
+// plannedStop is a dispatcher that is told to stop under load. The callers that
+// have submitted get their whole answers.
+func plannedStop(w *system, at func(int), f fault) {
+	id := w.ticketFrom(0)
+	var wg sync.WaitGroup
+	for i := range 3 {
+		wg.Go(func() {
+			s := w.put(w.hubs[i%2], fmt.Sprintf("%s.%d", id, i), jobTasks)
+			if !f.cuts && !s.done() {
+				w.t.Errorf("planned stop: job %s: %+v %v", s.id, s.answer, s.refusal)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	at(0)
+	old := w.hubs[0]
+	old.cancel()
+	time.Sleep(100 * time.Millisecond)
+	at(1)
+	wg.Wait()
+	<-old.done
+	at(2)
+	w.restart(0, old)
+	time.Sleep(2 * time.Second)
+	for i := range 3 {
+		w.put(w.hubs[1], fmt.Sprintf("%s.%d", id, i), jobTasks)
+	}
+}
+
+// ticketFrom takes a ticket of the dispatcher, or of another one when it gives
+// none.
+func (w *system) ticketFrom(i int) string {
+	for k := range hubCount * 10 {
+		if g, ok := w.mint(w.hubs[(i+k)%hubCount]); ok {
+			return g.Ticket
+		}
+		time.Sleep(time.Second)
+	}
+	w.t.Fatal("no dispatcher gives a ticket")
+	return ""
+}
+
+// TestMatrix runs every fault at every step, and every fault twice: it ends,
+// and begins again. What must always hold is checked at the end of each cell:
+// no task has started twice, "not run" was true, answers were whole, every
+// dispatcher has the newest tables, versions never went down, and the system
+// serves again.
+func TestMatrix(t *testing.T) {
+	cells := 0
+	for _, sc := range scenarios {
+		for step, name := range sc.steps {
+			for _, f := range faults {
+				for _, twice := range []bool{false, true} {
+					cells++
+					t.Run(cellName(sc.name, name, f.name, twice), func(t *testing.T) {
+						t.Parallel()
+						runCell(t, sc, step, f, twice)
+					})
+				}
+			}
+		}
+	}
+	t.Logf("matrix: %d faults, single and twice, at %d steps: %d cells, 0 empty", len(faults), cells/len(faults)/2, cells)
+}
+
+// TestMatrixPairs runs every pair of unlike faults that begin together.
+func TestMatrixPairs(t *testing.T) {
+	if !*pairs {
+		t.Skip("run with -matrix.pairs; it takes minutes")
+	}
+	for _, sc := range scenarios {
+		for step, name := range sc.steps {
+			for i, f := range faults {
+				for _, g := range faults[i+1:] {
+					both := f
+					both.cuts = f.cuts || g.cuts
+					both.inject = func(w *system) func() {
+						a, b := f.inject(w), g.inject(w)
+						return func() { a(); b() }
+					}
+					t.Run(cellName(sc.name, name, f.name+" and "+g.name, false), func(t *testing.T) {
+						t.Parallel()
+						runCell(t, sc, step, both, false)
+					})
+				}
+			}
+		}
+	}
+}
+
+func cellName(parts ...any) string {
+	s := fmt.Sprintf("%s/%s/%s", parts[0], parts[1], parts[2])
+	if parts[3] == true {
+		s += ", twice"
+	}
+	return strings.ReplaceAll(s, " ", "_")
+}
+
+const (
+	faultLasts = 10 * time.Second
+	settleTime = 16 * time.Second
+)
+
+func runCell(t *testing.T, sc scenario, step int, f fault, twice bool) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newSystem(t)
+		defer w.close()
+		var wg sync.WaitGroup
+		sc.run(w, func(s int) {
+			if s != step {
+				return
+			}
+			heal := f.inject(w)
+			wg.Go(func() {
+				time.Sleep(faultLasts)
+				heal()
+				if twice {
+					time.Sleep(time.Second)
+					heal = f.inject(w)
+					time.Sleep(faultLasts)
+					heal()
+				}
+			})
+		}, f)
+		wg.Wait()
+		time.Sleep(settleTime)
+		w.checkTables()
+		w.checkServes()
+		w.check()
+		if t.Failed() {
+			t.Logf("logs:\n%s", w.logs)
+		}
+	})
+}
+
+// checkTables holds that every dispatcher has the state that the log gives.
+func (w *system) checkTables() {
+	want := ledger.None
+	for i, n := range w.hubs {
+		v, ok := w.version(n)
+		switch {
+		case !ok:
+			w.t.Errorf("dispatcher %s does not answer", n.ip)
+		case i == 0:
+			want = v
+		case v != want:
+			w.t.Errorf("dispatcher %s has tables %d, the first has %d", n.ip, v, want)
+		}
+	}
+	if want == ledger.None {
+		w.t.Error("no tables in force")
+	}
+	_ = tables.Stream
+}
+
+// checkServes holds that every identity gets a final word when its caller comes
+// back, and that new jobs are done.
+func (w *system) checkServes() {
+	for _, s := range w.said {
+		for _, n := range w.hubs {
+			if a := w.put(n, s.id, s.tasks); !a.settled() {
+				w.t.Errorf("job %s over %s: no final word: %+v %v", s.id, n.ip, a.answer, a.refusal)
+			}
+		}
+	}
+	for _, n := range w.hubs {
+		g, ok := w.mint(n)
+		if !ok {
+			w.t.Errorf("dispatcher %s gives no ticket", n.ip)
+			continue
+		}
+		if s := w.put(n, g.Ticket+".0", 2); !s.done() {
+			w.t.Errorf("dispatcher %s: new job: %+v %v", n.ip, s.answer, s.refusal)
+		}
+	}
+}
