Process tests: a killed owner, a frozen one, an outage, a cut, a flooded stop

Cause: the matrix runs on a fake clock; real signals, real sockets and the freeze of a whole process were not tried.

Change: five scripts over the binaries with SIGKILL, SIGSTOP and SIGCONT, SIGTERM (twice) under load, an outage of the log during a table change, and a TCP relay in test code that is cut. The files that all scripts share stand once, in testdata/common.

Seen red: flood: 9 jobs done in 2 s, the others failed with ran "no": a backend server that is full refuses a task ten times at once, and the task is given up.

--- a/hub/script_test.go
+++ b/hub/script_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -31,20 +33,50 @@
 	})
 }
 
-// TestScript runs the binaries as processes. Each script gets free ports as
-// $A0 to $A11.
+// TestScript runs the binaries as processes. Each script gets free addresses as
+// $A0 to $A11, and the files of testdata/common: two dispatchers (callers at $A1
+// and $A3, peers at $A2 and $A4), the log at $A0, a backend server at $A5.
 func TestScript(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir:   "testdata/script",
-		Setup: freeAddresses,
-		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"call":   call,
-			"await":  await,
-			"subst":  subst,
-			"keep":   keep,
-			"signal": signalProcess,
-		},
-	})
+	cmds := map[string]func(ts *testscript.TestScript, neg bool, args []string){
+		"call":   call,
+		"await":  await,
+		"subst":  subst,
+		"keep":   keep,
+		"signal": signalProcess,
+	}
+	maps.Copy(cmds, faultCmds)
+	testscript.Run(t, testscript.Params{Dir: "testdata/script", Setup: setUp, Cmds: cmds})
+}
+
+func setUp(e *testscript.Env) error {
+	if err := freeAddresses(e); err != nil {
+		return err
+	}
+	return copyCommon(e)
+}
+
+// copyCommon puts the files of testdata/common into the script's directory,
+// with the addresses filled in.
+func copyCommon(e *testscript.Env) error {
+	const dir = "testdata/common"
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		b, err := os.ReadFile(filepath.Join(dir, f.Name()))
+		if err != nil {
+			return err
+		}
+		to := filepath.Join(e.WorkDir, f.Name())
+		if _, err := os.Stat(to); err == nil {
+			continue
+		}
+		if err := os.WriteFile(to, []byte(os.Expand(string(b), e.Getenv)), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func freeAddresses(e *testscript.Env) error {
