handover: tasks go to peers with room over the wire, each started once

Cause: with the slots divided, a job larger than one dispatcher's connections, or a caller whose jobs all come in over one VM, waits while other dispatchers stand idle.

Change: dispatch/handover, a sender and a receiver. One ask carries a batch, its answer waits for results that are worth a message, asks are repeated to the same incarnation. A batch number below the owner's lowest open one is over. hub wires them (hub/placing.go; two lines in hub.go, and at a planned stop new batches are turned down and the ones under way end and are told).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -40,7 +40,10 @@
 	// whatever status the backend server answers goes to the caller, and a
 	// route may allow it to be repeated.
 	Request bool
-	Tasks   [][]byte
+	// Guest tells that this is one task that a peer has handed over; Job is
+	// then the id of the attempt.
+	Guest bool
+	Tasks [][]byte
 	// Done is called once for each task, from any goroutine.
 	Done func(index int, r Result)
 }
@@ -122,6 +125,9 @@
 	p        *plan.Planner
 	world    plan.World
 	batches  map[string]*batch
+	sender   sender
+	sends    chan struct{}
+	peers    map[string]roster.Known
 	acts     plan.Actions
 	complain time.Time
 }
@@ -132,10 +138,12 @@
 	left int
 }
 
-// ending is the outcome of an attempt.
+// ending is the outcome of an attempt, or what a peer tells of its room.
 type ending struct {
 	number uint64
 	o      delivery.Outcome
+	peer   string
+	free   int
 }
 
 // New makes a dispatcher.
@@ -154,6 +162,8 @@
 		reports:  newReports(),
 		p:        plan.New(cfg.Config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		batches:  make(map[string]*batch),
+		sends:    make(chan struct{}, handovers),
+		peers:    make(map[string]roster.Known),
 	}
 }
 
@@ -184,7 +194,7 @@
 		case r := <-d.requests:
 			d.take(r)
 		case e := <-d.ended:
-			d.p.Ended(d.clock.Now(), e.number, e.o)
+			d.hear(e)
 		case <-d.wake:
 			d.look(d.clock.Now())
 		case <-sub.C:
@@ -194,12 +204,21 @@
 	}
 }
 
+func (d *Dispatcher) hear(e ending) {
+	if e.peer != "" {
+		d.p.Reported(e.peer, e.free)
+		return
+	}
+	d.p.Ended(d.clock.Now(), e.number, e.o)
+}
+
 func (d *Dispatcher) tick(now time.Time) {
 	d.look(now)
 	d.p.Tick(now)
 	d.free.Store(int64(d.p.Free()))
 	d.m.Gauge("dispatch_waiting", float64(d.p.Waiting()))
 	d.m.Gauge("dispatch_busy", float64(d.p.Busy()))
+	d.m.Gauge("dispatch_handed_now", float64(d.p.Handed()))
 	d.m.Gauge("dispatch_reports", float64(d.reports.len()))
 }
 
@@ -214,6 +233,9 @@
 	for _, s := range d.acts.Starts {
 		d.start(ctx, s)
 	}
+	for _, h := range d.acts.Hands {
+		d.hand(ctx, h)
+	}
 	for _, n := range d.acts.News {
 		switch {
 		case n.Capped:
@@ -228,10 +250,14 @@
 
 func (d *Dispatcher) start(ctx context.Context, s plan.Start) {
 	b := d.batches[s.Job]
+	id := delivery.TaskID(s.Job, s.Task, s.Attempt)
+	if b.Guest {
+		id = b.Job
+	}
 	a := delivery.Attempt{
 		Server:  s.Server,
 		Kind:    b.Kind,
-		Task:    delivery.TaskID(s.Job, s.Task, s.Attempt),
+		Task:    id,
 		Body:    b.Tasks[s.Task],
 		Type:    b.Type,
 		Expires: s.Expires,
@@ -240,7 +266,7 @@
 	if s.Attempt > 0 {
 		d.m.Count("dispatch_retries", 1)
 	}
-	go func() { d.ended <- ending{s.Number, d.c.Deliver(ctx, a)} }()
+	go func() { d.ended <- ending{number: s.Number, o: d.c.Deliver(ctx, a)} }()
 }
 
 func (d *Dispatcher) end(e plan.End) {
--- a/dispatch/pool/fleet.go
+++ b/dispatch/pool/fleet.go
@@ -179,7 +179,7 @@
 func (f *Fleet) refresh(now time.Time, s *Server) {
 	room := 0
 	if !s.leaving && s.state == inUse {
-		room = max(s.limit-s.busy, 0)
+		room = max(s.cap()-s.busy, 0)
 	}
 	f.room += room - s.room
 	s.room = room
--- a/dispatch/pool/health.go
+++ b/dispatch/pool/health.go
@@ -64,6 +64,7 @@
 func (s *Server) judge(now time.Time, v Verdict) (Why, bool) {
 	switch v {
 	case Good:
+		s.widen()
 		s.strikes = 0
 		s.refusals = 0
 		s.restTill = time.Time{}
@@ -75,6 +76,7 @@
 		return Failing, s.strikes >= strikesOut
 	case Busy:
 		s.refusals++
+		s.narrow()
 		s.restTill = now.Add(s.rest())
 		return Refusing, s.refusals >= refusalsOut
 	}
@@ -104,6 +106,7 @@
 	s.backOff = 0
 	s.strikes = 0
 	s.refusals = 0
+	s.window = 0
 	s.failing = 0
 	s.slow = average{}
 }
--- a/dispatch/pool/server.go
+++ b/dispatch/pool/server.go
@@ -50,6 +50,10 @@
 	slow    average
 	failing float64
 
+	// window is how many tasks the server has shown to take from this
+	// dispatcher, as long as it is below limit; 0 means that it never refused.
+	window float64
+
 	strikes  int
 	refusals int
 	restTill time.Time
@@ -77,6 +81,28 @@
 	return s.slow.value
 }
 
+// cap is how many tasks may be there at once: the limit, or what the server has
+// shown to take.
+func (s *Server) cap() int {
+	if s.window == 0 || s.window >= float64(s.limit) {
+		return s.limit
+	}
+	return int(s.window)
+}
+
+// narrow takes a refusal into account, widen a task that was done: the window
+// falls to what was there when the server refused, and grows by one for each
+// round of tasks that it does. Where other dispatchers use the server too, own
+// counts alone say that there is room, and every task that is tried there is a
+// wasted message.
+func (s *Server) narrow() { s.window = max(float64(s.busy), 1) }
+
+func (s *Server) widen() {
+	if s.window > 0 {
+		s.window = min(s.window+1/s.window, float64(s.limit))
+	}
+}
+
 // Load says how late the next task would end there, in no particular unit:
 // the learned slowness, more for each task that is there already, and more for
 // recent failures.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -96,6 +96,7 @@
 		Team:    b.Team,
 		Expires: b.Expires,
 		Request: b.Request,
+		Guest:   b.Guest,
 		Tasks:   len(b.Tasks),
 	})
 	if err == nil {
--- a/dispatch/world.go
+++ b/dispatch/world.go
@@ -13,7 +13,9 @@
 // look brings the tables and members into force that the directory has now, if
 // they have changed: applying them costs a look at every backend server.
 func (d *Dispatcher) look(now time.Time) {
-	m, live := d.members(now)
+	known := d.dir.Members(now)
+	m, live := d.members(known)
+	d.canReceive(known)
 	w := plan.World{
 		Tables:      d.dir.State(),
 		Members:     m,
@@ -32,11 +34,11 @@
 // members returns who divides the slots of this data centre, and how many
 // dispatchers are live in all. One that is suspect or leaving gets no part: its
 // slots would stand idle.
-func (d *Dispatcher) members(now time.Time) (pool.Members, int) {
+func (d *Dispatcher) members(known []roster.Known) (pool.Members, int) {
 	self := d.cfg.Self.Owner.String()
 	out := pool.Members{Self: self, Sizes: map[string]int{self: d.cfg.Connections}}
 	live := 1
-	for _, k := range d.dir.Members(now) {
+	for _, k := range known {
 		if k.State != roster.Live || k.Owner == d.cfg.Self.Owner {
 			continue
 		}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -17,6 +17,7 @@
 	"snipehub.example/clock"
 	"snipehub.example/counter"
 	"snipehub.example/dispatch"
+	"snipehub.example/dispatch/handover"
 	"snipehub.example/event"
 	"snipehub.example/job"
 	"snipehub.example/ledger"
@@ -41,6 +42,7 @@
 	dialer *peer.Dialer
 	peers  *peer.Server
 	place  *dispatch.Dispatcher
+	guests *handover.Receiver
 	owner  *job.Owner
 	fwd    *forwarder
 	desk   *desk
@@ -133,6 +135,7 @@
 	}
 	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: noKeys{}, tables: h.tables.State}
 	h.handlePeers()
+	h.handOver()
 	h.http = &http.Server{
 		Handler:           counter.New(h.log, cfg, callerService{h.desk, h}, h.meter),
 		ReadHeaderTimeout: cfg.Limits.ReadTimeout.D(),
@@ -169,9 +172,11 @@
 	h.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Limits.StopDeadline.D())
 	defer cancel()
+	h.guests.Stop()
 	_ = h.owner.Stop(ctx)
 	h.fwd.handOver(ctx, append(h.owner.Closed(h.cfg.Limits.HandoffBytes), h.fwd.holder.Closed()...))
 	_ = h.http.Shutdown(ctx)
+	h.guests.Drain(ctx)
 	h.peers.Drain(ctx)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -150,7 +150,8 @@
 
 // Dispatch sets how tasks are placed.
 type Dispatch struct {
-	Policy      string   `toml:"policy"`
+	Policy string `toml:"policy"`
+	// JobSlots is how many jobs have tasks under way at once; 0 means no limit.
 	JobSlots    int      `toml:"job_slots"`
 	Connections int      `toml:"connections"`
 	TaskTimeout Duration `toml:"task_timeout"`
@@ -161,6 +162,10 @@
 	AsideShare float64 `toml:"aside_share"`
 	// Attempts bounds the attempts of one task.
 	Attempts int `toml:"attempts"`
+	// HandAfter is the expected wait beyond which tasks are handed to peers,
+	// HandLeast the fewest tasks that are worth a message.
+	HandAfter Duration `toml:"hand_after"`
+	HandLeast int      `toml:"hand_least"`
 }
 
 // Log sets the process's own log lines.
@@ -204,13 +209,15 @@
 		},
 		Dispatch: Dispatch{
 			Policy:      "random",
-			JobSlots:    8,
+			JobSlots:    0,
 			Connections: 64,
 			TaskTimeout: Duration(10 * time.Second),
 			RetryBudget: 0.1,
 			MaxWait:     Duration(10 * time.Second),
 			AsideShare:  0.3,
-			Attempts:    4,
+			Attempts:    10,
+			HandAfter:   Duration(50 * time.Millisecond),
+			HandLeast:   8,
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
@@ -299,6 +306,10 @@
 		return bad("aside_share", "must be between 0 and 1")
 	case d.Attempts <= 0:
 		return bad("attempts", "must be above 0")
+	case d.HandAfter < 0:
+		return bad("hand_after", "must not be below 0")
+	case d.HandLeast <= 0:
+		return bad("hand_least", "must be above 0")
 	}
 	return nil
 }
