--- a/load/scenarios.go
+++ b/load/scenarios.go
@@ -64,8 +64,8 @@
 		Phases: steady(0.6), JobTasks: Range{Min: 1, Max: 1300},
 	},
 	{
-		Number: 22, Name: "overload", Title: "twice the capacity for six seconds, and the recovery", Since: "0.1",
-		Phases: []Phase{lasting(3*time.Second, 0.6), lasting(6*time.Second, 2), lasting(6*time.Second, 0.6)},
+		Number: 22, Name: "overload", Title: "twice the capacity for nine seconds, and the recovery", Since: "0.1",
+		Phases: []Phase{lasting(3*time.Second, 0.6), lasting(9*time.Second, 2), lasting(6*time.Second, 0.6)},
 	},
 	{
 		Number: 30, Name: "unlike", Title: "backend servers of unlike speed at 60% of capacity", Since: "0.1",
