load: ratio by size of job, and a greedy caller

Cause: one distribution can't show whether large jobs hold up small ones or are starved by them, and no scenario had one caller crowd out the others.

Change: the ratio by jobs of up to 10, 100 and 1,300 tasks; the scenario `greedy` (one caller submits nine in ten jobs at 1.5 times the capacity); each caller's done share is printed.

--- a/load/arrival.go
+++ b/load/arrival.go
@@ -35,7 +35,7 @@
 		rate := p.Load * d.power() / perJob
 		end := begin + p.For.D()
 		for t := begin + gap(rnd, rate); t < end; t += gap(rnd, rate) {
-			a := arrival{at: t, caller: pickCaller(rnd, d.Callers), dispatcher: rnd.IntN(d.Dispatchers)}
+			a := arrival{at: t, caller: pickCaller(rnd, s.callers(d)), dispatcher: rnd.IntN(d.Dispatchers)}
 			if rnd.Float64() < s.Skew {
 				a.dispatcher = 0
 			}
@@ -59,6 +59,20 @@
 	return time.Duration(rnd.ExpFloat64() / rate * float64(time.Second))
 }
 
+// callers returns the deployment's callers with the shares of the scenario.
+func (s Scenario) callers(d Deployment) []Caller {
+	if s.Greedy == 0 || len(d.Callers) < 2 {
+		return d.Callers
+	}
+	out := append([]Caller(nil), d.Callers...)
+	var rest float64
+	for _, c := range out[1:] {
+		rest += c.Share
+	}
+	out[0].Share = rest * s.Greedy / (1 - s.Greedy)
+	return out
+}
+
 func pickCaller(rnd *rand.Rand, all []Caller) int {
 	var sum float64
 	for _, c := range all {
--- a/load/measure.go
+++ b/load/measure.go
@@ -87,10 +87,34 @@
 		}
 	}
 	r.Ratio, r.Response, r.CDF = ratio.quantiles(), response.quantiles(), ratio.cdf()
+	r.Sizes = bySize(all)
 	r.Goodput = goodput(s, all)
 	r.Fairness = fairness(callers, all)
 }
 
+// sizeClasses are the upper bounds of the classes of jobs.
+var sizeClasses = []int{10, 100, 1300}
+
+// bySize returns the classes that have jobs. It shows whether large jobs hold
+// up small ones, or are starved by them.
+func bySize(all []outcome) []SizeClass {
+	var out []SizeClass
+	above := 0
+	for _, top := range sizeClasses {
+		h := newSpread(ratioScale)
+		for _, o := range all {
+			if n := len(o.service); o.verdict == done && o.at >= warmUp && n > above && n <= top {
+				h.add(o.ratio())
+			}
+		}
+		if h.h.TotalCount() > 0 {
+			out = append(out, SizeClass{UpTo: top, Ratio: h.quantiles()})
+		}
+		above = top
+	}
+	return out
+}
+
 func (r *Report) count(o outcome) {
 	r.Jobs.Offered++
 	r.Tasks += len(o.service)
--- a/load/measure_test.go
+++ b/load/measure_test.go
@@ -73,6 +73,9 @@
 	if !near(r.Response.Max, 40_000, 100) {
 		t.Errorf("response %+v", r.Response)
 	}
+	if len(r.Sizes) != 2 || r.Sizes[0].Ratio.N != 2 || r.Sizes[1].UpTo != 100 || r.Sizes[1].Ratio.N != 1 {
+		t.Errorf("sizes %+v", r.Sizes)
+	}
 	f := r.Fairness
 	if f.Callers["a"] != 1 || !near(f.Callers["b"], 12.0/25, 1e-9) || !near(f.Spread, 40, 0.01) {
 		t.Errorf("fairness %+v", f)
--- a/load/plan_test.go
+++ b/load/plan_test.go
@@ -84,6 +84,17 @@
 	if share := float64(first) / float64(len(a)); !near(share, 0.5+0.5/48, 0.03) {
 		t.Errorf("share of the first dispatcher %.3f", share)
 	}
+	s.Greedy = 0.9
+	greedy, _ := plan(s, d, 1)
+	mine := 0
+	for _, x := range greedy {
+		if x.caller == 0 {
+			mine++
+		}
+	}
+	if share := float64(mine) / float64(len(greedy)); !near(share, 0.9, 0.02) {
+		t.Errorf("share of the greedy caller %.3f", share)
+	}
 	s.Phases = []Phase{lasting(maxRun, 5)}
 	s.Service = Service{Min: 1000, Max: 1000}
 	if _, err := plan(s, d, 1); err == nil {
--- a/load/report.go
+++ b/load/report.go
@@ -24,6 +24,8 @@
 	// time in milliseconds. Jobs that arrived in the first warmUp are left out.
 	Ratio    Quantiles `json:"ratio"`
 	Response Quantiles `json:"response_ms"`
+	// Sizes is the ratio by the size of jobs.
+	Sizes []SizeClass `json:"sizes"`
 	// Goodput is the tasks of done jobs that ended in each phase, a second,
 	// without the ramp at its begin.
 	Goodput []float64 `json:"goodput"`
@@ -81,6 +83,13 @@
 	Max float64 `json:"max"`
 }
 
+// SizeClass is the ratio of the jobs of up to so many tasks, and more than
+// those of the class before.
+type SizeClass struct {
+	UpTo  int       `json:"up_to"`
+	Ratio Quantiles `json:"ratio"`
+}
+
 // Messages counts exchanges beyond the one that each task needs, each with its
 // answer as one, for all tasks together.
 type Messages struct {
@@ -176,12 +185,15 @@
 		j.Offered, j.Done, j.Failed, j.Refused, j.Unknown, j.Cancelled, j.Lost, r.Tasks)
 	line("response over ideal", "p50 %.3f, p90 %.3f, p99 %.3f, max %.2f", r.Ratio.P50, r.Ratio.P90, r.Ratio.P99, r.Ratio.Max)
 	line("response", "p50 %.0f ms, p90 %.0f ms, p99 %.0f ms", r.Response.P50, r.Response.P90, r.Response.P99)
+	for _, c := range r.Sizes {
+		line("up to "+itoa(c.UpTo)+" tasks", "%d jobs: p50 %.3f, p90 %.3f, p99 %.3f", c.Ratio.N, c.Ratio.P50, c.Ratio.P90, c.Ratio.P99)
+	}
 	line("goodput", "%.0f tasks/s by phase", r.Goodput)
 	line("refusals", "%s", codes(r.Refusals))
 	m := r.Messages
 	line("messages", "%.4f a task beyond one, of which placement %.4f: refusals %d, dials %d, hand-overs %d, forwards %d, repeats %d, heartbeats %d, log %d",
 		m.Total, m.Placement, m.Refusals, m.Dials, m.Handovers, m.Forwards, m.Repeats, m.Heartbeats, m.Log)
-	line("fairness", "Jain %.3f, medians of callers differ by %.2f times", r.Fairness.Jain, r.Fairness.Spread)
+	line("fairness", "Jain %.3f, medians of callers differ by %.2f times; done share of each: %s", r.Fairness.Jain, r.Fairness.Spread, shares(r.Fairness.Callers))
 	f := r.Safety
 	line("must be 0", "double starts %d, lost answers %d, not run but ran %d, wrong answers %d, conflicts %d",
 		f.DoubleStarts, f.LostAnswers, f.NotRunButRan, f.WrongAnswers, f.Conflicts)
@@ -190,6 +202,15 @@
 	return b.String()
 }
 
+func shares(m map[string]float64) string {
+	var out []string
+	for c, v := range m {
+		out = append(out, fmt.Sprintf("%s %.3f", c, v))
+	}
+	sort.Strings(out)
+	return strings.Join(out, ", ")
+}
+
 func codes(m map[string]int) string {
 	if len(m) == 0 {
 		return "none"
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -31,7 +31,10 @@
 	Speeds []float64 `toml:"speeds"`
 	// Skew is the share of all jobs that go to the first dispatcher; the rest
 	// is spread evenly over all.
-	Skew    float64  `toml:"skew"`
+	Skew float64 `toml:"skew"`
+	// Greedy, when set, is the share of all jobs that the first caller
+	// submits; the others share the rest as the deployment says.
+	Greedy  float64  `toml:"greedy"`
 	Actions []Action `toml:"actions"`
 }
 
@@ -117,6 +120,9 @@
 	case s.Service.Min <= 0 || s.Service.Max < s.Service.Min:
 		return errors.New("service: needs 0 < min <= max")
 	}
+	if s.Skew < 0 || s.Skew > 1 || s.Greedy < 0 || s.Greedy >= 1 {
+		return errors.New("skew and greedy must be shares")
+	}
 	for _, p := range s.Phases {
 		if p.Load <= 0 || p.Load > 5 {
 			return errors.New("phases: load must be above 0 and at most 5")
--- a/load/scenarios.go
+++ b/load/scenarios.go
@@ -45,8 +45,8 @@
 
 func steady(load float64) []Phase { return []Phase{lasting(ordinaryRun, load)} }
 
-// table is numbered in tens by theme: 1 steady load, 20 shapes of load, 30 unlike parts,
-// 40 faults, 50 waves of callers.
+// table is numbered in tens by theme: 1 steady load, 20 shapes of load, 30 unlike
+// parts, 40 faults, 50 waves of callers.
 var table = []Scenario{
 	{Number: 1, Name: "steady30", Title: "steady load at 30% of capacity", Since: "0.1", Phases: steady(0.3)},
 	{Number: 2, Name: "steady60", Title: "steady load at 60% of capacity", Since: "0.1", Phases: steady(0.6)},
@@ -75,6 +75,10 @@
 		Number: 31, Name: "skew", Title: "one dispatcher gets half of the jobs, at 30% of capacity", Since: "0.1",
 		Phases: steady(0.3), Skew: 0.5,
 	},
+	{
+		Number: 32, Name: "greedy", Title: "one caller submits nine in ten jobs, at 1.5 times the capacity", Since: "0.1",
+		Phases: steady(1.5), Greedy: 0.9,
+	},
 	{
 		Number: 40, Name: "failing", Title: "a backend server fails everything it starts, at 60% of capacity", Since: "0.1",
 		Phases: steady(0.6), Actions: []Action{at(2*time.Second, FailWorker, 0)},
