load: memory of kept answers by their size

Cause: the capacity page counted a kept answer as one of a single task.

Change: a second slope for answers of 20 tasks; the page takes the line through both at the mean job.

--- a/load/bench.go
+++ b/load/bench.go
@@ -48,6 +48,13 @@
 	return client.New(client.Config{Entries: []netip.AddrPort{b.entry()}, Token: b.Callers[0].Token})
 }
 
+// renew makes every client take a new ticket.
+func (b *bench) renew() {
+	for _, c := range b.clients {
+		c.Renew()
+	}
+}
+
 func (b *bench) entry() netip.AddrPort { return b.places[0].callers }
 
 // job is a job of n tasks of the given service time, with the default timeout.
--- a/load/capacity.go
+++ b/load/capacity.go
@@ -70,7 +70,7 @@
 		f[s.Name] = s.Fit
 	}
 	for _, name := range []string{
-		slopeCPU, slopeKept, slopeTicket, slopeQueue, slopeRows, slopeApply, slopeEditBytes,
+		slopeCPU, slopeKept, slopeKeptLarge, slopeTicket, slopeQueue, slopeRows, slopeApply, slopeEditBytes,
 		slopeIdleCPU, slopeIdleBytes, slopeIdleRSS, slopeStatus, slopeLogReads,
 	} {
 		if _, ok := f[name]; !ok {
@@ -92,12 +92,19 @@
 		{role: role, quantity: "task starts, each", value: z.starts / z.dispatchers(), unit: "messages/s", from: "one exchange with a backend server a task"},
 		{role: role, quantity: "jobs, each", value: jobs, unit: "messages/s", from: "starts / mean job"},
 		{role: role, quantity: "processor for tasks and jobs, each", value: cpu / 1e6, unit: "cores", from: slopeCPU},
-		{role: role, quantity: "kept answers, each", value: jobs * z.keptFor * f[slopeKept].Slope / (1 << 20), unit: "MB", from: slopeKept + ", one task each: a lower bound"},
+		{role: role, quantity: "kept answers, each", value: jobs * z.keptFor * z.answer(f) / (1 << 20), unit: "MB", from: slopeKept + " and of larger ones, at the mean job"},
 		{role: role, quantity: "a ticket of each team", value: z.teams * f[slopeTicket].Slope / (1 << 20), unit: "MB", from: slopeTicket},
 		{role: role, quantity: "100,000 tasks waiting", value: 100_000 * f[slopeQueue].Slope / (1 << 20), unit: "MB", from: slopeQueue},
 	}
 }
 
+// answer is the memory of a kept answer of the mean job, on the line through
+// the two sizes of answers that are measured.
+func (z size) answer(f map[string]Fit) float64 {
+	one, large := f[slopeKept].Slope, f[slopeKeptLarge].Slope
+	return one + (large-one)/(keptTasks-1)*(z.meanJob-1)
+}
+
 func readerNeeds(z size, f map[string]Fit) []need {
 	const role = "table reader"
 	apply := f[slopeApply]
--- a/load/capacity_test.go
+++ b/load/capacity_test.go
@@ -7,7 +7,7 @@
 func TestNeeds(t *testing.T) {
 	z := size{workers: 1000, starts: 6400, teams: 10, changesPerDay: 86400, meanJob: 10, meanService: 1, connections: 64, keptFor: 10}
 	lines := map[string]Fit{
-		slopeCPU: {Slope: 100, Intercept: 500}, slopeKept: {Slope: 1 << 20}, slopeTicket: {Slope: 1 << 20}, slopeQueue: {Slope: 1 << 10},
+		slopeCPU: {Slope: 100, Intercept: 500}, slopeKept: {Slope: 1 << 20}, slopeKeptLarge: {Slope: 20 << 20}, slopeTicket: {Slope: 1 << 20}, slopeQueue: {Slope: 1 << 10},
 		slopeRows: {Slope: 1 << 20}, slopeApply: {Slope: 2}, slopeEditBytes: {Intercept: 200},
 		slopeIdleCPU: {Slope: 200, Intercept: 2000}, slopeIdleBytes: {Slope: 10}, slopeIdleRSS: {Intercept: 1 << 20},
 		slopeStatus: {Slope: 1 << 20}, slopeLogReads: {Slope: 0.2},
@@ -28,7 +28,7 @@
 		{"processes in all", 100, 0, "none set"},
 		{"jobs, each", 6.4, 0, "none set"},
 		{"processor for tasks and jobs, each", 6.4 * 1500 / 1e6, 0, "none set"},
-		{"kept answers, each", 64, 0, "none set"},
+		{"kept answers, each", 640, 0, "none set"},
 		{"rows of backend servers", 1000, 0, "**over** 64"},
 		{"processor for edits", 2000, 6000, "within 1.2e+04"},
 		{"idle processor", 22000, 50, "**over** 1.2e+04"},
--- a/load/slopes.go
+++ b/load/slopes.go
@@ -32,6 +32,7 @@
 const (
 	slopeCPU       = "processor time of a job"
 	slopeKept      = "memory of kept answers"
+	slopeKeptLarge = "memory of kept larger answers"
 	slopeTicket    = "memory of tickets"
 	slopeQueue     = "memory of queued tasks"
 	slopeRows      = "memory of backend server rows"
@@ -70,9 +71,29 @@
 // to be kept: a window forgets what lies further back.
 const ticketLife = 1000
 
+// keptTasks is the size of the larger of two kinds of kept answers.
+const keptTasks = 20
+
 // keptSlopes measures the dispatcher's memory by the answers that it keeps, of
-// one task each.
+// one task and of several.
 func keptSlopes(ctx context.Context) ([]Slope, error) {
+	one, err := kept(ctx, 1, ticketLife)
+	if err != nil {
+		return nil, err
+	}
+	several, err := kept(ctx, keptTasks, ticketLife/keptTasks)
+	if err != nil {
+		return nil, err
+	}
+	return []Slope{
+		newSlope(slopeKept, "answers of one task", "bytes resident", one, absolute),
+		newSlope(slopeKeptLarge, "answers of "+itoa(keptTasks)+" tasks", "bytes resident", several, absolute),
+	}, nil
+}
+
+// kept reads the memory of a dispatcher after each of eight steps, in which
+// every client brings so many jobs.
+func kept(ctx context.Context, tasks, perClient int) ([]Point, error) {
 	b, err := newBench(ctx)
 	if err != nil {
 		return nil, err
@@ -81,14 +102,14 @@
 	var points []Point
 	total := int64(0)
 	for range 8 {
-		total += b.repeat(ctx, b.job(1, time.Millisecond), 8, ticketLife*benchCallers, 10*time.Second)
-		for _, c := range b.clients {
-			c.Renew()
+		total += b.repeat(ctx, b.job(tasks, time.Millisecond), 8, int64(perClient*benchCallers), 10*time.Second)
+		if perClient == ticketLife {
+			b.renew()
 		}
 		_, mem := b.usage()
 		points = append(points, Point{float64(total), float64(mem)})
 	}
-	return []Slope{newSlope(slopeKept, "answers of one task", "bytes resident", points, absolute)}, nil
+	return points, nil
 }
 
 // ticketSlopes measures the dispatcher's memory by the tickets that it holds.
