--- a/dispatch/plan/guard.go
+++ b/dispatch/plan/guard.go
@@ -119,7 +119,7 @@
 	switch {
 	case wait > p.cfg.MaxWait:
 		return route, refusal.New(refusal.Overloaded, "").After(p.retryAfter(wait - p.cfg.MaxWait))
-	case now.Add(wait + p.work(route.Pool, j)).After(j.Expires):
+	case wait+p.work(route.Pool, j) > time.Duration(waitShare*float64(j.Expires.Sub(now))):
 		return route, refusal.New(refusal.Overloaded, "its deadline would pass").After(p.retryAfter(wait))
 	}
 	return route, nil
@@ -129,6 +129,11 @@
 // a wrong "hopeless" turns away work that could be done.
 const doubt = 0.5
 
+// waitShare is the largest part of a job's time that it may be expected to wait.
+// The rest covers its tasks' own time, the error of the learned rate, and the
+// slowest of its tasks; a job that ends late has held slots for nothing.
+const waitShare = 0.5
+
 // least returns the shortest time in which the job could be done if all slots
 // of its pool, in every data centre, were free.
 func (p *Planner) least(name string, j Job) time.Duration {
--- /dev/null
+++ b/dispatch/plan/guard_test.go
@@ -0,0 +1,204 @@
+package plan
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"snipehub.example/delivery"
+	"snipehub.example/refusal"
+	"snipehub.example/tables"
+)
+
+// busyPlanner has learned that a task takes 100 ms and 40 end in a second, and
+// has waiting tasks of the caller "x".
+func busyPlanner(t *testing.T, waiting int) (*Planner, time.Time) {
+	t.Helper()
+	p := planner(config("share"), state(t, 1, 4))
+	now := epoch
+	var a Actions
+	submit := func(id string, n int) {
+		j := Job{ID: id, Kind: "price", Caller: "x", Team: "x", Tasks: n, Expires: now.Add(time.Hour)}
+		if err := p.Submit(now, j); err != nil {
+			t.Fatal(err)
+		}
+	}
+	submit("warm", 130)
+	for now.Before(epoch.Add(3 * time.Second)) {
+		p.Tick(now)
+		p.Take(now, &a)
+		starts := append([]Start(nil), a.Starts...)
+		now = now.Add(100 * time.Millisecond)
+		for _, s := range starts {
+			p.Ended(now, s.Number, delivery.Outcome{Kind: delivery.Done})
+		}
+	}
+	p.Take(now, &a)
+	submit("backlog", waiting)
+	return p, now
+}
+
+// Work that can't be done, or not in time, is refused when it comes and not
+// when its time is over: the caller can still go elsewhere. Each refusal is a true
+// "not run".
+func TestRefusals(t *testing.T) {
+	hour := time.Hour
+	tests := []struct {
+		name    string
+		waiting int
+		set     func(p *Planner, now time.Time)
+		job     Job
+		left    time.Duration
+		want    refusal.Code
+	}{
+		{"taken", 10, nil, Job{Kind: "price", Tasks: 1}, hour, ""},
+		{"no route", 10, nil, Job{Kind: "none", Tasks: 1}, hour, refusal.NoRoute},
+		{"no tasks", 10, nil, Job{Kind: "price"}, hour, refusal.BadRequest},
+		{"no server", 10, func(p *Planner, now time.Time) { p.SetWorld(now, world(state(t, 0, 1))) }, Job{Kind: "price", Tasks: 1}, hour, refusal.NoServer},
+		{"cut off", 10, func(p *Planner, _ time.Time) { p.Allow(false) }, Job{Kind: "price", Tasks: 1}, hour, refusal.CutOff},
+		{"time over", 10, nil, Job{Kind: "price", Tasks: 1}, 0, refusal.Hopeless},
+		{"shorter than a task", 10, nil, Job{Kind: "price", Tasks: 1}, 20 * time.Millisecond, refusal.Hopeless},
+		{"more tasks than fit", 10, nil, Job{Kind: "price", Tasks: 1300}, 10 * time.Second, refusal.Hopeless},
+		{"longest wait", 500, nil, Job{Kind: "price", Tasks: 1}, hour, refusal.Overloaded},
+		{"deadline behind the queue", 200, nil, Job{Kind: "price", Tasks: 1}, 2 * time.Second, refusal.Overloaded},
+		{"another caller's backlog", 500, nil, Job{Kind: "price", Caller: "y", Tasks: 1}, 2 * time.Second, ""},
+		{"too many tasks", 10, func(p *Planner, _ time.Time) { p.cfg.QueuedTasks = 20 }, Job{Kind: "price", Tasks: 30}, hour, refusal.Overloaded},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, now := busyPlanner(t, tt.waiting)
+			if tt.set != nil {
+				tt.set(p, now)
+			}
+			j := tt.job
+			j.ID = "new"
+			if j.Caller == "" {
+				j.Caller = "x"
+			}
+			j.Team = j.Caller
+			j.Expires = now.Add(tt.left)
+			err := p.Submit(now, j)
+			var r *refusal.Refusal
+			code := refusal.Code("")
+			if errors.As(err, &r) {
+				code = r.Code
+			}
+			if code != tt.want {
+				t.Fatalf("%v, want %q", err, tt.want)
+			}
+			if r != nil && (r.Ran != refusal.RanNo || r.Code == refusal.Overloaded && r.RetryAfterMS == 0) {
+				t.Errorf("ran %s, come back after %d ms", r.Ran, r.RetryAfterMS)
+			}
+		})
+	}
+}
+
+// startsOf counts the first n starts by job prefix, with one ending for each.
+func startsOf(p *Planner, n int, name func(job string) string) map[string]int {
+	out := make(map[string]int)
+	now := epoch
+	var a Actions
+	for started := 0; started < n; {
+		p.Take(now, &a)
+		now = now.Add(10 * time.Millisecond)
+		for _, s := range append([]Start(nil), a.Starts...) {
+			started++
+			out[name(s.Job)]++
+			p.Ended(now, s.Number, delivery.Outcome{Kind: delivery.Done})
+		}
+	}
+	return out
+}
+
+// Two teams fill the queue, one of three times the weight, and the lighter one
+// with fifty times as many tasks. Without shares the one that sends more gets
+// more, and the other's callers wait behind all of it.
+func TestWeightedShare(t *testing.T) {
+	p := planner(config("share"), state(t, 1, 1, tables.Team{Name: "red", Weight: 3}, tables.Team{Name: "blue", Weight: 1}))
+	for i := range 50 {
+		_ = p.Submit(epoch, Job{ID: fmt.Sprint("blue", i), Kind: "price", Caller: "b", Team: "blue", Tasks: 1000, Expires: epoch.Add(time.Hour)})
+	}
+	_ = p.Submit(epoch, Job{ID: "red", Kind: "price", Caller: "r", Team: "red", Tasks: 1000, Expires: epoch.Add(time.Hour)})
+	got := startsOf(p, 400, func(job string) string { return job[:3] })
+	if n := got["red"]; n < 295 || n > 305 {
+		t.Errorf("%d of 400 starts for three quarters of the weight", n)
+	}
+}
+
+// A caller's small check comes after its job of 1,300 tasks, and must not wait
+// for it; but a stream of small ones must not hold the large one up for ever
+// either.
+func TestSmallBeforeLarge(t *testing.T) {
+	p := planner(config("share"), state(t, 1, 1))
+	_ = p.Submit(epoch, Job{ID: "large", Kind: "price", Caller: "x", Tasks: 1300, Expires: epoch.Add(time.Hour)})
+	_ = p.Submit(epoch.Add(time.Second), Job{ID: "small", Kind: "price", Caller: "x", Tasks: 1, Expires: epoch.Add(time.Hour)})
+	if got := startsOf(p, 1, func(job string) string { return job }); got["small"] != 1 {
+		t.Errorf("first start: %v", got)
+	}
+	late := epoch.Add(20 * time.Second)
+	_ = p.Submit(late, Job{ID: "late", Kind: "price", Caller: "x", Tasks: 1, Expires: late.Add(time.Hour)})
+	if got := startsOf(p, 1, func(job string) string { return job }); got["large"] != 1 {
+		t.Errorf("a job that came 20 s later goes first: %v", got)
+	}
+}
+
+// A team has a quota over the whole system, and two dispatchers serve it. Each
+// keeps to its part without asking the other.
+func TestQuota(t *testing.T) {
+	p := planner(config("share"), state(t, 4, 4, tables.Team{Name: "red", Quota: 6}))
+	w := p.world
+	w.Dispatchers = 2
+	p.SetWorld(epoch, w)
+	_ = p.Submit(epoch, Job{ID: "red", Kind: "price", Caller: "r", Team: "red", Tasks: 20, Expires: epoch.Add(time.Hour)})
+	var a Actions
+	p.Take(epoch, &a)
+	if len(a.Starts) != 3 {
+		t.Fatalf("%d tasks at once, want 3", len(a.Starts))
+	}
+	p.Ended(epoch, a.Starts[0].Number, delivery.Outcome{Kind: delivery.Done})
+	p.Take(epoch, &a)
+	if len(a.Starts) != 1 {
+		t.Errorf("%d starts after one end, want 1", len(a.Starts))
+	}
+}
+
+// Callers cancel 100,000 waiting jobs at once. None of them starts, all end as
+// not run, and the jobs of others go on.
+func TestCancellationWave(t *testing.T) {
+	const n = 100_000
+	p := planner(config("share"), state(t, 1, 1))
+	for i := range n {
+		_ = p.Submit(epoch, Job{ID: fmt.Sprint("wave", i), Kind: "price", Caller: "x", Tasks: 1, Expires: epoch.Add(time.Hour)})
+	}
+	_ = p.Submit(epoch, Job{ID: "other", Kind: "price", Caller: "x", Tasks: 5, Expires: epoch.Add(time.Hour)})
+	for i := range n {
+		p.Cancel(fmt.Sprint("wave", i))
+	}
+	var a Actions
+	p.Take(epoch, &a)
+	if len(a.Ends) != n || p.Waiting() != 4 || len(a.Starts) != 1 || a.Starts[0].Job != "other" {
+		t.Errorf("%d ends, %d waiting, starts %v", len(a.Ends), p.Waiting(), a.Starts)
+	}
+}
+
+// A task comes to its turn when its deadline is nearer than the time that it
+// takes. Started, it would hold a slot for an answer that nobody waits for.
+func TestTooLate(t *testing.T) {
+	p, now := busyPlanner(t, 4)
+	var a Actions
+	p.Take(now, &a)
+	if err := p.Submit(now, Job{ID: "late", Kind: "price", Caller: "y", Team: "y", Tasks: 1, Expires: now.Add(300 * time.Millisecond)}); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(280 * time.Millisecond)
+	for _, s := range a.Starts {
+		p.Ended(now, s.Number, delivery.Outcome{Kind: delivery.Done})
+	}
+	p.Take(now, &a)
+	ends := slices.ContainsFunc(a.Ends, func(e End) bool { return e.Job == "late" && e.Ran == refusal.RanNo })
+	if len(a.Starts) > 0 || !ends {
+		t.Errorf("starts %v, ends %v", a.Starts, a.Ends)
+	}
+}
--- a/dispatch/pool/fleet.go
+++ b/dispatch/pool/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"snipehub.example/tables"
@@ -22,11 +23,14 @@
 	members Members
 	servers map[key]*Server
 	pools   map[string]*Pool
+	// order is the servers by address.
+	order   []*Server
 	working []*Server
 	resting []*Server
 	away    []*Server
 	news    []News
 	room    int
+	looked  time.Time
 }
 
 // News is a change of a server's health, for the log.
@@ -74,7 +78,9 @@
 			f.tidy(s)
 		}
 	}
-	for a, r := range want {
+	// In a fixed order, so that two runs with one seed are the same.
+	for _, a := range slices.SortedFunc(maps.Keys(want), netip.AddrPort.Compare) {
+		r := want[a]
 		s := f.servers[a]
 		if s == nil {
 			s = &Server{Address: a, working: -1}
@@ -88,8 +94,10 @@
 		f.seat(s, r.pools)
 	}
 	f.count()
-	for _, s := range f.servers {
-		f.refresh(now, s)
+	f.order = f.order[:0]
+	for _, a := range slices.SortedFunc(maps.Keys(f.servers), netip.AddrPort.Compare) {
+		f.order = append(f.order, f.servers[a])
+		f.refresh(now, f.servers[a])
 	}
 }
 
@@ -195,12 +203,12 @@
 	}
 }
 
-// Probe returns a server of the pool that is set aside and due to be tried
-// with one task, or nil.
+// Probe returns a server of the pool that is due to be tried with one task, or
+// nil: one that is set aside, or one that was slow and has been unused for long.
 func (p *Pool) Probe() *Server {
 	for len(p.probes) > 0 {
 		s := p.probes[0]
-		if s.state == setAside && s.busy < max(s.slots, 1) && !s.leaving {
+		if s.due && s.busy < max(s.slots, 1) && !s.leaving {
 			return s
 		}
 		p.probes = p.probes[1:]
@@ -224,9 +232,13 @@
 
 // Start notes that a task starts on the server.
 func (f *Fleet) Start(now time.Time, s *Server) {
+	s.due = false
 	if s.state == setAside {
 		s.state = probing
 	}
+	if s.stale(now) {
+		s.slow.halfForget()
+	}
 	s.busy++
 	if s.busy == 1 {
 		s.progress = now
@@ -249,7 +261,7 @@
 	}
 	switch s.state {
 	case probing:
-		f.probed(now, s, v == Good && (usual == 0 || took < slowOut*usual))
+		f.probed(now, s, v == Good && (s.why != Slow || took < slowOut*usual))
 	case inUse:
 		if why, out := s.judge(now, v); out {
 			f.setAside(now, s, why)
@@ -294,6 +306,7 @@
 			return
 		}
 	}
+	s.why = why
 	s.away(now)
 	for _, t := range s.seats {
 		t.pool.aside++
@@ -323,6 +336,24 @@
 	clear(f.resting[len(resting):])
 	f.resting = resting
 	f.due(now)
+	f.unused(now)
+}
+
+// unused adds the servers that were slow and unused for long to the probes.
+func (f *Fleet) unused(now time.Time) {
+	if now.Sub(f.looked) < lookEvery {
+		return
+	}
+	f.looked = now
+	for _, s := range f.order {
+		if !s.stale(now) || s.limit == 0 || s.leaving {
+			continue
+		}
+		s.due = true
+		for _, t := range s.seats {
+			t.pool.probes = append(t.pool.probes, s)
+		}
+	}
 }
 
 // due lists the servers whose probe is due.
@@ -336,7 +367,8 @@
 			continue
 		}
 		kept = append(kept, s)
-		if s.state != setAside || now.Before(s.probeAt) {
+		s.due = s.state == setAside && !now.Before(s.probeAt)
+		if !s.due {
 			continue
 		}
 		for _, t := range s.seats {
--- a/dispatch/pool/health.go
+++ b/dispatch/pool/health.go
@@ -49,14 +49,24 @@
 	// failingStep is the weight of one more outcome in the share of failures.
 	failingStep = 0.2
 
+	// lookAgain is after how long an unused server that was slow is tried with
+	// one task, and unusedSlow what counts as slow there.
+	lookAgain  = 20 * time.Second
+	unusedSlow = 1.2
+	// lookEvery is how often unused servers are looked for.
+	lookEvery = time.Second
+
 	firstRest  = 20 * time.Millisecond
 	longRest   = time.Second
 	firstProbe = time.Second
 	lastProbe  = 30 * time.Second
-	// stallFactor times the usual service time without any end is a stall, but
-	// never less than stallLeast.
+	// stallFactor times the usual service time without any end is a stall when
+	// one task is there. With more tasks it takes less, because it is ever less
+	// likely that all of them are long, but never under stallFloor times the
+	// usual time, nor under stallLeast.
 	stallFactor = 20
-	stallLeast  = 2 * time.Second
+	stallFloor  = 3
+	stallLeast  = time.Second
 )
 
 // judge takes the verdict on a task and says whether the server is to be set
@@ -111,9 +121,20 @@
 	s.slow = average{}
 }
 
+// stale tells whether what was learned of the server's speed should be tried
+// again. A server that is slow for a while gets no tasks while faster ones are
+// free; without a trial nobody would ever learn that it is well again.
+func (s *Server) stale(now time.Time) bool {
+	return s.state == inUse && s.busy == 0 && s.Slowness() > unusedSlow && now.Sub(s.progress) > lookAgain
+}
+
 // stalled tells whether tasks are there and none has ended for too long. A
 // frozen server answers nothing; without this it is noticed only when the lease
 // of a task runs out, and until then holds connections that others need.
 func (s *Server) stalled(now time.Time, usual time.Duration) bool {
-	return s.busy > 0 && now.Sub(s.progress) > max(stallFactor*usual, stallLeast)
+	if s.busy == 0 {
+		return false
+	}
+	factor := max(stallFactor/time.Duration(s.busy), stallFloor)
+	return now.Sub(s.progress) > max(factor*usual, stallLeast)
 }
--- a/dispatch/pool/server.go
+++ b/dispatch/pool/server.go
@@ -14,7 +14,7 @@
 
 	// warm is after how many samples an average stops being a plain mean and
 	// starts to forget.
-	warm = 16
+	warm = 64
 
 	// slowest bounds the learned slowness, and 1/slowest from below.
 	slowest = 64
@@ -60,8 +60,11 @@
 	resting  bool
 	progress time.Time
 	state    state
+	why      Why
 	probeAt  time.Time
-	backOff  time.Duration
+	// due tells that the next task is a trial; it is for one task only.
+	due     bool
+	backOff time.Duration
 }
 
 // Busy returns how many of this dispatcher's tasks are there.
@@ -140,6 +143,9 @@
 // is known.
 func (u *Usual) Mean() time.Duration { return time.Duration(u.mean.value) }
 
+// halfForget makes the next sample count as much as all before it.
+func (a *average) halfForget() { a.n = min(a.n, 1) }
+
 func (u *Usual) learn(d time.Duration, s *Server) {
 	slowness := s.Slowness()
 	if u.mean.n > 0 && u.mean.value > 0 {
