dispatch: the shell never waits for anybody, and a timed-out "not run" is true

Cause: the shell's bounds had no test. Change: four tests on a fake clock; names of the shell's fakes. The first writing of the lock test hung by itself, because synctest does not count a wait for a mutex as blocked; it uses a channel.

Red with the mechanism out: Done from the planner's goroutine: "job 2: overloaded: the queue does not answer"; a submission taken after its time-out: "started: [late/0/0]"; a ring that blocks: "all goroutines in bubble are blocked"; cancellation ignored: ten starts in place of two.

--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,178 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"snipehub.example/clock"
+	"snipehub.example/delivery"
+	"snipehub.example/dispatch/plan"
+	"snipehub.example/dispatch/policy"
+	"snipehub.example/meter"
+	"snipehub.example/refusal"
+	"snipehub.example/roster"
+	"snipehub.example/tables"
+	"snipehub.example/ticket"
+)
+
+// world is one backend server with two slots, and nobody else.
+type world struct{ st *tables.State }
+
+func (w world) State() *tables.State                  { return w.st }
+func (w world) Usable(time.Time, netip.AddrPort) bool { return true }
+func (w world) MayPlace(time.Time) bool               { return true }
+func (w world) Members(time.Time) []roster.Known      { return nil }
+
+// hands does each task in a second and counts the starts.
+type hands struct {
+	mu     sync.Mutex
+	starts []string
+}
+
+func (h *hands) Deliver(_ context.Context, a delivery.Attempt) delivery.Outcome {
+	h.mu.Lock()
+	h.starts = append(h.starts, a.Task)
+	h.mu.Unlock()
+	time.Sleep(time.Second)
+	return delivery.Outcome{Kind: delivery.Done, Status: 200, Body: a.Body}
+}
+
+func make1(t *testing.T) (*Dispatcher, *hands, *clock.Service) {
+	t.Helper()
+	st, err := tables.Build(1, tables.Rows{
+		Routes:  []tables.Route{{Kind: "price", Half: "north", Pool: "quick"}},
+		Pools:   []tables.Pool{{Name: "quick", Half: "north"}},
+		Servers: []tables.Server{{Pool: "quick", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCenter: "dc1", Slots: 2}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	chosen, _ := policy.Find("share")
+	cfg := Config{
+		Self: roster.Member{Owner: ticket.Owner{DataCenter: "dc1", VM: "a", Process: "p", Incarnation: 1}},
+		Config: plan.Config{
+			DataCenter: "dc1", Policy: chosen.Policy, Connections: 8, QueuedTasks: 1000, Attempts: 3,
+			TaskTimeout: 10 * time.Second, MaxWait: time.Minute, RetryBudget: 0.1, AsideShare: 0.3, HandLeast: 1,
+		},
+	}
+	h := &hands{}
+	ticks := clock.New()
+	return New(cfg, h, world{st}, ticks, slog.New(slog.DiscardHandler), meter.New()), h, ticks
+}
+
+// serve runs the dispatcher and its clock until the test's end.
+func serve(t *testing.T, d *Dispatcher, ticks *clock.Service) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = ticks.Serve(ctx) })
+	running.Go(func() { _ = d.Serve(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+}
+
+func batch1(id string, n int, done func(int, Result)) Batch {
+	return Batch{Job: id, Kind: "price", Caller: "x", Expires: time.Now().Add(time.Hour), Tasks: make([][]byte, n), Done: done}
+}
+
+// An owner holds its lock while it submits, and takes the same lock when a task
+// has ended. Were the two told by one goroutine, both would wait for ever, and
+// so would every caller of the process.
+func TestDoneDoesNotBlockSubmit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, _, ticks := make1(t)
+		serve(t, d, ticks)
+		// A channel as the lock: synctest does not see a wait for a mutex.
+		lock := make(chan struct{}, 1)
+		ended := 0
+		done := func(int, Result) {
+			lock <- struct{}{}
+			ended++
+			<-lock
+		}
+		for i := range 20 {
+			lock <- struct{}{}
+			time.Sleep(500 * time.Millisecond)
+			if err := d.Submit(batch1(string(rune('a'+i)), 1, done)); err != nil {
+				t.Errorf("job %d: %v", i, err)
+			}
+			<-lock
+		}
+		time.Sleep(time.Minute)
+		lock <- struct{}{}
+		if ended != 20 {
+			t.Errorf("%d of 20 jobs ended", ended)
+		}
+		<-lock
+	})
+}
+
+// The planner does not run for a while, as after a freeze. The submitter gets a
+// "not run" after a bounded time, and the submission that is still in the ring
+// must not be taken when the planner runs again: the caller may have submitted
+// the same order under a new identity.
+func TestTimedOutSubmissionNeverStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, h, ticks := make1(t)
+		began := time.Now()
+		err := d.Submit(batch1("late", 1, func(int, Result) {}))
+		var r *refusal.Refusal
+		if !errors.As(err, &r) || r.Ran != refusal.RanNo || time.Since(began) > submitTimeout {
+			t.Fatalf("%v after %v", err, time.Since(began))
+		}
+		serve(t, d, ticks)
+		time.Sleep(time.Minute)
+		if len(h.starts) > 0 {
+			t.Errorf("started: %v", h.starts)
+		}
+	})
+}
+
+// More submissions come at once than the ring holds while the planner does not
+// run. None may wait for ever.
+func TestFullRingRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, _, _ := make1(t)
+		var waiting sync.WaitGroup
+		for range 2 * ring {
+			waiting.Go(func() {
+				if d.Submit(batch1("x", 1, func(int, Result) {})) == nil {
+					t.Error("taken without a planner")
+				}
+			})
+		}
+		waiting.Wait()
+	})
+}
+
+// A caller cancels a job of ten tasks when two have started. The two end, the
+// others are told as not run and never start.
+func TestCancelledTasksNeverStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, h, ticks := make1(t)
+		serve(t, d, ticks)
+		var mu sync.Mutex
+		got := make(map[refusal.Ran]int)
+		_ = d.Submit(batch1("job", 10, func(_ int, r Result) {
+			mu.Lock()
+			defer mu.Unlock()
+			got[r.Ran]++
+		}))
+		time.Sleep(500 * time.Millisecond)
+		d.Cancel("job")
+		time.Sleep(time.Minute)
+		mu.Lock()
+		defer mu.Unlock()
+		if len(h.starts) != 2 || got[refusal.RanYes] != 2 || got[refusal.RanNo] != 8 {
+			t.Errorf("starts %v, results %v", h.starts, got)
+		}
+	})
+}
