--- a/dispatch/policy/share/share.go
+++ b/dispatch/policy/share/share.go
@@ -9,11 +9,9 @@
 package share
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 
 	"snipehub.example/dispatch/pool"
 )
@@ -21,48 +19,54 @@
 // Policy is the policy.
 type Policy struct{}
 
-type part struct {
-	self  bool
-	score float64
-	hash  uint64
-}
-
 // Limit returns this dispatcher's part of the slots. The parts of all members
-// add up to the slots when they know the same members.
+// add up to the slots when they know the same members: each has its whole part,
+// and those slots that are left over go to the highest scores.
 func (Policy) Limit(server netip.AddrPort, slots int, among pool.Members) int {
-	if len(among.Sizes) <= 1 {
-		return slots
-	}
-	var total float64
+	total := 0
 	for _, n := range among.Sizes {
-		total += float64(n)
+		total += n
 	}
 	left := slots
-	own := 0
-	parts := make([]part, 0, len(among.Sizes))
+	for _, n := range among.Sizes {
+		left -= slots * n / total
+	}
+	own := slots * among.Sizes[among.Self] / total
+	mine := score(server, among.Self, among.Sizes[among.Self])
+	before := 0
 	for name, n := range among.Sizes {
-		whole := int(float64(slots) * float64(n) / total)
-		left -= whole
-		if name == among.Self {
-			own = whole
+		if before >= left {
+			return own
 		}
-		h := pool.Score(server, name)
-		// The weighted rendezvous score: the chance to be among the
-		// highest is in proportion to the size.
-		u := (float64(h>>11) + 0.5) / (1 << 53)
-		parts = append(parts, part{name == among.Self, -float64(n) / math.Log(u), h})
-	}
-	slices.SortFunc(parts, func(a, b part) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.hash, b.hash))
-	})
-	for _, p := range parts[:min(left, len(parts))] {
-		if p.self {
-			own++
+		if name != among.Self && score(server, name, n).above(mine) {
+			before++
 		}
 	}
+	if before < left {
+		own++
+	}
 	return own
 }
 
+// rank is a member's weighted rendezvous score for a server. The chance to be
+// among the highest is in proportion to the size.
+type rank struct {
+	score float64
+	name  string
+}
+
+func score(server netip.AddrPort, name string, size int) rank {
+	u := (float64(pool.Score(server, name)>>11) + 0.5) / (1 << 53)
+	return rank{-float64(size) / math.Log(u), name}
+}
+
+func (r rank) above(o rank) bool {
+	if r.score != o.score {
+		return r.score > o.score
+	}
+	return r.name < o.name
+}
+
 // Choose returns the less loaded of two servers of the fastest class that has
 // room.
 func (Policy) Choose(free *pool.Free, r *rand.Rand) *pool.Seat {
