plan: a bad learned rate does not refuse for ever; hand is the default policy

Cause: in a run over processes with hand, 223 of 386 jobs were refused. Part of it, perhaps all, was another deployment at the same addresses (its dispatchers refused this one's tokens); but the drain rate had a trap of its own: one that was learned in a bad time is never learned anew when all work is refused for it.

Change: the job's own time is reckoned with the rate of all connections when that is the higher one; counts of hand-overs and refusals by the names that snipeload reads; the default policy is hand.

Red without it: TestOldRateIsForgotten: "overloaded (ran: no)".

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -266,7 +266,13 @@
 	if s.Attempt > 0 {
 		d.m.Count("dispatch_retries", 1)
 	}
-	go func() { d.ended <- ending{number: s.Number, o: d.c.Deliver(ctx, a)} }()
+	go func() {
+		o := d.c.Deliver(ctx, a)
+		if o.Kind == delivery.NotRun {
+			d.m.Count("task_refusals", 1)
+		}
+		d.ended <- ending{number: s.Number, o: o}
+	}()
 }
 
 func (d *Dispatcher) end(e plan.End) {
--- a/dispatch/hand.go
+++ b/dispatch/hand.go
@@ -50,7 +50,6 @@
 		}
 		guests := d.guests(items)
 		d.m.Count("dispatch_handed", int64(n))
-		d.m.Count("dispatch_handovers", 1)
 		go func() {
 			defer func() { <-d.sends }()
 			d.sender.Send(ctx, to, guests,
--- a/dispatch/plan/guard.go
+++ b/dispatch/plan/guard.go
@@ -173,10 +173,17 @@
 	return time.Duration(behind / rate * float64(time.Second))
 }
 
-// work returns the time that the job's own tasks take at the drain rate, with
-// the doubt that is due to a learned rate.
+// work returns the time that the job's own tasks take at the drain rate, or at
+// the rate of all connections when that is higher, with the doubt that is due to
+// a learned rate. Without the second, a rate that was learned while servers were
+// sick turns work away for ever: what is refused does not wait, and only waiting
+// tasks teach a new rate.
 func (p *Planner) work(name string, j Job) time.Duration {
 	rate := p.line(name).drain.rate
+	u := p.kind(j.Kind)
+	if here := p.fleet.Pool(name); here != nil && u.Known() {
+		rate = max(rate, float64(min(here.Limit(), p.cfg.Connections))/u.Mean().Seconds())
+	}
 	if rate <= 0 {
 		return 0
 	}
--- a/dispatch/plan/guard_test.go
+++ b/dispatch/plan/guard_test.go
@@ -202,3 +202,26 @@
 		t.Errorf("starts %v, ends %v", a.Starts, a.Ends)
 	}
 }
+
+// A pool was slow while tasks waited, and is well again. The rate that was
+// learned then must not turn work away: what is refused never waits, and only
+// waiting tasks teach a new rate.
+func TestOldRateIsForgotten(t *testing.T) {
+	p, now := busyPlanner(t, 1)
+	p.line("quick").drain.rate = 0.1
+	var a Actions
+	for len(p.flights) > 0 {
+		for n := range p.flights {
+			p.Ended(now, n, delivery.Outcome{Kind: delivery.Done})
+		}
+		p.Take(now, &a)
+	}
+	for range 20 {
+		now = now.Add(time.Second)
+		p.Tick(now)
+	}
+	j := Job{ID: "new", Kind: "price", Caller: "x", Team: "x", Tasks: 100, Expires: now.Add(20 * time.Second)}
+	if err := p.Submit(now, j); err != nil {
+		t.Error(err)
+	}
+}
--- a/hub/placing.go
+++ b/hub/placing.go
@@ -66,6 +66,7 @@
 
 // Ask sends an ask and returns its answer.
 func (n neighbours) Ask(ctx context.Context, to roster.Known, a handover.Ask) (handover.Answer, error) {
+	n.h.meter.Count("handovers", 1)
 	out, err := peer.Call[handover.Answer](ctx, n.h.dialer, to.Address, methodHand, a)
 	if errors.Is(err, peer.ErrNotSent) {
 		return out, errors.Wrap(handover.ErrNotSent, err.Error())
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -208,7 +208,7 @@
 			Poll:     Duration(2 * time.Second),
 		},
 		Dispatch: Dispatch{
-			Policy:      "random",
+			Policy:      "hand",
 			JobSlots:    0,
 			Connections: 64,
 			TaskTimeout: Duration(10 * time.Second),
