meter: fixed names in one table, Prometheus text, bounded series

Ruled out: tally's own Prometheus reporter needs a client library that is not among ours. Tally's cardinality metrics are left out: they would double the metrics that nobody asked for.

Change: a small tally.CachedStatsReporter (meter/exposition.go) keeps the newest values and writes the Prometheus text format; names, types, units and meanings stand in meter/table.go and docs/METRICS.md is held equal by a test. The number of series by caller, kind and code is bounded by limits.metric_series, with a gauge and event 105 at the limit. Forwards and heartbeats are counted in hub. The sum of a histogram is an upper bound, because tally hands over only counts of buckets; the page says so.

Seen red: without the bound TestSeriesAreBounded printed "100 series and 0 notices, want 3 and one of all others, and 1 notice". It passes with it.

Conclusion: other parts count by meter.Name; names not yet counted stand in the table already, for the parts that are being built.

--- a/counter/counter.go
+++ b/counter/counter.go
@@ -87,12 +87,12 @@
 
 func (c *Counter) authed(h callerHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		c.meter.Count(meter.Requests, 1)
 		caller, err := c.caller(r)
 		if err == nil {
 			err = h(w, r, caller)
 		}
 		if err != nil {
-			c.meter.Count("refusals", 1)
 			writeRefusal(w, err)
 		}
 	}
@@ -143,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	c.meter.Time("job", caller.Name, s.Spec.Kind, time.Since(began))
+	c.meter.Time(meter.JobSeconds, caller.Name, s.Spec.Kind, time.Since(began))
 	writeAnswer(w, a)
 	return nil
 }
--- a/hub/forward.go
+++ b/hub/forward.go
@@ -9,6 +9,7 @@
 
 	"snipehub.example/event"
 	"snipehub.example/job"
+	"snipehub.example/meter"
 	"snipehub.example/peer"
 	"snipehub.example/refusal"
 	"snipehub.example/roster"
@@ -88,6 +89,7 @@
 	case k.State == roster.Suspect:
 		return none, refusal.New(refusal.OwnerUnreachable, "").After(forwardRetryAfter)
 	}
+	h.meter.Count(meter.Forwards, 1)
 	out, err := peer.Call[R](ctx, h.dialer, k.Address, method, params)
 	if err == nil {
 		return out, nil
@@ -99,6 +101,7 @@
 			return none, &r
 		}
 	}
+	h.meter.Count(meter.ForwardsFailed, 1)
 	event.JobForwardFailed.Log(h.log, "owner", to, "error", err)
 	return none, refusal.New(refusal.OwnerUnreachable, "").After(forwardRetryAfter)
 }
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -64,7 +64,7 @@
 		log:   log,
 		ln:    ln,
 		clock: clock.New(),
-		meter: meter.New(),
+		meter: meter.New(cfg.Limits.MetricSeries, func() { event.MetricsFull.Log(log) }),
 		self: ticket.Owner{
 			DataCenter:  cfg.Process.DataCenter,
 			VM:          cfg.Process.VM,
@@ -124,6 +124,7 @@
 	cancel()
 	<-done
 	h.dialer.Close()
+	h.meter.Close()
 	event.ProcessStopped.Log(h.log)
 	return nil
 }
--- a/hub/members.go
+++ b/hub/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 
+	"snipehub.example/meter"
 	"snipehub.example/peer"
 	"snipehub.example/roster"
 )
@@ -36,8 +37,11 @@
 func (h *Hub) beatTo(ctx context.Context, addr netip.AddrPort, b roster.Beat) {
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Peers.Timeout.D())
 	defer cancel()
+	h.meter.Count(meter.Heartbeats, 1)
 	answer, err := peer.Call[roster.Beat](ctx, h.dialer, addr, methodBeat, b)
-	if err == nil {
-		h.roster.Take(h.clock.Now(), answer)
+	if err != nil {
+		h.meter.Count(meter.HeartbeatsFailed, 1)
+		return
 	}
+	h.roster.Take(h.clock.Now(), answer)
 }
--- /dev/null
+++ b/meter/exposition.go
@@ -0,0 +1,212 @@
+package meter
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// exposition is a tally reporter that keeps the newest values and writes them
+// in the Prometheus text format. Tally's own reporter for it needs a client
+// library that is not among ours.
+type exposition struct {
+	mu       sync.Mutex
+	families map[string]*family
+}
+
+// family is all series of one name.
+type family struct {
+	kind   Kind
+	series map[string]line
+}
+
+// line is one series; write gets the name and the labels without braces.
+type line interface {
+	write(b *bytes.Buffer, name, labels string)
+}
+
+func newExposition() *exposition {
+	return &exposition{families: make(map[string]*family)}
+}
+
+// Capabilities tells tally what the reporter can do.
+func (e *exposition) Capabilities() tally.Capabilities { return capabilities{} }
+
+// Flush is called by tally after each report.
+func (e *exposition) Flush() {}
+
+type capabilities struct{}
+
+// Reporting tells that values are reported.
+func (capabilities) Reporting() bool { return true }
+
+// Tagging tells that labels are kept apart.
+func (capabilities) Tagging() bool { return true }
+
+// AllocateCounter makes the series of a counter.
+func (e *exposition) AllocateCounter(name string, tags map[string]string) tally.CachedCount {
+	return add(e, name, Counter, tags, &count{})
+}
+
+// AllocateGauge makes the series of a gauge.
+func (e *exposition) AllocateGauge(name string, tags map[string]string) tally.CachedGauge {
+	return add(e, name, Gauge, tags, &gauge{})
+}
+
+// AllocateTimer makes a timer that is not shown: times are histograms here.
+func (e *exposition) AllocateTimer(string, map[string]string) tally.CachedTimer { return timer{} }
+
+// AllocateHistogram makes the series of a histogram.
+func (e *exposition) AllocateHistogram(name string, tags map[string]string, _ tally.Buckets) tally.CachedHistogram {
+	return add(e, name, Histogram, tags, &histogram{})
+}
+
+func add[L line](e *exposition, name string, kind Kind, tags map[string]string, l L) L {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f, ok := e.families[name]
+	if !ok {
+		f = &family{kind: kind, series: make(map[string]line)}
+		e.families[name] = f
+	}
+	key := labels(tags)
+	if old, ok := f.series[key].(L); ok {
+		return old
+	}
+	f.series[key] = l
+	return l
+}
+
+func (e *exposition) bytes() []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var b bytes.Buffer
+	for _, name := range slices.Sorted(maps.Keys(e.families)) {
+		f := e.families[name]
+		fmt.Fprintf(&b, "# TYPE %s %s\n", name, f.kind)
+		for _, l := range slices.Sorted(maps.Keys(f.series)) {
+			f.series[l].write(&b, name, l)
+		}
+	}
+	return b.Bytes()
+}
+
+type count struct{ n atomic.Int64 }
+
+// ReportCount adds what was counted since the last report.
+func (c *count) ReportCount(n int64) { c.n.Add(n) }
+
+func (c *count) write(b *bytes.Buffer, name, labels string) {
+	fmt.Fprintf(b, "%s%s %d\n", name, braced(labels), c.n.Load())
+}
+
+type gauge struct{ bits atomic.Uint64 }
+
+// ReportGauge sets the value.
+func (g *gauge) ReportGauge(v float64) { g.bits.Store(math.Float64bits(v)) }
+
+func (g *gauge) write(b *bytes.Buffer, name, labels string) {
+	v := math.Float64frombits(g.bits.Load())
+	fmt.Fprintf(b, "%s%s %s\n", name, braced(labels), decimal(v))
+}
+
+type timer struct{}
+
+// ReportTimer drops the value.
+func (timer) ReportTimer(time.Duration) {}
+
+// histogram has its buckets in the order in which tally allocates them, which
+// is from the lowest bound to the highest.
+type histogram struct {
+	mu      sync.Mutex
+	buckets []*bucket
+}
+
+type bucket struct {
+	upper float64
+	n     atomic.Int64
+}
+
+// ReportSamples adds what was counted since the last report.
+func (b *bucket) ReportSamples(n int64) { b.n.Add(n) }
+
+// ValueBucket makes the bucket of values up to the upper bound.
+func (h *histogram) ValueBucket(_, upper float64) tally.CachedHistogramBucket {
+	return h.bucket(upper)
+}
+
+// DurationBucket makes the bucket of durations up to the upper bound.
+func (h *histogram) DurationBucket(_, upper time.Duration) tally.CachedHistogramBucket {
+	if upper == math.MaxInt64 {
+		return h.bucket(math.Inf(1))
+	}
+	return h.bucket(upper.Seconds())
+}
+
+func (h *histogram) bucket(upper float64) *bucket {
+	if upper == math.MaxFloat64 {
+		upper = math.Inf(1)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := &bucket{upper: upper}
+	h.buckets = append(h.buckets, b)
+	return b
+}
+
+// write gives the buckets as running sums. Tally hands over no sum of the
+// values, so _sum is an upper bound: each sample counts with the upper bound of
+// its bucket, and with the last finite one where there is none.
+func (h *histogram) write(b *bytes.Buffer, name, labels string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var total int64
+	var sum, finite float64
+	for _, k := range h.buckets {
+		n := k.n.Load()
+		total += n
+		if !math.IsInf(k.upper, 1) {
+			finite = k.upper
+		}
+		sum += float64(n) * finite
+		fmt.Fprintf(b, "%s_bucket%s %d\n", name, braced(labels, label("le", decimal(k.upper))), total)
+	}
+	fmt.Fprintf(b, "%s_sum%s %s\n", name, braced(labels), decimal(sum))
+	fmt.Fprintf(b, "%s_count%s %d\n", name, braced(labels), total)
+}
+
+func decimal(v float64) string {
+	if math.IsInf(v, 1) {
+		return "+Inf"
+	}
+	return strconv.FormatFloat(v, 'g', -1, 64)
+}
+
+func labels(tags map[string]string) string {
+	parts := make([]string, 0, len(tags))
+	for _, k := range slices.Sorted(maps.Keys(tags)) {
+		parts = append(parts, label(k, tags[k]))
+	}
+	return strings.Join(parts, ",")
+}
+
+var escape = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+func label(name, value string) string { return name + `="` + escape.Replace(value) + `"` }
+
+func braced(parts ...string) string {
+	parts = slices.DeleteFunc(parts, func(p string) bool { return p == "" })
+	if len(parts) == 0 {
+		return ""
+	}
+	return "{" + strings.Join(parts, ",") + "}"
+}
--- /dev/null
+++ b/meter/table.go
@@ -0,0 +1,118 @@
+package meter
+
+// Name is the fixed name of a metric, without the prefix "snipehub_".
+type Name string
+
+// The metrics. They are numbered in hundreds by part, as events are: 100
+// process, 200 tables, 300 roster, 400 jobs, 500 placement, 600 backend
+// servers, 700 callers.
+const (
+	MetricSeries Name = "metric_series"
+
+	TablesVersion Name = "tables_version"
+	TablesAge     Name = "tables_age_seconds"
+	LogReads      Name = "log_reads"
+	EditsRejected Name = "edits_rejected"
+
+	Heartbeats       Name = "heartbeats"
+	HeartbeatsFailed Name = "heartbeats_failed"
+	MembersLive      Name = "members_live"
+	MembersSuspect   Name = "members_suspect"
+
+	JobsDone        Name = "jobs_done"
+	JobsFailed      Name = "jobs_failed"
+	Forwards        Name = "forwards"
+	ForwardsFailed  Name = "forwards_failed"
+	Tickets         Name = "tickets"
+	Windows         Name = "windows"
+	KeptAnswerBytes Name = "kept_answer_bytes"
+	ClaimsAppends   Name = "claims_appends"
+	Claims          Name = "claims"
+
+	TaskStarts    Name = "task_starts"
+	TaskRefusals  Name = "task_refusals"
+	TaskRetries   Name = "task_retries"
+	TasksDone     Name = "tasks_done"
+	TasksUnknown  Name = "tasks_unknown"
+	QueuedTasks   Name = "queued_tasks"
+	RunningTasks  Name = "running_tasks"
+	Handovers     Name = "handovers"
+	HandoverTasks Name = "handover_tasks"
+
+	ServersAside Name = "servers_aside"
+
+	Requests       Name = "requests"
+	Refusals       Name = "refusals"
+	OpenRequests   Name = "open_requests"
+	JobSeconds     Name = "job_seconds"
+	RequestSeconds Name = "request_seconds"
+)
+
+// Kind is the type of a metric.
+type Kind string
+
+// The kinds of metric, as the exposition format names them.
+const (
+	Counter   Kind = "counter"
+	Gauge     Kind = "gauge"
+	Histogram Kind = "histogram"
+)
+
+// Entry describes one metric to operators.
+type Entry struct {
+	Number int
+	Name   Name
+	Kind   Kind
+	// Unit is what the value counts.
+	Unit string
+	// Labels are the label names that tell its series apart.
+	Labels []string
+	Text   string
+	Since  string
+}
+
+// All returns the whole table, in the order of the numbers.
+func All() []Entry {
+	return append([]Entry(nil), table...)
+}
+
+var (
+	byCaller = []string{labelCaller, labelKind}
+	byCode   = []string{labelCode}
+)
+
+var table = []Entry{
+	{100, MetricSeries, Gauge, "series", nil, "Series of callers, kinds and codes that are told apart. At limits.metric_series further ones count as \"other\".", "0.1"},
+	{200, TablesVersion, Gauge, "log offset", nil, "The version of the tables in force on this process; -1 before the first.", "0.1"},
+	{201, TablesAge, Gauge, "seconds", nil, "Time since this process last confirmed that its tables are the newest.", "0.1"},
+	{202, LogReads, Counter, "calls", nil, "Reads of the platform's log, all streams.", "0.1"},
+	{203, EditsRejected, Counter, "edits", nil, "Edits on the log that took no effect: lost races, or a broken join of the tables.", "0.1"},
+	{300, Heartbeats, Counter, "calls", nil, "Heartbeats sent to other dispatchers.", "0.1"},
+	{301, HeartbeatsFailed, Counter, "calls", nil, "Heartbeats that got no answer.", "0.1"},
+	{302, MembersLive, Gauge, "processes", nil, "Other dispatchers that this process takes for live.", "0.1"},
+	{303, MembersSuspect, Gauge, "processes", nil, "Other dispatchers that have been silent for the suspicion time.", "0.1"},
+	{400, JobsDone, Counter, "jobs", nil, "Jobs of callers at this process that ended as done.", "0.1"},
+	{401, JobsFailed, Counter, "jobs", nil, "Jobs of callers at this process that ended as failed.", "0.1"},
+	{402, Forwards, Counter, "calls", nil, "Calls of callers that were forwarded to the owner of their identity.", "0.1"},
+	{403, ForwardsFailed, Counter, "calls", nil, "Forwards that got no answer; the caller was told \"unknown\".", "0.1"},
+	{404, Tickets, Gauge, "tickets", nil, "Tickets that this process holds.", "0.1"},
+	{405, Windows, Gauge, "sequences", nil, "Sequences that the windows of all tickets remember.", "0.1"},
+	{406, KeptAnswerBytes, Gauge, "bytes", nil, "Answers kept for resubmissions.", "0.1"},
+	{407, ClaimsAppends, Counter, "appends", nil, "Appends to the claims stream, each with a batch of claims.", "0.1"},
+	{408, Claims, Gauge, "claims", nil, "Claims of callers' own keys that this process remembers.", "0.1"},
+	{500, TaskStarts, Counter, "messages", nil, "Attempts sent to backend servers.", "0.1"},
+	{501, TaskRefusals, Counter, "messages", nil, "Attempts that a backend server answered with \"not run\".", "0.1"},
+	{502, TaskRetries, Counter, "messages", nil, "Attempts beyond the first of their task.", "0.1"},
+	{503, TasksDone, Counter, "tasks", nil, "Tasks whose whole answer came.", "0.1"},
+	{504, TasksUnknown, Counter, "tasks", nil, "Tasks that may have run but have no whole answer.", "0.1"},
+	{505, QueuedTasks, Gauge, "tasks", nil, "Tasks that wait for a backend server.", "0.1"},
+	{506, RunningTasks, Gauge, "tasks", nil, "Tasks in flight on backend servers.", "0.1"},
+	{507, Handovers, Counter, "messages", nil, "Batches of tasks handed over to other dispatchers.", "0.1"},
+	{508, HandoverTasks, Counter, "tasks", nil, "Tasks in those batches.", "0.1"},
+	{600, ServersAside, Gauge, "backend servers", nil, "Backend servers that are set aside because they fail.", "0.1"},
+	{700, Requests, Counter, "requests", nil, "Requests of callers, refused ones included.", "0.1"},
+	{701, Refusals, Counter, "answers", byCode, "Refusals given to callers, by code (docs/CALLERS.md).", "0.1"},
+	{702, OpenRequests, Gauge, "requests", nil, "Requests of callers that wait for their answer.", "0.1"},
+	{703, JobSeconds, Histogram, "seconds", byCaller, "Time from a waiting submission to its answer.", "0.1"},
+	{704, RequestSeconds, Histogram, "seconds", byCaller, "Time of a request passed through.", "0.1"},
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -127,6 +127,8 @@
 	ReadTimeout     Duration `toml:"read_timeout"`
 	WriteTimeout    Duration `toml:"write_timeout"`
 	StopDeadline    Duration `toml:"stop_deadline"`
+	// MetricSeries bounds the series that metrics tell apart.
+	MetricSeries int `toml:"metric_series"`
 }
 
 // Tables sets how the tables are followed.
@@ -182,6 +184,7 @@
 			ReadTimeout:     Duration(10 * time.Second),
 			WriteTimeout:    Duration(2 * time.Minute),
 			StopDeadline:    Duration(30 * time.Second),
+			MetricSeries:    500,
 		},
 		Tables: Tables{
 			Settle:   Duration(8 * time.Second),
