counter: the whole callers' interface, bounded in time and size

Cause: keys of one's own, requests passed through, Prefer and waiting GETs were missing; a write time-out that counts from the request's header would cut a caller who waits for a long job; paths and methods that don't exist were answered as text; /metrics showed callers' names to each other; and the counter said "not run" about identities that it does not own: a malformed or oversized copy of a submission that ran over another entry VM was answered with ran "no", come back with a new id, which starts the order twice.

Ruled out: a token for operators on the callers' address (one more secret to hand out; a network address is what operators already guard), polling by the dispatcher that forwards (messages), a wait bounded by the forwarding process (its call breaks off and the caller is told "unknown" about a running job).

Change: counter split into small files. The counter's own refusals of a request that names an identity are "unknown", same id. Prefer: respond-async and wait=N are carried to the owner (Submission.WaitFor, hub/wait.go). Time-outs: body by limits.read_timeout, answer by limits.write_timeout counted from its first byte, waiting by limits.job_timeout; limits.open_requests and limits.open_bytes bound what is held. A panic after the answer has begun cuts the connection. Tokens are found under a keyed hash. listen.operators is an address of its own for /status, /status/all (every dispatcher, asked by its peers) and /metrics; without it the callers' address shows them without callers' names. Refusals 106 to 109, events 701 to 704.

Outside my packages: job.Submission has WaitFor; hub/forward.go registers two methods; hub's JobTimeout comes from limits.job_timeout.

Seen red, each by taking the mechanism out: - own(): TestRefusals printed "have 400 bad_request ran no, want 400 bad_request ran unknown" for each request with an identity; - write time-out from the header on, no deadline of the answer's own: TestLongWaitIsNotCut printed "no answer: unexpected EOF"; - no deadline of the answer's own: TestSlowReader printed "the answer looks whole: <nil>, 100037 bytes"; - no read time-out: TestSlowBody did not end within 20 s; - no check of a begun answer: TestPanicInMidAnswer printed "panic disk, want ErrAbortHandler"; - no count of open requests: TestOpenRequestsAreBounded printed "first 200, second 200". With them all pass under -race.

--- a/counter/counter.go
+++ b/counter/counter.go
@@ -1,24 +1,21 @@
 // Package counter is the HTTP interface towards callers.
 //
-// It knows callers by their tokens, bounds what they send, and turns answers
-// and refusals into HTTP. What happens to a job is decided behind the Service
-// interface.
+// It knows callers by their tokens, bounds what they send and for how long, and
+// turns answers and refusals into HTTP. What happens to a job is decided behind
+// the Service interface.
+//
+// The counter does not own any identity. What it refuses by itself about a
+// request that names one is therefore "unknown", never "not run": an earlier
+// copy of the same submission may have come over another process and run.
 package counter
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
-	"io"
 	"log/slog"
-	"math"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/go-faster/errors"
+	"golang.org/x/time/rate"
 
 	"snipehub.example/event"
 	"snipehub.example/job"
@@ -30,208 +27,134 @@
 
 // Service is what stands behind the counter.
 type Service interface {
+	// Mint makes a ticket for the caller.
 	Mint(ctx context.Context, c job.Caller) (job.Grant, error)
+	// Submit starts the job or attaches to the one of the same identity. With
+	// Wait it answers when the job has ended, or after WaitFor with the state
+	// that the job then has.
 	Submit(ctx context.Context, s job.Submission) (job.Answer, error)
+	// Request runs one request and returns the backend server's answer.
 	Request(ctx context.Context, r job.Request) (job.Reply, error)
+	// Lookup tells where a job stands.
 	Lookup(ctx context.Context, c job.Caller, id ticket.JobID) (job.Answer, error)
+	// Await is Lookup, but waits up to d for the job's end.
+	Await(ctx context.Context, c job.Caller, id ticket.JobID, d time.Duration) (job.Answer, error)
+	// Cancel asks that no more tasks of the job start.
 	Cancel(ctx context.Context, c job.Caller, id ticket.JobID) (job.Answer, error)
 	// Ready tells whether the balancer should send callers here.
 	Ready() bool
 	// Status is what operators see of this process.
 	Status() any
+	// StatusAll asks every dispatcher in the roster for its status.
+	StatusAll(ctx context.Context) any
 }
 
-// Counter is the HTTP handler.
+// Counter is the HTTP handler for callers.
 type Counter struct {
-	log    *slog.Logger
-	cfg    settings.Config
-	svc    Service
-	meter  *meter.Meter
-	tokens map[string]job.Caller
-	mux    *http.ServeMux
+	log   *slog.Logger
+	cfg   settings.Config
+	svc   Service
+	meter *meter.Meter
+	keys  *keyring
+	open  *gate
+	mux   *http.ServeMux
+	// strangers thins out the events about wrong tokens, which anybody can
+	// cause at any rate.
+	strangers rate.Sometimes
 }
 
-// anyone is the caller that all are when the settings leave callers open.
-const anyone = "anyone"
-
 // New makes the handler.
 func New(log *slog.Logger, cfg settings.Config, svc Service, m *meter.Meter) *Counter {
-	c := &Counter{log: log, cfg: cfg, svc: svc, meter: m, tokens: make(map[string]job.Caller), mux: http.NewServeMux()}
-	for _, t := range cfg.Callers.Tokens {
-		c.tokens[strings.ToLower(t.SHA256)] = job.Caller{Name: t.Caller, Team: t.Team}
+	c := &Counter{
+		log:       log,
+		cfg:       cfg,
+		svc:       svc,
+		meter:     m,
+		keys:      newKeyring(cfg.Callers),
+		open:      &gate{requests: cfg.Limits.OpenRequests, bytes: cfg.Limits.OpenBytes},
+		mux:       http.NewServeMux(),
+		strangers: rate.Sometimes{Interval: time.Second},
+	}
+	c.mux.HandleFunc("POST /v1/tickets", c.call(c.mint))
+	c.mux.HandleFunc("POST /v1/jobs", c.call(c.submitByKey))
+	c.mux.HandleFunc("PUT /v1/jobs/{id}", c.call(c.submitByID))
+	c.mux.HandleFunc("GET /v1/jobs/{id}", c.call(c.lookup))
+	c.mux.HandleFunc("DELETE /v1/jobs/{id}", c.call(c.cancel))
+	c.mux.HandleFunc("POST /v1/requests/{kind}", c.call(c.request))
+	c.health()
+	if !cfg.Listen.Operators.IsValid() {
+		c.mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, svc.Status()) })
+		c.mux.HandleFunc("GET /metrics", m.ServePublic)
 	}
-	c.mux.HandleFunc("POST /v1/tickets", c.authed(c.mint))
-	c.mux.HandleFunc("PUT /v1/jobs/{id}", c.authed(c.submit))
-	c.mux.HandleFunc("GET /v1/jobs/{id}", c.authed(c.lookup))
-	c.mux.HandleFunc("DELETE /v1/jobs/{id}", c.authed(c.cancel))
-	c.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
-	c.mux.HandleFunc("GET /readyz", c.ready)
-	c.mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, svc.Status()) })
-	c.mux.Handle("GET /metrics", m)
 	return c
 }
 
 // ServeHTTP makes Counter an http.Handler.
 func (c *Counter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	defer func() {
-		if p := recover(); p != nil {
-			event.RequestPanicked.Log(c.log, "panic", p, "path", r.URL.Path)
-			writeRefusal(w, refusal.New(refusal.Internal, ""))
-		}
-	}()
-	r.Body = http.MaxBytesReader(w, r.Body, c.cfg.Limits.BodyBytes)
-	c.mux.ServeHTTP(w, r)
-}
-
-type callerHandler func(w http.ResponseWriter, r *http.Request, caller job.Caller) error
-
-func (c *Counter) authed(h callerHandler) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		c.meter.Count(meter.Requests, 1)
-		caller, err := c.caller(r)
-		if err == nil {
-			err = h(w, r, caller)
-		}
-		if err != nil {
-			writeRefusal(w, err)
-		}
-	}
-}
-
-func (c *Counter) caller(r *http.Request) (job.Caller, error) {
-	if c.cfg.Callers.Open {
-		return job.Caller{Name: anyone}, nil
-	}
-	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return job.Caller{}, refusal.New(refusal.Unauthorized, "")
-	}
-	h := sha256.Sum256([]byte(token))
-	caller, ok := c.tokens[hex.EncodeToString(h[:])]
-	if !ok {
-		return job.Caller{}, refusal.New(refusal.Unauthorized, "")
-	}
-	return caller, nil
-}
-
-func (c *Counter) mint(w http.ResponseWriter, r *http.Request, caller job.Caller) error {
-	g, err := c.svc.Mint(r.Context(), caller)
-	if err != nil {
-		return err
-	}
-	writeJSON(w, http.StatusCreated, g)
-	return nil
-}
-
-func (c *Counter) submit(w http.ResponseWriter, r *http.Request, caller job.Caller) error {
+	t := &tracked{ResponseWriter: w}
 	began := time.Now()
-	id, err := jobID(r)
-	if err != nil {
-		return err
-	}
-	s := job.Submission{Caller: caller, ID: id, Wait: r.Header.Get("Prefer") != "respond-async"}
-	if err := c.decode(r, &s.Spec); err != nil {
-		return err
-	}
-	switch n := len(s.Spec.Tasks); {
-	case n == 0:
-		return refusal.New(refusal.BadRequest, "tasks is empty")
-	case n > c.cfg.Limits.JobTasks:
-		return refusal.New(refusal.TooLarge, "more than "+strconv.Itoa(c.cfg.Limits.JobTasks)+" tasks")
-	}
-	a, err := c.svc.Submit(r.Context(), s)
-	if err != nil {
-		return err
+	defer c.finish(t, r, began)
+	r.Body = http.MaxBytesReader(w, r.Body, c.cfg.Limits.BodyBytes)
+	h, pattern := c.mux.Handler(r)
+	if pattern == "" {
+		c.refuse(t, r, own(r, noSuchPath(t, r, h)))
+		return
 	}
-	c.meter.Time(meter.JobSeconds, caller.Name, s.Spec.Kind, time.Since(began))
-	writeAnswer(w, a)
-	return nil
-}
-
-func (c *Counter) lookup(w http.ResponseWriter, r *http.Request, caller job.Caller) error {
-	return c.byID(w, r, caller, c.svc.Lookup)
-}
-
-func (c *Counter) cancel(w http.ResponseWriter, r *http.Request, caller job.Caller) error {
-	return c.byID(w, r, caller, c.svc.Cancel)
+	c.mux.ServeHTTP(t, r)
 }
 
-func (c *Counter) byID(w http.ResponseWriter, r *http.Request, caller job.Caller,
-	do func(context.Context, job.Caller, ticket.JobID) (job.Answer, error),
-) error {
-	id, err := jobID(r)
-	if err != nil {
-		return err
+// finish ends every request: it turns a panic into a refusal, and logs.
+//
+// When the panic comes after the answer has begun, a refusal written behind it
+// would look like a part of the answer. The connection is cut instead, which
+// the client sees as an answer that is not whole.
+func (c *Counter) finish(t *tracked, r *http.Request, began time.Time) {
+	p := recover()
+	if p != nil {
+		event.RequestPanicked.Log(c.log, "panic", p, "path", r.URL.Path)
+		if t.status != 0 {
+			panic(http.ErrAbortHandler)
+		}
+		c.refuse(t, r, refusal.New(refusal.Internal, ""))
 	}
-	a, err := do(r.Context(), caller, id)
-	if err != nil {
-		return err
+	if t.failed != nil {
+		event.AnswerCut.Log(c.log, "path", r.URL.Path, "error", t.failed)
 	}
-	writeAnswer(w, a)
-	return nil
+	event.RequestAnswered.Log(c.log, "method", r.Method, "path", r.URL.Path, "status", t.status, "took", time.Since(began))
 }
 
-func (c *Counter) ready(w http.ResponseWriter, _ *http.Request) {
-	if !c.svc.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		_, _ = io.WriteString(w, "not ready\n")
-		return
-	}
-	_, _ = io.WriteString(w, "ready\n")
-}
+// handler serves one call of a known caller. An error becomes a refusal.
+type handler func(w http.ResponseWriter, r *http.Request, caller job.Caller) error
 
-func (c *Counter) decode(r *http.Request, v any) error {
-	d := json.NewDecoder(r.Body)
-	d.DisallowUnknownFields()
-	err := d.Decode(v)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return refusal.New(refusal.TooLarge, "the body")
-	case err != nil:
-		return refusal.New(refusal.BadRequest, err.Error())
-	}
-	if d.More() {
-		return refusal.New(refusal.BadRequest, "something follows the JSON value")
+// call wraps a handler with what all calls have in common.
+func (c *Counter) call(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c.meter.Count(meter.Requests, 1)
+		if err := c.serve(w, r, h); err != nil {
+			c.refuse(w, r, err)
+		}
 	}
-	return nil
 }
 
-func jobID(r *http.Request) (ticket.JobID, error) {
-	id, err := ticket.ParseJobID(r.PathValue("id"))
+func (c *Counter) serve(w http.ResponseWriter, r *http.Request, h handler) error {
+	caller, err := c.caller(r)
 	if err != nil {
-		return id, refusal.New(refusal.NotFound, "malformed id")
-	}
-	return id, nil
-}
-
-func writeAnswer(w http.ResponseWriter, a job.Answer) {
-	status := http.StatusOK
-	if a.State == job.Queued {
-		status = http.StatusAccepted
+		return own(r, err)
 	}
-	writeJSON(w, status, a)
-}
-
-func writeRefusal(w http.ResponseWriter, err error) {
-	var r *refusal.Refusal
-	if !errors.As(err, &r) {
-		r = refusal.New(refusal.Internal, "")
+	if err := c.checkHeader(r.Header); err != nil {
+		return own(r, err)
 	}
-	if r.RetryAfterMS > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(r.RetryAfterMS)/1000))))
+	size := c.held(r)
+	n, ok := c.open.enter(size)
+	if !ok {
+		event.CounterFull.Log(c.log, "caller", caller.Name)
+		return own(r, refusal.New(refusal.Busy, "").After(busyRetryAfter))
 	}
-	writeJSON(w, r.Status(), r)
+	c.meter.Gauge(meter.OpenRequests, float64(n))
+	defer func() { c.meter.Gauge(meter.OpenRequests, float64(c.open.leave(size))) }()
+	return h(w, r, caller)
 }
 
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		status = http.StatusInternalServerError
-		b = []byte(`{"code":"internal","sentence":"the answer could not be written","ran":"unknown","again":"same"}`)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(b)+1))
-	w.WriteHeader(status)
-	_, _ = w.Write(append(b, '\n'))
-}
+// busyRetryAfter is when a caller should come back after too many requests
+// were open at once.
+const busyRetryAfter = time.Second
--- a/event/table.go
+++ b/event/table.go
@@ -24,6 +24,10 @@
 	JobForwardFailed ID = 400
 
 	RequestPanicked ID = 700
+	RequestAnswered ID = 701
+	TokenRefused    ID = 702
+	AnswerCut       ID = 703
+	CounterFull     ID = 704
 )
 
 var table = []Entry{
@@ -42,4 +46,8 @@
 	{MemberGone, slog.LevelInfo, "dispatcher gone", "A dispatcher incarnation is gone for good: the VM list no longer has its VM, or a newer incarnation has its address.", "0.1"},
 	{JobForwardFailed, slog.LevelWarn, "forward to owner failed", "The owner of a job did not answer. The caller was told that the outcome is unknown.", "0.1"},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "A defect: the handler of a caller's request panicked. The caller got an error with the outcome unknown.", "0.1"},
+	{RequestAnswered, slog.LevelDebug, "request answered", "One line for each request of a caller, with its status and time. Shown with log.level = \"debug\".", "0.1"},
+	{TokenRefused, slog.LevelWarn, "token refused", "A caller came without a token that the settings know. At most one line a second; the counter refusals{code=\"unauthorized\"} has them all.", "0.1"},
+	{AnswerCut, slog.LevelInfo, "answer not taken", "The caller went away or read too slowly while its answer was written. It can ask again with the same id.", "0.1"},
+	{CounterFull, slog.LevelWarn, "too many requests are open", "limits.open_requests or limits.open_bytes is reached; further requests are refused with the code busy. Add entry VMs, or look for a caller that sends slowly.", "0.1"},
 }
--- a/hub/forward.go
+++ b/hub/forward.go
@@ -27,6 +27,8 @@
 	methodSubmit = "submit"
 	methodLookup = "lookup"
 	methodCancel = "cancel"
+	methodAwait  = "await"
+	methodStatus = "status"
 )
 
 // reference names a caller's job between dispatchers.
@@ -39,7 +41,11 @@
 	peer.Handle(h.peers, methodBeat, func(_ context.Context, b roster.Beat) (roster.Beat, error) {
 		return h.roster.Answer(h.clock.Now(), b), nil
 	})
-	peer.Handle(h.peers, methodSubmit, h.owner.Submit)
+	peer.Handle(h.peers, methodSubmit, h.submitHere)
+	peer.Handle(h.peers, methodAwait, h.awaitHere)
+	peer.Handle(h.peers, methodStatus, func(context.Context, struct{}) (Status, error) {
+		return h.status(), nil
+	})
 	peer.Handle(h.peers, methodLookup, func(_ context.Context, r reference) (job.Answer, error) {
 		return h.owner.Lookup(r.Caller, r.ID)
 	})
@@ -51,7 +57,7 @@
 // Submit starts the job here, or forwards it to the owner of its ticket.
 func (h *Hub) Submit(ctx context.Context, s job.Submission) (job.Answer, error) {
 	if s.ID.Owner == h.self {
-		return h.owner.Submit(ctx, s)
+		return h.submitHere(ctx, s)
 	}
 	return forward[job.Answer](ctx, h, s.ID.Owner, methodSubmit, s)
 }
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -44,6 +44,8 @@
 	owner  *job.Owner
 	http   *http.Server
 	ln     net.Listener
+	// oln is nil when the settings name no address for operators.
+	oln net.Listener
 
 	stopping atomic.Bool
 }
@@ -59,8 +61,18 @@
 		_ = ln.Close()
 		return nil, errors.Wrap(err, "listen.peers")
 	}
+	var oln net.Listener
+	if cfg.Listen.Operators.IsValid() {
+		oln, err = net.Listen("tcp", cfg.Listen.Operators.String())
+		if err != nil {
+			_ = ln.Close()
+			_ = pln.Close()
+			return nil, errors.Wrap(err, "listen.operators")
+		}
+	}
 	h := &Hub{
 		cfg:   cfg,
+		oln:   oln,
 		log:   log,
 		ln:    ln,
 		clock: clock.New(),
@@ -92,19 +104,13 @@
 		Window:     cfg.Limits.TicketWindow,
 		KeptBytes:  cfg.Limits.KeptAnswerBytes,
 		KeptFor:    cfg.Limits.KeptAnswerFor.D(),
-		JobTimeout: cfg.Limits.WriteTimeout.D(),
+		JobTimeout: cfg.Limits.JobTimeout.D(),
 	})
 	h.roster = roster.New(roster.Member{Owner: h.self, Address: cfg.Listen.Peers}, cfg.Peers.SuspectAfter.D())
 	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D())
 	h.peers = peer.NewServer(h.log, pln)
 	h.handlePeers()
-	h.http = &http.Server{
-		Handler:           counter.New(h.log, cfg, h, h.meter),
-		ReadHeaderTimeout: cfg.Limits.ReadTimeout.D(),
-		ReadTimeout:       cfg.Limits.ReadTimeout.D(),
-		WriteTimeout:      cfg.Limits.WriteTimeout.D(),
-		MaxHeaderBytes:    cfg.Limits.HeaderBytes,
-	}
+	h.http = counter.NewServer(cfg.Limits, counter.New(h.log, cfg, h, h.meter))
 }
 
 // Addr returns the address that callers are served at.
@@ -155,6 +161,9 @@
 	root.Add(h.peers)
 	root.Add(service("heartbeat", h.heartbeat))
 	root.Add(service("callers", h.serveHTTP))
+	if h.oln != nil {
+		root.Add(service("operators", h.serveOperators))
+	}
 	return root
 }
 
@@ -187,25 +196,3 @@
 func (h *Hub) Ready() bool {
 	return !h.stopping.Load() && h.tables.State().Version != ledger.None
 }
-
-// Status is what operators see of a dispatcher.
-type Status struct {
-	Self   roster.Member  `json:"self"`
-	Tables tables.Version `json:"tables"`
-	// TablesAgeMS is the time since the tables were last confirmed.
-	TablesAgeMS int64          `json:"tables_age_ms"`
-	Ready       bool           `json:"ready"`
-	Roster      []roster.Known `json:"roster"`
-}
-
-// Status returns the status of this process.
-func (h *Hub) Status() any {
-	now := h.clock.Now()
-	return Status{
-		Self:        h.roster.Self(),
-		Tables:      h.tables.State().Version,
-		TablesAgeMS: now.Sub(h.tables.Confirmed()).Milliseconds(),
-		Ready:       h.Ready(),
-		Roster:      h.roster.All(now),
-	}
-}
--- a/job/job.go
+++ b/job/job.go
@@ -82,8 +82,10 @@
 	// Key is the caller's own key, when it brings one in place of an id.
 	Key  string `json:"key,omitempty"`
 	Spec Spec   `json:"spec"`
-	// Wait tells to answer only when the job has ended.
-	Wait bool `json:"wait"`
+	// Wait tells to answer only when the job has ended, or after WaitFor if
+	// that is above 0.
+	Wait    bool          `json:"wait"`
+	WaitFor time.Duration `json:"wait_for,omitempty"`
 }
 
 // Request is one request that is passed through to a backend server. ID or Key
--- a/meter/exposition.go
+++ b/meter/exposition.go
@@ -86,7 +86,8 @@
 	return l
 }
 
-func (e *exposition) bytes() []byte {
+// bytes returns all series as text, but for those whose labels hide tells of.
+func (e *exposition) bytes(hide func(labels string) bool) []byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var b bytes.Buffer
@@ -94,7 +95,9 @@
 		f := e.families[name]
 		fmt.Fprintf(&b, "# TYPE %s %s\n", name, f.kind)
 		for _, l := range slices.Sorted(maps.Keys(f.series)) {
-			f.series[l].write(&b, name, l)
+			if hide == nil || !hide(l) {
+				f.series[l].write(&b, name, l)
+			}
 		}
 	}
 	return b.Bytes()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -10,6 +10,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -110,5 +111,11 @@
 // ServeHTTP writes all metrics in the Prometheus text format.
 func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-	_, _ = w.Write(m.text.bytes())
+	_, _ = w.Write(m.text.bytes(nil))
+}
+
+// ServePublic writes the metrics without the series that name callers.
+func (m *Meter) ServePublic(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	_, _ = w.Write(m.text.bytes(func(labels string) bool { return strings.HasPrefix(labels, labelCaller+"=") }))
 }
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
@@ -49,7 +50,7 @@
 		m.Time(JobSeconds, `a"b`, "price", time.Hour)
 		time.Sleep(2 * reportEvery)
 		synctest.Wait()
-		have := string(m.text.bytes())
+		have := string(m.text.bytes(nil))
 		for _, want := range []string{
 			"# TYPE snipehub_forwards counter\nsnipehub_forwards 3\n",
 			"snipehub_queued_tasks 7.5\n",
@@ -63,6 +64,11 @@
 				t.Errorf("no %q in\n%s", want, have)
 			}
 		}
+		w := httptest.NewRecorder()
+		m.ServePublic(w, nil)
+		if have := w.Body.String(); strings.Contains(have, "a\\\"b") || !strings.Contains(have, "snipehub_forwards 3") {
+			t.Errorf("callers see each other's names, or nothing:\n%s", have)
+		}
 	})
 }
 
@@ -79,7 +85,7 @@
 		}
 		time.Sleep(2 * reportEvery)
 		synctest.Wait()
-		have := string(m.text.bytes())
+		have := string(m.text.bytes(nil))
 		if n := strings.Count(have, "job_seconds_count"); n != 4 || full != 1 {
 			t.Errorf("%d series and %d notices, want 3 and one of all others, and 1 notice", n, full)
 		}
--- a/refusal/table.go
+++ b/refusal/table.go
@@ -11,6 +11,10 @@
 	TooLarge     Code = "too_large"
 	NoRoute      Code = "no_route"
 	NeedsID      Code = "needs_identity"
+	NoPath       Code = "no_such_path"
+	NoMethod     Code = "method_not_allowed"
+	TooSlow      Code = "too_slow"
+	Busy         Code = "busy"
 
 	Burned     Code = "burned"
 	Forgotten  Code = "forgotten"
@@ -38,6 +42,10 @@
 	{103, TooLarge, http.StatusRequestEntityTooLarge, RanNo, AgainNever, "the request is too large", "A body, a header or the number of tasks is over its limit.", "0.1"},
 	{104, NoRoute, http.StatusNotFound, RanNo, AgainNew, "no route for this kind", "The routes table has no row for the kind.", "0.1"},
 	{105, NeedsID, http.StatusBadRequest, RanNo, AgainNew, "a kind that must not be repeated needs an identity", "Send a job id of a ticket, or an Idempotency-Key.", "0.1"},
+	{106, NoPath, http.StatusNotFound, RanNo, AgainNever, "there is nothing at this path", "See the list of paths in this page.", "0.1"},
+	{107, NoMethod, http.StatusMethodNotAllowed, RanNo, AgainNever, "the path does not take this method", "The header Allow names the methods that it takes.", "0.1"},
+	{108, TooSlow, http.StatusRequestTimeout, RanNo, AgainNew, "the body came too slowly", "The whole request must arrive within limits.read_timeout.", "0.1"},
+	{109, Busy, http.StatusTooManyRequests, RanNo, AgainNew, "too many requests are open at this process", "Come back after Retry-After, best over another entry VM.", "0.1"},
 	{200, Burned, http.StatusConflict, RanNo, AgainNew, "this identity was refused before and never runs", "An earlier submission of the same identity was answered with \"not run\".", "0.1"},
 	{201, Forgotten, http.StatusGone, RanUnknown, AgainNever, "this identity is finished and its answer no longer kept", "The sequence lies below the window of its ticket, or the key is older than what the log remembers.", "0.1"},
 	{202, OwnerGone, http.StatusGone, RanUnknown, AgainNever, "the process that owned this identity is gone for good", "It may have started some of the work. It is never started elsewhere.", "0.1"},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -63,6 +63,9 @@
 type Listen struct {
 	Callers netip.AddrPort `toml:"callers"`
 	Peers   netip.AddrPort `toml:"peers"`
+	// Operators shows status and metrics with the names of callers. Without
+	// it, the callers' address shows them without these names.
+	Operators netip.AddrPort `toml:"operators"`
 }
 
 // TLS names certificate files; empty means plain TCP.
@@ -129,6 +132,15 @@
 	StopDeadline    Duration `toml:"stop_deadline"`
 	// MetricSeries bounds the series that metrics tell apart.
 	MetricSeries int `toml:"metric_series"`
+	// JobTimeout bounds a job or a request; it holds for those that ask for
+	// no other.
+	JobTimeout Duration `toml:"job_timeout"`
+	// OpenRequests bounds the requests of callers that are open at once, and
+	// OpenBytes the bodies of all of them together.
+	OpenRequests int   `toml:"open_requests"`
+	OpenBytes    int64 `toml:"open_bytes"`
+	// IdleTimeout is how long a connection may be without a request.
+	IdleTimeout Duration `toml:"idle_timeout"`
 }
 
 // Tables sets how the tables are followed.
@@ -182,9 +194,13 @@
 			Claims:          100000,
 			QueuedTasks:     200000,
 			ReadTimeout:     Duration(10 * time.Second),
-			WriteTimeout:    Duration(2 * time.Minute),
+			WriteTimeout:    Duration(30 * time.Second),
 			StopDeadline:    Duration(30 * time.Second),
 			MetricSeries:    500,
+			JobTimeout:      Duration(2 * time.Minute),
+			OpenRequests:    10000,
+			OpenBytes:       256 << 20,
+			IdleTimeout:     Duration(2 * time.Minute),
 		},
 		Tables: Tables{
 			Settle:   Duration(8 * time.Second),
