--- a/hub/hub.go
+++ b/hub/hub.go
@@ -32,6 +32,7 @@
 // Hub is one dispatcher process.
 type Hub struct {
 	cfg    settings.Config
+	net    Network
 	log    *slog.Logger
 	self   ticket.Owner
 	clock  *clock.Service
@@ -43,36 +44,43 @@
 	place  *dispatch.Dispatcher
 	owner  *job.Owner
 	http   *http.Server
-	ln     net.Listener
-	// oln is nil when the settings name no address for operators.
-	oln net.Listener
+	ln     listeners
 
 	stopping atomic.Bool
 }
 
+// Network is the way to listen and to connect. Tests put one in memory in its
+// place, to run several dispatchers on a fake clock.
+type Network interface {
+	Listen(network, addr string) (net.Listener, error)
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = time.Second
+
+// TCP is the network of the operating system.
+type TCP struct{}
+
+// Listen listens on a TCP address.
+func (TCP) Listen(network, addr string) (net.Listener, error) {
+	return net.Listen(network, addr)
+}
+
+// DialContext connects to a TCP address.
+func (TCP) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+}
+
 // New binds the addresses of the settings and makes the parts.
-func New(cfg settings.Config, log *slog.Logger) (*Hub, error) {
-	ln, err := net.Listen("tcp", cfg.Listen.Callers.String())
+func New(cfg settings.Config, log *slog.Logger, nw Network) (*Hub, error) {
+	ln, err := bind(cfg.Listen, nw)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen.callers")
-	}
-	pln, err := net.Listen("tcp", cfg.Listen.Peers.String())
-	if err != nil {
-		_ = ln.Close()
-		return nil, errors.Wrap(err, "listen.peers")
-	}
-	var oln net.Listener
-	if cfg.Listen.Operators.IsValid() {
-		oln, err = net.Listen("tcp", cfg.Listen.Operators.String())
-		if err != nil {
-			_ = ln.Close()
-			_ = pln.Close()
-			return nil, errors.Wrap(err, "listen.operators")
-		}
+		return nil, err
 	}
 	h := &Hub{
 		cfg:   cfg,
-		oln:   oln,
+		net:   nw,
 		log:   log,
 		ln:    ln,
 		clock: clock.New(),
@@ -84,20 +92,20 @@
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
 	}
-	h.build(pln)
+	h.build()
 	return h, nil
 }
 
-func (h *Hub) build(pln net.Listener) {
+func (h *Hub) build() {
 	cfg := h.cfg
-	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D())
+	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
 	h.tables = tables.New(h.log, platform, cfg.Tables.Poll.D(), func(*tables.State) { h.place.Wake() })
 	h.place = dispatch.New(dispatch.Config{
 		DataCenter:  cfg.Process.DataCenter,
 		Connections: cfg.Dispatch.Connections,
 		QueuedTasks: cfg.Limits.QueuedTasks,
 		TaskTimeout: cfg.Dispatch.TaskTimeout.D(),
-	}, delivery.New(cfg.Limits.AnswerBytes, cfg.Dispatch.Connections), directory{h})
+	}, delivery.New(cfg.Limits.AnswerBytes, cfg.Dispatch.Connections, h.net.DialContext), directory{h})
 	h.owner = job.New(h.self, h.place, job.Limits{
 		Tickets:    cfg.Limits.Tickets,
 		Range:      cfg.Limits.TicketRange,
@@ -107,15 +115,15 @@
 		JobTimeout: cfg.Limits.JobTimeout.D(),
 	})
 	h.roster = roster.New(roster.Member{Owner: h.self, Address: cfg.Listen.Peers}, cfg.Peers.SuspectAfter.D())
-	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D())
-	h.peers = peer.NewServer(h.log, pln)
+	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D(), h.net.DialContext)
+	h.peers = peer.NewServer(h.log, h.ln.peers)
 	h.handlePeers()
 	h.http = counter.NewServer(cfg.Limits, counter.New(h.log, cfg, h, h.meter))
 }
 
 // Addr returns the address that callers are served at.
 func (h *Hub) Addr() netip.AddrPort {
-	return h.ln.Addr().(*net.TCPAddr).AddrPort()
+	return h.ln.callers.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // Run serves until ctx ends, then stops without cutting what is in flight.
@@ -161,7 +169,7 @@
 	root.Add(h.peers)
 	root.Add(service("heartbeat", h.heartbeat))
 	root.Add(service("callers", h.serveHTTP))
-	if h.oln != nil {
+	if h.ln.operators != nil {
 		root.Add(service("operators", h.serveOperators))
 	}
 	return root
@@ -184,7 +192,7 @@
 func (s namedService) String() string { return s.name }
 
 func (h *Hub) serveHTTP(ctx context.Context) error {
-	err := h.http.Serve(h.ln)
+	err := h.http.Serve(h.ln.callers)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return suture.ErrDoNotRestart
--- a/hub/status.go
+++ b/hub/status.go
@@ -90,7 +90,7 @@
 	srv := counter.NewServer(h.cfg.Limits, counter.Operators(h, h.meter))
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
-	err := srv.Serve(h.oln)
+	err := srv.Serve(h.ln.operators)
 	if errors.Is(err, http.ErrServerClosed) {
 		return suture.ErrDoNotRestart
 	}
