keys: TLS for callers and between dispatchers, files read again when they change

Cause: the settings named certificate files that nothing read.

Ruled out: addresses in dispatchers' certificates (VMs are replaced and addresses used again; every replacement would need a certificate), a fixed tls.Config (a new authority would need a restart, which hands over all jobs), the time stamps of files (copies keep them).

Change: package keys loads and refreshes the files; the event of a bad file is logged once (107), a change is event 106 and a metric. Between dispatchers both sides show a certificate with the name dispatcher.snipehub of the authority tls.peer_ca. "snipectl keys" makes certificates for trials. Outside my packages: hub wraps its listeners (hub/listen.go) and gives the dialer its configuration; the script tests call https addresses.

Seen red: with the check of the other side taken out, TestOnlyDispatchersConnect printed "to a dispatcher: <nil>" for another authority and for a caller's certificate, and "a dispatcher connects to other authority: <nil>". A first form of the test over net.Pipe hung, because both sides of TLS may write at once; it uses TCP on the loopback address now.

Conclusion: TestScript/ctl_keys runs two dispatchers with TLS on all connections, forwards between them and replaces the files under them.

--- a/event/table.go
+++ b/event/table.go
@@ -11,6 +11,8 @@
 	ServiceFailed   ID = 103
 	ClockGap        ID = 104
 	MetricsFull     ID = 105
+	KeysChanged     ID = 106
+	KeysUnusable    ID = 107
 
 	TablesInForce    ID = 200
 	EditRejected     ID = 201
@@ -37,6 +39,8 @@
 	{ServiceFailed, slog.LevelError, "service failed and is restarted", "A part of the process ended with an error. The supervisor starts it again; look at the error if it repeats.", "0.1"},
 	{ClockGap, slog.LevelWarn, "process was frozen", "The clock service missed ticks: the process or its VM was paused for the time given. Placing resumes after a fresh confirmation of the tables.", "0.1"},
 	{MetricsFull, slog.LevelWarn, "metric series at their limit", "More callers, kinds and codes are in use than limits.metric_series tells apart. Further ones count as \"other\"; nothing else changes.", "0.1"},
+	{KeysChanged, slog.LevelInfo, "certificates in force", "Changed certificate files were read. New connections use them; the time given is when the first expires.", "0.1"},
+	{KeysUnusable, slog.LevelError, "certificate files can't be used", "Changed certificate files could not be read, or a certificate does not fit its key. Those of before stay in force.", "0.1"},
 	{TablesInForce, slog.LevelInfo, "tables in force", "This process now places work by the tables version given.", "0.1"},
 	{EditRejected, slog.LevelWarn, "edit rejected", "An edit on the log named a base other than the current version, or would break the join of the two tables. Every reader rejects it alike.", "0.1"},
 	{TablesUnreadable, slog.LevelError, "tables record unreadable", "A record of the tables stream could not be decoded and was passed over. Find out who writes to the stream.", "0.1"},
--- /dev/null
+++ b/hub/certificates.go
@@ -0,0 +1,36 @@
+package hub
+
+import (
+	"context"
+
+	"snipehub.example/event"
+	"snipehub.example/meter"
+)
+
+// refreshKeys brings changed certificate files into force. An error is logged
+// once and not at every look, which would bury everything else.
+func (h *Hub) refreshKeys(ctx context.Context) error {
+	sub := h.clock.Subscribe(h.cfg.TLS.Refresh.D())
+	defer sub.Stop()
+	last := ""
+	for {
+		h.meter.Gauge(meter.KeysExpire, float64(h.keys.Expires().Unix()))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-sub.C:
+		}
+		changed, err := h.keys.Refresh()
+		if changed {
+			h.meter.Count(meter.KeysChanges, 1)
+			event.KeysChanged.Log(h.log, "expires", h.keys.Expires())
+		}
+		if err != nil && err.Error() != last {
+			event.KeysUnusable.Log(h.log, "error", err)
+		}
+		last = ""
+		if err != nil {
+			last = err.Error()
+		}
+	}
+}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -20,6 +20,7 @@
 	"snipehub.example/dispatch"
 	"snipehub.example/event"
 	"snipehub.example/job"
+	"snipehub.example/keys"
 	"snipehub.example/ledger"
 	"snipehub.example/meter"
 	"snipehub.example/peer"
@@ -45,6 +46,7 @@
 	owner  *job.Owner
 	http   *http.Server
 	ln     listeners
+	keys   *keys.Set
 
 	stopping atomic.Bool
 }
@@ -74,15 +76,21 @@
 
 // New binds the addresses of the settings and makes the parts.
 func New(cfg settings.Config, log *slog.Logger, nw Network) (*Hub, error) {
+	certs, err := keys.Load(cfg.TLS)
+	if err != nil {
+		return nil, err
+	}
 	ln, err := bind(cfg.Listen, nw)
 	if err != nil {
 		return nil, err
 	}
+	ln.secure(certs)
 	h := &Hub{
 		cfg:   cfg,
 		net:   nw,
 		log:   log,
 		ln:    ln,
+		keys:  certs,
 		clock: clock.New(),
 		meter: meter.New(cfg.Limits.MetricSeries, func() { event.MetricsFull.Log(log) }),
 		self: ticket.Owner{
@@ -115,7 +123,7 @@
 		JobTimeout: cfg.Limits.JobTimeout.D(),
 	})
 	h.roster = roster.New(roster.Member{Owner: h.self, Address: cfg.Listen.Peers}, cfg.Peers.SuspectAfter.D())
-	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D(), h.net.DialContext)
+	h.dialer = peer.NewDialer(h.keys.PeerClient(), cfg.Peers.Timeout.D(), h.net.DialContext)
 	h.peers = peer.NewServer(h.log, h.ln.peers)
 	h.handlePeers()
 	h.http = counter.NewServer(cfg.Limits, counter.New(h.log, cfg, h, h.meter))
@@ -169,6 +177,9 @@
 	root.Add(h.peers)
 	root.Add(service("heartbeat", h.heartbeat))
 	root.Add(service("callers", h.serveHTTP))
+	if !h.keys.Expires().IsZero() {
+		root.Add(service("certificates", h.refreshKeys))
+	}
 	if h.ln.operators != nil {
 		root.Add(service("operators", h.serveOperators))
 	}
--- a/hub/listen.go
+++ b/hub/listen.go
@@ -1,11 +1,13 @@
 package hub
 
 import (
+	"crypto/tls"
 	"net"
 	"net/netip"
 
 	"github.com/go-faster/errors"
 
+	"snipehub.example/keys"
 	"snipehub.example/settings"
 )
 
@@ -40,6 +42,20 @@
 	return l, nil
 }
 
+// secure puts TLS on the addresses that have certificates. The operators'
+// address shows the callers' one.
+func (l *listeners) secure(certs *keys.Set) {
+	if cfg := certs.Callers(); cfg != nil {
+		l.callers = tls.NewListener(l.callers, cfg)
+		if l.operators != nil {
+			l.operators = tls.NewListener(l.operators, cfg)
+		}
+	}
+	if cfg := certs.PeerServer(); cfg != nil {
+		l.peers = tls.NewListener(l.peers, cfg)
+	}
+}
+
 func (l listeners) close() {
 	for _, ln := range []net.Listener{l.callers, l.peers, l.operators} {
 		if ln != nil {
--- a/hub/script_test.go
+++ b/hub/script_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"net"
@@ -86,7 +88,11 @@
 		k, v, _ := strings.Cut(h, ":")
 		req.Header.Set(k, v)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	hc, err := httpClient(ts, args[1])
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := hc.Do(req)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -95,6 +101,21 @@
 	return resp.StatusCode, out, err
 }
 
+// httpClient trusts the authority in keys/ca.pem where the URL wants TLS.
+func httpClient(ts *testscript.TestScript, url string) (*http.Client, error) {
+	if !strings.HasPrefix(url, "https:") {
+		return http.DefaultClient, nil
+	}
+	ca, err := os.ReadFile(ts.MkAbs("keys/ca.pem"))
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(ca)
+	tr := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, DisableKeepAlives: true}
+	return &http.Client{Transport: tr}, nil
+}
+
 // await URL [TEXT] asks until the answer is 200 and contains the text.
 func await(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 1 {
--- a/meter/table.go
+++ b/meter/table.go
@@ -8,6 +8,8 @@
 // servers, 700 callers.
 const (
 	MetricSeries Name = "metric_series"
+	KeysExpire   Name = "certificates_expire_seconds"
+	KeysChanges  Name = "certificate_changes"
 
 	TablesVersion Name = "tables_version"
 	TablesAge     Name = "tables_age_seconds"
@@ -83,6 +85,8 @@
 
 var table = []Entry{
 	{100, MetricSeries, Gauge, "series", nil, "Series of callers, kinds and codes that are told apart. At limits.metric_series further ones count as \"other\".", "0.1"},
+	{101, KeysExpire, Gauge, "seconds since 1970", nil, "When the first certificate of the process expires; missing without certificates.", "0.1"},
+	{102, KeysChanges, Counter, "changes", nil, "Changed certificate files that came into force without a restart.", "0.1"},
 	{200, TablesVersion, Gauge, "log offset", nil, "The version of the tables in force on this process; -1 before the first.", "0.1"},
 	{201, TablesAge, Gauge, "seconds", nil, "Time since this process last confirmed that its tables are the newest.", "0.1"},
 	{202, LogReads, Counter, "calls", nil, "Reads of the platform's log, all streams.", "0.1"},
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -42,10 +42,16 @@
 				ArgsUsage: "ADDRESS...",
 				Action:    status,
 			},
+			keysCommand(),
 		},
 	}
 }
 
+// ExitUsage is the exit code for arguments and files that can't be used.
+const ExitUsage = 2
+
+func usage(err error) error { return cli.Exit(err.Error(), ExitUsage) }
+
 // ReadFiles reads and joins the rows of several TOML files.
 func ReadFiles(paths []string) (tables.Rows, error) {
 	var all tables.Rows
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -37,6 +37,7 @@
 	{"tls.peer_cert", "", "Certificate file (PEM) of this process for other dispatchers; empty means plain TCP.", "", anything},
 	{"tls.peer_key", "", "Key file (PEM) of peer_cert.", "", anything},
 	{"tls.peer_ca", "", "File (PEM) with the authority that signs the certificates of all dispatchers.", "", anything},
+	{"tls.refresh", "", "How often the files are looked at; changed ones come into force without a restart.", "", lasting(10*time.Millisecond, time.Hour)},
 
 	{"platform.log", "", "The platform's log.", `"127.0.0.1:7300"`, address},
 	{"platform.vms", "", "The platform's VM list; empty means the log's address.", `"127.0.0.1:7300"`, noAddress},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -75,6 +75,8 @@
 	PeerCert   string `toml:"peer_cert"`
 	PeerKey    string `toml:"peer_key"`
 	PeerCA     string `toml:"peer_ca"`
+	// Refresh is how often the files are looked at.
+	Refresh Duration `toml:"refresh"`
 }
 
 // Platform gives the addresses of the platform's services.
@@ -174,6 +176,7 @@
 // Default returns the settings that hold where the file is silent.
 func Default() Config {
 	return Config{
+		TLS:      TLS{Refresh: Duration(10 * time.Second)},
 		Platform: Platform{AppendRate: 100, Timeout: Duration(2 * time.Second)},
 		Peers: Peers{
 			Heartbeat:    Duration(time.Second),
