--- a/keys/keys.go
+++ b/certificate/certificate.go
@@ -1,4 +1,4 @@
-// Package keys holds the certificates of a process, and reads them again when
+// Package certificate holds the certificates of a process, and reads them again when
 // their files change.
 //
 // Callers see a server certificate. Between dispatchers both sides show one
@@ -6,7 +6,7 @@
 // the authority of the settings, is a dispatcher. The certificates of
 // dispatchers don't name addresses, because VMs are replaced at any time and
 // addresses used again.
-package keys
+package certificate
 
 import (
 	"bytes"
@@ -26,7 +26,7 @@
 const PeerName = "dispatcher.snipehub"
 
 // ErrNotPeer means that the other side of a connection is no dispatcher.
-var ErrNotPeer = errors.New("keys: not a dispatcher's certificate")
+var ErrNotPeer = errors.New("certificate: not a dispatcher's certificate")
 
 // Set is all certificates of a process.
 type Set struct {
@@ -165,18 +165,18 @@
 	}
 	cert, err := os.ReadFile(p.cert)
 	if err != nil {
-		return false, errors.Wrap(err, "keys")
+		return false, errors.Wrap(err, "certificate")
 	}
 	key, err := os.ReadFile(p.key)
 	if err != nil {
-		return false, errors.Wrap(err, "keys")
+		return false, errors.Wrap(err, "certificate")
 	}
 	if bytes.Equal(cert, p.text[0]) && bytes.Equal(key, p.text[1]) {
 		return false, nil
 	}
 	c, err := tls.X509KeyPair(cert, key)
 	if err != nil {
-		return false, errors.Wrapf(err, "keys: %s with %s", p.cert, p.key)
+		return false, errors.Wrapf(err, "certificate: %s with %s", p.cert, p.key)
 	}
 	p.text = [2][]byte{cert, key}
 	p.now.Store(&c)
@@ -197,14 +197,14 @@
 	}
 	text, err := os.ReadFile(a.file)
 	if err != nil {
-		return false, errors.Wrap(err, "keys")
+		return false, errors.Wrap(err, "certificate")
 	}
 	if bytes.Equal(text, a.text) {
 		return false, nil
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(text) {
-		return false, errors.Errorf("keys: %s: no certificate in it", a.file)
+		return false, errors.Errorf("certificate: %s: no certificate in it", a.file)
 	}
 	a.text = text
 	a.now.Store(pool)
--- a/keys/keys_test.go
+++ b/certificate/certificate_test.go
@@ -1,4 +1,4 @@
-package keys_test
+package certificate_test
 
 import (
 	"crypto/tls"
@@ -10,25 +10,25 @@
 
 	"github.com/go-faster/errors"
 
-	"snipehub.example/keys"
+	"snipehub.example/certificate"
 	"snipehub.example/settings"
 )
 
 func files(t *testing.T, dir string) settings.TLS {
 	t.Helper()
-	if err := keys.Make(dir, time.Now(), time.Hour, nil); err != nil {
+	if err := certificate.Make(dir, time.Now(), time.Hour, nil); err != nil {
 		t.Fatal(err)
 	}
 	in := func(name string) string { return filepath.Join(dir, name) }
 	return settings.TLS{
-		CallerCert: in(keys.FileCaller), CallerKey: in(keys.FileCallerKey),
-		PeerCert: in(keys.FilePeer), PeerKey: in(keys.FilePeerKey), PeerCA: in(keys.FileCA),
+		CallerCert: in(certificate.FileCaller), CallerKey: in(certificate.FileCallerKey),
+		PeerCert: in(certificate.FilePeer), PeerKey: in(certificate.FilePeerKey), PeerCA: in(certificate.FileCA),
 	}
 }
 
-func load(t *testing.T, cfg settings.TLS) *keys.Set {
+func load(t *testing.T, cfg settings.TLS) *certificate.Set {
 	t.Helper()
-	s, err := keys.Load(cfg)
+	s, err := certificate.Load(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,7 +57,7 @@
 		_, err = io.ReadFull(c, make([]byte, 1))
 		_ = c.Close()
 	}
-	if serverErr := <-done; errors.Is(serverErr, keys.ErrNotPeer) {
+	if serverErr := <-done; errors.Is(serverErr, certificate.ErrNotPeer) {
 		return serverErr
 	}
 	return err
@@ -94,7 +94,7 @@
 		if tt.name == "caller's certificate" {
 			cfg = load(t, asCaller).PeerServer()
 		}
-		if err := connect(t, server.PeerClient(), cfg); !errors.Is(err, keys.ErrNotPeer) {
+		if err := connect(t, server.PeerClient(), cfg); !errors.Is(err, certificate.ErrNotPeer) {
 			t.Errorf("a dispatcher connects to %s: %v", tt.name, err)
 		}
 	}
--- a/keys/make.go
+++ b/certificate/make.go
@@ -1,4 +1,4 @@
-package keys
+package certificate
 
 import (
 	"crypto/ecdsa"
@@ -35,7 +35,7 @@
 // dispatchers. Addresses are those at which callers reach the server.
 func Make(dir string, now time.Time, valid time.Duration, addresses []netip.Addr) error {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return errors.Wrap(err, "keys")
+		return errors.Wrap(err, "certificate")
 	}
 	ca, err := makeAuthority(dir, now, valid)
 	if err != nil {
@@ -66,7 +66,7 @@
 	}
 	ca, err := tls.LoadX509KeyPair(cert, key)
 	if err != nil {
-		return nil, errors.Wrap(err, "keys")
+		return nil, errors.Wrap(err, "certificate")
 	}
 	return &ca, nil
 }
@@ -87,7 +87,7 @@
 func issue(dir, certFile, keyFile string, t *x509.Certificate, ca *tls.Certificate) error {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
-		return errors.Wrap(err, "keys")
+		return errors.Wrap(err, "certificate")
 	}
 	parent, signer := t, any(key)
 	if ca != nil {
@@ -95,11 +95,11 @@
 	}
 	cert, err := x509.CreateCertificate(rand.Reader, t, parent, key.Public(), signer)
 	if err != nil {
-		return errors.Wrap(err, "keys")
+		return errors.Wrap(err, "certificate")
 	}
 	secret, err := x509.MarshalPKCS8PrivateKey(key)
 	if err != nil {
-		return errors.Wrap(err, "keys")
+		return errors.Wrap(err, "certificate")
 	}
 	if err := write(filepath.Join(dir, keyFile), keyTag, secret); err != nil {
 		return err
@@ -111,10 +111,10 @@
 func write(path, tag string, der []byte) error {
 	tmp := path + ".new"
 	if err := os.WriteFile(tmp, pem.EncodeToMemory(&pem.Block{Type: tag, Bytes: der}), 0o600); err != nil {
-		return errors.Wrap(err, "keys")
+		return errors.Wrap(err, "certificate")
 	}
 	if err := os.Rename(tmp, path); err != nil {
-		return errors.Wrap(err, "keys")
+		return errors.Wrap(err, "certificate")
 	}
 	return nil
 }
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -43,6 +43,11 @@
 	Cancel(ctx context.Context, c job.Caller, id ticket.JobID) (job.Answer, error)
 	// Ready tells whether the balancer should send callers here.
 	Ready() bool
+	Inspector
+}
+
+// Inspector tells operators how things stand.
+type Inspector interface {
 	// Status is what operators see of this process.
 	Status() any
 	// StatusAll asks every dispatcher in the roster for its status.
--- a/counter/identity.go
+++ b/counter/identity.go
@@ -39,12 +39,7 @@
 	if !named(r) || !errors.As(err, &f) {
 		return err
 	}
-	out := *f
-	out.Ran = refusal.RanUnknown
-	if out.Again == refusal.AgainNew {
-		out.Again = refusal.AgainSame
-	}
-	return &out
+	return f.AboutIdentity()
 }
 
 // pathID reads the job id of the path.
--- a/counter/ops.go
+++ b/counter/ops.go
@@ -25,7 +25,7 @@
 
 // Operators is the HTTP handler of the operators' own address. It shows the
 // names of callers, so the address must be one that only operators reach.
-func Operators(svc Service, m *meter.Meter) http.Handler {
+func Operators(svc Inspector, m *meter.Meter) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, svc.Status())
--- a/hub/certificates.go
+++ b/hub/certificates.go
@@ -14,16 +14,16 @@
 	defer sub.Stop()
 	last := ""
 	for {
-		h.meter.Gauge(meter.KeysExpire, float64(h.keys.Expires().Unix()))
+		h.meter.Gauge(meter.KeysExpire, float64(h.certs.Expires().Unix()))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-sub.C:
 		}
-		changed, err := h.keys.Refresh()
+		changed, err := h.certs.Refresh()
 		if changed {
 			h.meter.Count(meter.KeysChanges, 1)
-			event.KeysChanged.Log(h.log, "expires", h.keys.Expires())
+			event.KeysChanged.Log(h.log, "expires", h.certs.Expires())
 		}
 		if err != nil && err.Error() != last {
 			event.KeysUnusable.Log(h.log, "error", err)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -14,13 +14,13 @@
 	"github.com/go-faster/errors"
 	"github.com/thejerf/suture/v4"
 
+	"snipehub.example/certificate"
 	"snipehub.example/clock"
 	"snipehub.example/counter"
 	"snipehub.example/delivery"
 	"snipehub.example/dispatch"
 	"snipehub.example/event"
 	"snipehub.example/job"
-	"snipehub.example/keys"
 	"snipehub.example/ledger"
 	"snipehub.example/meter"
 	"snipehub.example/peer"
@@ -44,9 +44,11 @@
 	peers  *peer.Server
 	place  *dispatch.Dispatcher
 	owner  *job.Owner
+	fwd    *forwarder
+	desk   *desk
 	http   *http.Server
 	ln     listeners
-	keys   *keys.Set
+	certs  *certificate.Set
 
 	stopping atomic.Bool
 }
@@ -76,7 +78,7 @@
 
 // New binds the addresses of the settings and makes the parts.
 func New(cfg settings.Config, log *slog.Logger, nw Network) (*Hub, error) {
-	certs, err := keys.Load(cfg.TLS)
+	certs, err := certificate.Load(cfg.TLS)
 	if err != nil {
 		return nil, err
 	}
@@ -90,7 +92,7 @@
 		net:   nw,
 		log:   log,
 		ln:    ln,
-		keys:  certs,
+		certs: certs,
 		clock: clock.New(),
 		meter: meter.New(cfg.Limits.MetricSeries, func() { event.MetricsFull.Log(log) }),
 		self: ticket.Owner{
@@ -107,7 +109,7 @@
 func (h *Hub) build() {
 	cfg := h.cfg
 	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
-	h.tables = tables.New(h.log, platform, cfg.Tables.Poll.D(), func(*tables.State) { h.place.Wake() })
+	h.tables = h.newTables(platform)
 	h.place = dispatch.New(dispatch.Config{
 		DataCenter:  cfg.Process.DataCenter,
 		Connections: cfg.Dispatch.Connections,
@@ -121,12 +123,27 @@
 		KeptBytes:  cfg.Limits.KeptAnswerBytes,
 		KeptFor:    cfg.Limits.KeptAnswerFor.D(),
 		JobTimeout: cfg.Limits.JobTimeout.D(),
-	})
+	}, h.clock.Now)
 	h.roster = roster.New(roster.Member{Owner: h.self, Address: cfg.Listen.Peers}, cfg.Peers.SuspectAfter.D())
-	h.dialer = peer.NewDialer(h.keys.PeerClient(), cfg.Peers.Timeout.D(), h.net.DialContext)
+	h.dialer = peer.NewDialer(h.certs.PeerClient(), cfg.Peers.Timeout.D(), h.net.DialContext)
 	h.peers = peer.NewServer(h.log, h.ln.peers)
+	h.fwd = &forwarder{
+		log:      h.log,
+		meter:    h.meter,
+		self:     h.self,
+		address:  cfg.Listen.Peers,
+		seeds:    cfg.Peers.Seeds,
+		now:      h.clock.Now,
+		net:      dialed{h.dialer},
+		members:  h.roster,
+		holder:   job.NewHolder(cfg.Limits.HeldBytes, cfg.Limits.KeptAnswerFor.D(), h.clock.Now),
+		stopping: h.stopping.Load,
+		waiting:  make(map[*awaited]struct{}),
+		unheld:   make(map[ticket.Owner]time.Time),
+	}
+	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: noKeys{}, tables: h.tables.State}
 	h.handlePeers()
-	h.http = counter.NewServer(cfg.Limits, counter.New(h.log, cfg, h, h.meter))
+	h.http = counter.NewServer(cfg.Limits, counter.New(h.log, cfg, callerService{h.desk, h}, h.meter))
 }
 
 // Addr returns the address that callers are served at.
@@ -158,6 +175,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Limits.StopDeadline.D())
 	defer cancel()
 	_ = h.owner.Stop(ctx)
+	h.fwd.handOver(ctx, append(h.owner.Closed(h.cfg.Limits.HandoffBytes), h.fwd.holder.Closed()...))
 	_ = h.http.Shutdown(ctx)
 	h.peers.Drain(ctx)
 }
@@ -175,9 +193,12 @@
 	root.Add(h.tables)
 	root.Add(h.place)
 	root.Add(h.peers)
+	root.Add(service("snapshots", h.snapshots))
 	root.Add(service("heartbeat", h.heartbeat))
 	root.Add(service("callers", h.serveHTTP))
-	if !h.keys.Expires().IsZero() {
+	root.Add(service("forwards", h.watchForwards))
+	root.Add(service("gauges", h.gauges))
+	if !h.certs.Expires().IsZero() {
 		root.Add(service("certificates", h.refreshKeys))
 	}
 	if h.ln.operators != nil {
@@ -211,6 +232,35 @@
 	return err
 }
 
+// callerService is what stands behind the counter.
+type callerService struct {
+	*desk
+	*Hub
+}
+
+func (h *Hub) handlePeers() {
+	peer.Handle(h.peers, methodBeat, func(_ context.Context, b roster.Beat) (roster.Beat, error) {
+		return h.roster.Answer(h.clock.Now(), b), nil
+	})
+	peer.Handle(h.peers, methodStatus, func(context.Context, struct{}) (Status, error) {
+		return h.status(), nil
+	})
+	h.desk.handle(h.peers)
+}
+
+func (h *Hub) watchForwards(ctx context.Context) error {
+	sub := h.clock.Subscribe(watchEvery)
+	defer sub.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-sub.C:
+			h.fwd.watch(now)
+		}
+	}
+}
+
 // Ready tells whether the balancer should send callers here.
 func (h *Hub) Ready() bool {
 	return !h.stopping.Load() && h.tables.State().Version != ledger.None
--- a/hub/listen.go
+++ b/hub/listen.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"snipehub.example/keys"
+	"snipehub.example/certificate"
 	"snipehub.example/settings"
 )
 
@@ -44,7 +44,7 @@
 
 // secure puts TLS on the addresses that have certificates. The operators'
 // address shows the callers' one.
-func (l *listeners) secure(certs *keys.Set) {
+func (l *listeners) secure(certs *certificate.Set) {
 	if cfg := certs.Callers(); cfg != nil {
 		l.callers = tls.NewListener(l.callers, cfg)
 		if l.operators != nil {
--- /dev/null
+++ b/hub/tables.go
@@ -0,0 +1,38 @@
+package hub
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"snipehub.example/ledger"
+	"snipehub.example/tables"
+)
+
+func (h *Hub) newTables(platform *ledger.Client) *tables.Follower {
+	return tables.New(h.log, platform, tables.Config{
+		Poll:     h.cfg.Tables.Poll.D(),
+		Snapshot: h.cfg.Tables.Snapshot.D(),
+		Settle:   h.cfg.Tables.Settle.D(),
+		Changed:  func() { h.place.Wake() },
+	}, rand.New(rand.NewPCG(h.self.Incarnation, 0)))
+}
+
+// snapshotCheck is how often it is looked whether a snapshot is due.
+const snapshotCheck = time.Second
+
+// snapshots puts snapshots of the tables on the log when they are due.
+func (h *Hub) snapshots(ctx context.Context) error {
+	sub := h.clock.Subscribe(snapshotCheck)
+	defer sub.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-sub.C:
+			if err := h.tables.PutSnapshot(ctx, now); err != nil {
+				return err
+			}
+		}
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -66,20 +66,34 @@
 // Close ends the reporting; what was counted stays readable.
 func (m *Meter) Close() { _ = m.closer.Close() }
 
-// Count adds n to a counter.
-func (m *Meter) Count(name Name, n int64) { m.root.Counter(string(name)).Inc(n) }
+// Count adds n to a counter. A nil meter counts nothing, here and below.
+func (m *Meter) Count(name Name, n int64) {
+	if m != nil {
+		m.root.Counter(string(name)).Inc(n)
+	}
+}
 
 // Gauge sets a gauge.
-func (m *Meter) Gauge(name Name, v float64) { m.root.Gauge(string(name)).Update(v) }
+func (m *Meter) Gauge(name Name, v float64) {
+	if m != nil {
+		m.root.Gauge(string(name)).Update(v)
+	}
+}
 
 // CountCode adds n to the counter's series of a refusal code.
 func (m *Meter) CountCode(name Name, code string, n int64) {
+	if m == nil {
+		return
+	}
 	s := m.scope(series{a: code}, map[string]string{labelCode: code}, map[string]string{labelCode: other})
 	s.Counter(string(name)).Inc(n)
 }
 
 // Time records a duration for a caller and a kind.
 func (m *Meter) Time(name Name, caller, kind string, d time.Duration) {
+	if m == nil {
+		return
+	}
 	s := m.scope(series{caller, kind},
 		map[string]string{labelCaller: caller, labelKind: kind},
 		map[string]string{labelCaller: other, labelKind: other})
--- a/meter/table.go
+++ b/meter/table.go
@@ -28,6 +28,9 @@
 	Tickets         Name = "tickets"
 	Windows         Name = "windows"
 	KeptAnswerBytes Name = "kept_answer_bytes"
+	KeptAnswers     Name = "kept_answers"
+	RunningJobs     Name = "running_jobs"
+	HeldBytes       Name = "held_bytes"
 	ClaimsAppends   Name = "claims_appends"
 	Claims          Name = "claims"
 
@@ -101,9 +104,12 @@
 	{403, ForwardsFailed, Counter, "calls", nil, "Forwards that got no answer; the caller was told \"unknown\".", "0.1"},
 	{404, Tickets, Gauge, "tickets", nil, "Tickets that this process holds.", "0.1"},
 	{405, Windows, Gauge, "sequences", nil, "Sequences that the windows of all tickets remember.", "0.1"},
-	{406, KeptAnswerBytes, Gauge, "bytes", nil, "Answers kept for resubmissions.", "0.1"},
+	{406, KeptAnswerBytes, Gauge, "bytes", nil, "Memory of the answers kept for resubmissions.", "0.1"},
 	{407, ClaimsAppends, Counter, "appends", nil, "Appends to the claims stream, each with a batch of claims.", "0.1"},
 	{408, Claims, Gauge, "claims", nil, "Claims of callers' own keys that this process remembers.", "0.1"},
+	{409, KeptAnswers, Gauge, "answers", nil, "Answers kept for resubmissions.", "0.1"},
+	{410, RunningJobs, Gauge, "jobs", nil, "Jobs and requests under an identity that run here.", "0.1"},
+	{411, HeldBytes, Gauge, "bytes", nil, "Closed state of dispatchers that have stopped, held for their callers.", "0.1"},
 	{500, TaskStarts, Counter, "messages", nil, "Attempts sent to backend servers.", "0.1"},
 	{501, TaskRefusals, Counter, "messages", nil, "Attempts that a backend server answered with \"not run\".", "0.1"},
 	{502, TaskRetries, Counter, "messages", nil, "Attempts beyond the first of their task.", "0.1"},
--- a/operator/keys.go
+++ b/operator/keys.go
@@ -9,7 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
-	"snipehub.example/keys"
+	"snipehub.example/certificate"
 )
 
 // defaultValid is how long certificates for trials are valid.
@@ -39,7 +39,7 @@
 		}
 		addresses = append(addresses, a)
 	}
-	if err := keys.Make(c.String("out"), time.Now(), c.Duration("valid"), addresses); err != nil {
+	if err := certificate.Make(c.String("out"), time.Now(), c.Duration("valid"), addresses); err != nil {
 		return err
 	}
 	_, err := fmt.Fprintln(c.Root().Writer, "written to", c.String("out"))
--- a/settings/check.go
+++ b/settings/check.go
@@ -112,6 +112,8 @@
 		return bad("limits.body_bytes", "must not be above limits.open_bytes")
 	case l.JobTasks > l.QueuedTasks:
 		return bad("limits.job_tasks", "must not be above limits.queued_tasks")
+	case 3*c.Tables.Poll > c.Tables.Settle:
+		return bad("tables.poll", "must be at most a third of tables.settle")
 	case c.Dispatch.TaskTimeout > l.JobTimeout:
 		return bad("dispatch.task_timeout", "must not be above limits.job_timeout")
 	}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"snipehub.example/ticket"
+)
 
 // Key describes one setting to operators.
 type Key struct {
@@ -61,7 +65,7 @@
 	{"limits.kept_answer_bytes", "bytes", "Most memory for answers that are kept for resubmissions.", "", between(1, 64*giga)},
 	{"limits.kept_answer_for", "", "How long an answer is kept.", "", lasting(time.Second, 24*time.Hour)},
 	{"limits.ticket_range", "sequences", "How many sequences a ticket has.", "", between(1, 1000*million)},
-	{"limits.ticket_window", "sequences", "How far apart the oldest unfinished and the newest sequence of a ticket may lie.", "", between(1, million)},
+	{"limits.ticket_window", "sequences", "How far apart the oldest unfinished and the newest sequence of a ticket may lie.", "", between(1, ticket.MaxWidth)},
 	{"limits.tickets", "tickets", "Most tickets that are held.", "", between(1, 100*million)},
 	{"limits.claims", "claims", "Most claims of callers' own keys that are remembered.", "", between(1, 100*million)},
 	{"limits.queued_tasks", "tasks", "Most tasks that wait for a backend server.", "", between(1, 100*million)},
@@ -73,6 +77,8 @@
 	{"limits.open_requests", "requests", "Most requests of callers that are open at once.", "", between(1, million)},
 	{"limits.open_bytes", "bytes", "Most memory for the bodies of all open requests.", "", between(1, 64*giga)},
 	{"limits.idle_timeout", "", "How long a caller's connection may be without a request.", "", lasting(time.Second, time.Hour)},
+	{"limits.handoff_bytes", "bytes", "Most answers that a process hands over when it stops.", "", between(1, 64*giga)},
+	{"limits.held_bytes", "bytes", "Most answers that it holds of others that have stopped.", "", between(1, 64*giga)},
 
 	{"tables.settle", "", "The time in which a change of the tables is in force everywhere.", "", lasting(100*time.Millisecond, 10*time.Minute)},
 	{"tables.snapshot", "", "Time between two snapshots of the tables on the log; at most a quarter of the time that the log keeps records.", "", lasting(time.Second, 24*time.Hour)},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -143,6 +143,10 @@
 	OpenBytes    int64 `toml:"open_bytes"`
 	// IdleTimeout is how long a connection may be without a request.
 	IdleTimeout Duration `toml:"idle_timeout"`
+	// HandoffBytes bounds what a process hands over when it stops, and
+	// HeldBytes what it holds of others that have stopped.
+	HandoffBytes int64 `toml:"handoff_bytes"`
+	HeldBytes    int64 `toml:"held_bytes"`
 }
 
 // Tables sets how the tables are followed.
@@ -151,7 +155,9 @@
 	Settle Duration `toml:"settle"`
 	// Snapshot is how often a snapshot is put on the log.
 	Snapshot Duration `toml:"snapshot"`
-	Poll     Duration `toml:"poll"`
+	// Poll is how long one read of the log waits for new records. The tables
+	// are confirmed once in this time, so it must be well below Settle.
+	Poll Duration `toml:"poll"`
 }
 
 // Dispatch sets how tasks are placed.
@@ -204,11 +210,13 @@
 			OpenRequests:    10000,
 			OpenBytes:       256 << 20,
 			IdleTimeout:     Duration(2 * time.Minute),
+			HandoffBytes:    8 << 20,
+			HeldBytes:       32 << 20,
 		},
 		Tables: Tables{
 			Settle:   Duration(8 * time.Second),
 			Snapshot: Duration(10 * time.Minute),
-			Poll:     Duration(5 * time.Second),
+			Poll:     Duration(2 * time.Second),
 		},
 		Dispatch: Dispatch{
 			Policy:      "random",
