--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -8,6 +8,7 @@
 
 	"snipehub.example/dispatch/plan"
 	"snipehub.example/event"
+	"snipehub.example/meter"
 	"snipehub.example/refusal"
 )
 
@@ -102,7 +103,7 @@
 		d.batches[b.Job] = &batch{*b, len(b.Tasks)}
 		return nil
 	}
-	d.m.Count("dispatch_refused", 1)
+	d.m.Count(meter.JobsRefused, 1)
 	var r *refusal.Refusal
 	if errors.As(err, &r) && r.Code == refusal.Overloaded && now.Sub(d.complain) > quiet {
 		d.complain = now
--- a/event/table.go
+++ b/event/table.go
@@ -10,6 +10,9 @@
 	ProcessStopped  ID = 102
 	ServiceFailed   ID = 103
 	ClockGap        ID = 104
+	MetricsFull     ID = 105
+	KeysChanged     ID = 106
+	KeysUnusable    ID = 107
 
 	TablesInForce    ID = 200
 	EditRejected     ID = 201
@@ -43,6 +46,10 @@
 	AsideFull   ID = 602
 
 	RequestPanicked ID = 700
+	RequestAnswered ID = 701
+	TokenRefused    ID = 702
+	AnswerCut       ID = 703
+	CounterFull     ID = 704
 )
 
 var table = []Entry{
@@ -51,6 +58,9 @@
 	{ProcessStopped, slog.LevelInfo, "process stopped", "Everything in flight has ended, or the stop deadline has passed.", "0.1"},
 	{ServiceFailed, slog.LevelError, "service failed and is restarted", "A part of the process ended with an error. The supervisor starts it again; look at the error if it repeats.", "0.1"},
 	{ClockGap, slog.LevelWarn, "process was frozen", "The clock service missed ticks: the process or its VM was paused for the time given. Placing resumes after a fresh confirmation of the tables.", "0.1"},
+	{MetricsFull, slog.LevelWarn, "metric series at their limit", "More callers, kinds and codes are in use than limits.metric_series tells apart. Further ones count as \"other\"; nothing else changes.", "0.1"},
+	{KeysChanged, slog.LevelInfo, "certificates in force", "Changed certificate files were read. New connections use them; the time given is when the first expires.", "0.1"},
+	{KeysUnusable, slog.LevelError, "certificate files can't be used", "Changed certificate files could not be read, or a certificate does not fit its key. Those of before stay in force.", "0.1"},
 	{TablesInForce, slog.LevelInfo, "tables in force", "This process now places work by the tables version given.", "0.1"},
 	{EditRejected, slog.LevelWarn, "edit rejected", "An edit on the log named a base other than the current version, or would break the join of the two tables. Every reader rejects it alike.", "0.1"},
 	{TablesUnreadable, slog.LevelError, "tables record unreadable", "A record of the tables stream could not be decoded and was passed over. Find out who writes to the stream.", "0.1"},
@@ -78,4 +88,8 @@
 	{ServerBack, slog.LevelInfo, "backend server back in use", "A trial task ended well on a server that was set aside.", "0.1"},
 	{AsideFull, slog.LevelError, "too many backend servers fail", "The server should be set aside, but dispatch.aside_share of its pool already is. Look for a cause that they share, such as a kind of request that fails everywhere.", "0.1"},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "A defect: the handler of a caller's request panicked. The caller got an error with the outcome unknown.", "0.1"},
+	{RequestAnswered, slog.LevelDebug, "request answered", "One line for each request of a caller, with its status and time. Shown with log.level = \"debug\".", "0.1"},
+	{TokenRefused, slog.LevelWarn, "token refused", "A caller came without a token that the settings know. At most one line a second; the counter refusals{code=\"unauthorized\"} has them all.", "0.1"},
+	{AnswerCut, slog.LevelInfo, "answer not taken", "The caller went away or read too slowly while its answer was written. It can ask again with the same id.", "0.1"},
+	{CounterFull, slog.LevelWarn, "too many requests are open", "limits.open_requests or limits.open_bytes is reached; further requests are refused with the code busy. Add entry VMs, or look for a caller that sends slowly.", "0.1"},
 }
--- a/hub/gauges.go
+++ b/hub/gauges.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"snipehub.example/event"
+	"snipehub.example/meter"
 )
 
 const gaugeEvery = time.Second
@@ -12,7 +13,7 @@
 // bound is a limit of memory: a gauge of what is there, and a count of how
 // often the limit was reached, whose growth is logged.
 type bound struct {
-	gauge string
+	gauge meter.Name
 	event event.ID
 	seen  int64
 }
@@ -22,9 +23,9 @@
 func (h *Hub) gauges(ctx context.Context) error {
 	sub := h.clock.Subscribe(gaugeEvery)
 	defer sub.Stop()
-	answers := &bound{gauge: "kept_bytes", event: event.AnswersEvicted}
-	tickets := &bound{gauge: "tickets", event: event.TicketsFull}
-	held := &bound{gauge: "held_bytes", event: event.HeldDropped}
+	answers := &bound{gauge: meter.KeptAnswerBytes, event: event.AnswersEvicted}
+	tickets := &bound{gauge: meter.Tickets, event: event.TicketsFull}
+	held := &bound{gauge: meter.HeldBytes, event: event.HeldDropped}
 	for {
 		select {
 		case <-ctx.Done():
@@ -32,8 +33,8 @@
 		case <-sub.C:
 		}
 		s := h.owner.Stats()
-		h.meter.Gauge("running", float64(s.Running))
-		h.meter.Gauge("kept_answers", float64(s.Kept))
+		h.meter.Gauge(meter.RunningJobs, float64(s.Running))
+		h.meter.Gauge(meter.KeptAnswers, float64(s.Kept))
 		h.observe(answers, s.KeptBytes, s.Crowded)
 		h.observe(tickets, s.Tickets, s.Full+s.Retired)
 		bytes, dropped := h.fwd.holder.Stats()
