Claim callers' own keys on the platform's log

Cause: callers with an Idempotency-Key had no path at all.

Ruled out: ownership of keys by hash with leases (a cut-off data centre loses two thirds of its keys, pauses break leases); a claim that names only the owner (the owner would need a second kind of memory). A claim names a reserved sequence of a ticket, so windows, kept answers, burning, forwarding and the hand-over at a stop serve keys as they are.

Change: package claim. Book and Core are pure; Claimer is the shell with one goroutine for reads and one for appends, in batches of up to 256 within this process's part of platform.append_rate. The first claim in offset order wins. A reader decides about a key only if it has read all records since two skews before the key's stamp; all readers ignore a claim whose key is ahead of the record's own time by more than a skew. So a reader that was paused past the retention, or whose memory is full, refuses and never takes a re-claim for the first. A claim that was given up on and appears later stands for its reserved identity, under which nothing was started; the caller that comes back starts it there, once.

The HTTP route for keyed jobs is not part of this.

--- a/event/table.go
+++ b/event/table.go
@@ -25,6 +25,7 @@
 	AnswersEvicted   ID = 402
 	TicketsFull      ID = 403
 	HeldDropped      ID = 404
+	ClaimsEvicted    ID = 405
 
 	RequestPanicked ID = 700
 )
@@ -47,5 +48,6 @@
 	{AnswersEvicted, slog.LevelWarn, "answers made room", "Answers were dropped before limits.kept_answer_for was over, because limits.kept_answer_bytes was reached. A caller that comes back for one is told that the outcome is unknown.", "0.1"},
 	{TicketsFull, slog.LevelWarn, "tickets at their limit", "limits.tickets is reached, or a caller has a quarter of it: idle tickets are retired, and while there are none, new ones are refused. Find the caller that takes a ticket for each job.", "0.1"},
 	{HeldDropped, slog.LevelWarn, "held answers dropped", "limits.held_bytes is reached: the oldest closed state of a stopped dispatcher was dropped. Its callers are told that the outcome is unknown.", "0.1"},
+	{ClaimsEvicted, slog.LevelWarn, "claims made room", "limits.claims is reached: the oldest claims of callers' own keys were forgotten here. Keys that are as old are refused as unknown by this process.", "0.1"},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "A defect: the handler of a caller's request panicked. The caller got an error with the outcome unknown.", "0.1"},
 }
--- a/hub/desk.go
+++ b/hub/desk.go
@@ -144,11 +144,3 @@
 	}
 	return json.Unmarshal(raw, result)
 }
-
-// noKeys stands in while there is no log to claim keys on.
-type noKeys struct{}
-
-// Resolve refuses.
-func (noKeys) Resolve(context.Context, string, string) (ticket.JobID, error) {
-	return ticket.JobID{}, refusal.New(refusal.LogDown, "")
-}
--- a/hub/gauges.go
+++ b/hub/gauges.go
@@ -25,6 +25,7 @@
 	answers := &bound{gauge: "kept_bytes", event: event.AnswersEvicted}
 	tickets := &bound{gauge: "tickets", event: event.TicketsFull}
 	held := &bound{gauge: "held_bytes", event: event.HeldDropped}
+	keys := &bound{gauge: "claims", event: event.ClaimsEvicted}
 	for {
 		select {
 		case <-ctx.Done():
@@ -36,6 +37,9 @@
 		h.meter.Gauge("kept_answers", float64(s.Kept))
 		h.observe(answers, s.KeptBytes, s.Crowded)
 		h.observe(tickets, s.Tickets, s.Full+s.Retired)
+		claims, pending, evicted := h.claims.Stats()
+		h.meter.Gauge("pending_keys", float64(pending))
+		h.observe(keys, int64(claims), evicted)
 		bytes, dropped := h.fwd.holder.Stats()
 		h.observe(held, bytes, dropped)
 	}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/thejerf/suture/v4"
 
+	"snipehub.example/claim"
 	"snipehub.example/clock"
 	"snipehub.example/counter"
 	"snipehub.example/delivery"
@@ -45,6 +46,7 @@
 	owner  *job.Owner
 	fwd    *forwarder
 	desk   *desk
+	claims *claim.Claimer
 	http   *http.Server
 	ln     net.Listener
 
@@ -137,7 +139,14 @@
 		waiting:  make(map[*awaited]struct{}),
 		unheld:   make(map[ticket.Owner]time.Time),
 	}
-	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: noKeys{}, tables: h.tables.State}
+	h.claims = claim.New(claim.Config{
+		Claims:    cfg.Limits.Claims,
+		Pending:   cfg.Limits.PendingKeys,
+		Skew:      cfg.Limits.KeySkew.D(),
+		Patience:  cfg.Platform.Timeout.D(),
+		MarkEvery: markEvery,
+	}, platform, h.clock.Now, h.appendShare, h.owner.Reserve)
+	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: h.claims, tables: h.tables.State}
 	h.handlePeers()
 	h.http = &http.Server{
 		Handler:           counter.New(h.log, cfg, callerService{h.desk, h}, h.meter),
@@ -198,6 +207,8 @@
 	root.Add(service("callers", h.serveHTTP))
 	root.Add(service("forwards", h.watchForwards))
 	root.Add(service("gauges", h.gauges))
+	root.Add(service("claim reads", h.claims.ServeReads))
+	root.Add(service("claim appends", h.claims.ServeAppends))
 	return root
 }
 
@@ -239,6 +250,21 @@
 	h.desk.handle(h.peers)
 }
 
+// markEvery is how old the newest claim on the log may get; see claim.Config.
+const markEvery = time.Minute
+
+// appendShare is this process's part of the append rate: all dispatchers that
+// are not gone share it alike.
+func (h *Hub) appendShare() float64 {
+	n := 1
+	for _, k := range h.roster.All(h.clock.Now()) {
+		if k.State != roster.Gone {
+			n++
+		}
+	}
+	return h.cfg.Platform.AppendRate / float64(n)
+}
+
 func (h *Hub) watchForwards(ctx context.Context) error {
 	sub := h.clock.Subscribe(watchEvery)
 	defer sub.Stop()
--- a/hub/refusals_test.go
+++ b/hub/refusals_test.go
@@ -100,6 +100,16 @@
 	return given(err)
 }
 
+// key submits the order under a key, now and as the late copy.
+func (r *refusing) key(k string) *refusal.Refusal {
+	r.late = func() {
+		r.logFault = ""
+		_, _ = r.owner.putKey(k, `"order"`)
+	}
+	_, err := r.other.putKey(k, `"order"`)
+	return given(err)
+}
+
 // refusals brings about each code. The order is submitted under r.id; what the
 // refusal says of it is compared with the backend servers' record.
 var refusals = []struct {
@@ -185,7 +195,17 @@
 		return r.put(r.other)
 	}},
 	{refusal.LogDown, func(r *refusing) *refusal.Refusal {
-		return r.request(job.Request{Key: "018f0000-0000-7000-8000-000000000000"})
+		r.logFault = logDown
+		return r.key(keyAt(r.now, 1))
+	}},
+	{refusal.BadKey, func(r *refusing) *refusal.Refusal { return r.key("order-17") }},
+	{refusal.KeyEarly, func(r *refusing) *refusal.Refusal { return r.key(keyAt(r.now.Add(30*time.Second), 1)) }},
+	{refusal.KeysBusy, func(r *refusing) *refusal.Refusal {
+		r.logFault = appendLost
+		for i := range 20 {
+			_, _ = r.other.putKey(keyAt(r.now, 2+i), `"filler"`)
+		}
+		return r.key(keyAt(r.now, 1))
 	}},
 	{refusal.CutOff, placed(refusal.CutOff)},
 	{refusal.Internal, func(r *refusing) *refusal.Refusal {
--- a/hub/world_test.go
+++ b/hub/world_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/go-faster/errors"
 
+	"snipehub.example/claim"
 	"snipehub.example/dispatch"
 	"snipehub.example/job"
+	"snipehub.example/ledger"
 	"snipehub.example/peer"
 	"snipehub.example/refusal"
 	"snipehub.example/roster"
@@ -38,6 +40,11 @@
 	limits job.Limits
 	// incarnation is the newest that was given out.
 	incarnation uint64
+	// log has the claims; logFault is what happens to the next append, or
+	// "down".
+	log      []ledger.Record
+	logFirst ledger.Offset
+	logFault string
 }
 
 // node is one incarnation of a dispatcher.
@@ -48,6 +55,7 @@
 	desk *desk
 	// down processes answer nothing; gone tells that the roster knows it.
 	down, gone, suspect, stopping bool
+	keys                          *claim.Core
 	// refuse is the answer to the next batches.
 	refuse  error
 	batches []dispatch.Batch
@@ -97,7 +105,8 @@
 		waiting:  make(map[*awaited]struct{}),
 		unheld:   make(map[ticket.Owner]time.Time),
 	}
-	n.desk = &desk{self: n.self, owner: owner, fwd: fwd, keys: noKeys{}, tables: n.tables}
+	n.keys = claim.NewCore(claim.Config{Claims: 50, Pending: 20, Skew: keySkew, Patience: time.Second, MarkEvery: time.Minute}, owner.Reserve)
+	n.desk = &desk{self: n.self, owner: owner, fwd: fwd, keys: n, tables: n.tables}
 	w.nodes = append(w.nodes, n)
 	return n
 }
@@ -172,6 +181,64 @@
 	n.down = true
 }
 
+const keySkew = 10 * time.Second
+
+// The faults of the log.
+const (
+	logDown      = "down"
+	logSlow      = "slow"
+	appendLost   = "append lost"
+	answerLost   = "answer lost"
+	logDuplicate = "appended twice"
+)
+
+// Resolve drives the real decisions about keys against the fake log, step by
+// step.
+func (n *node) Resolve(_ context.Context, caller, key string) (ticket.JobID, error) {
+	n.readLog()
+	id, p, err := n.keys.Want(n.w.now, caller, key)
+	if p == nil {
+		return id, err
+	}
+	batch, record := n.keys.Batch(n.w.now)
+	n.w.append(n.keys, batch, record)
+	if n.w.logFault != logSlow {
+		n.readLog()
+	}
+	select {
+	case <-p.Done:
+		return p.ID, p.Err
+	default:
+		return ticket.JobID{}, refusal.New(refusal.LogDown, "")
+	}
+}
+
+func (n *node) readLog() {
+	w := n.w
+	if w.logFault == logDown {
+		n.keys.Down()
+		return
+	}
+	from := max(n.keys.Offset(), w.logFirst)
+	n.keys.Read(w.now, ledger.Page{First: w.logFirst, Next: w.logFirst + ledger.Offset(len(w.log)), Records: w.log[from-w.logFirst:]})
+}
+
+func (w *world) append(keys *claim.Core, batch []*claim.Pending, record []byte) {
+	times := map[string]int{logDown: 0, appendLost: 0, logDuplicate: 2}
+	n, ok := times[w.logFault]
+	if !ok {
+		n = 1
+	}
+	for range n {
+		if record != nil {
+			w.log = append(w.log, ledger.Record{Offset: w.logFirst + ledger.Offset(len(w.log)), At: w.now, Data: record})
+		}
+	}
+	if n != 1 || w.logFault == answerLost {
+		keys.Lost(batch)
+	}
+}
+
 // holder returns a process other than nodes 0 and 1 that holds something.
 func (w *world) holder() *node {
 	for _, n := range w.nodes[2:] {
@@ -293,6 +360,18 @@
 	return n.desk.Submit(context.Background(), s)
 }
 
+// putKey submits the order under a key of the caller's own.
+func (n *node) putKey(key, body string) (job.Answer, error) {
+	s := job.Submission{Caller: lake, Key: key, Spec: job.Spec{Kind: "price", Tasks: []json.RawMessage{json.RawMessage(body)}}}
+	return n.desk.Submit(context.Background(), s)
+}
+
+// keyAt makes the UUIDv7 number n of a time.
+func keyAt(made time.Time, n int) string {
+	ms := made.UnixMilli()
+	return fmt.Sprintf("%08x-%04x-7000-8000-%012x", ms>>16, ms&0xffff, n)
+}
+
 // code returns the code of a refusal and what it says about "ran".
 func code(err error) (refusal.Code, refusal.Ran) {
 	var r *refusal.Refusal
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -133,6 +133,11 @@
 	// HeldBytes what it holds of others that have stopped.
 	HandoffBytes int64 `toml:"handoff_bytes"`
 	HeldBytes    int64 `toml:"held_bytes"`
+	// PendingKeys bounds the callers' own keys that wait for the log. KeySkew
+	// is by how much the clocks of callers and of the log may differ; it must
+	// be the same in all dispatchers.
+	PendingKeys int      `toml:"pending_keys"`
+	KeySkew     Duration `toml:"key_skew"`
 }
 
 // Tables sets how the tables are followed.
@@ -190,6 +195,8 @@
 			StopDeadline:    Duration(30 * time.Second),
 			HandoffBytes:    8 << 20,
 			HeldBytes:       32 << 20,
+			PendingKeys:     10000,
+			KeySkew:         Duration(10 * time.Second),
 		},
 		Tables: Tables{
 			Settle:   Duration(8 * time.Second),
@@ -257,6 +264,16 @@
 	if w := c.Limits.TicketWindow; w < 1 || w > ticket.MaxWidth {
 		return bad("limits.ticket_window", "must be from 1 to 65536")
 	}
+	switch {
+	case c.Limits.Claims < 1:
+		return bad("limits.claims", "must be at least 1")
+	case c.Limits.PendingKeys < 1:
+		return bad("limits.pending_keys", "must be at least 1")
+	case c.Limits.KeySkew <= 0:
+		return bad("limits.key_skew", "must be above 0")
+	case c.Platform.AppendRate <= 0:
+		return bad("platform.append_rate", "must be above 0")
+	}
 	for _, t := range c.Callers.Tokens {
 		if h, err := hex.DecodeString(t.SHA256); err != nil || len(h) != 32 {
 			return bad("callers.tokens.sha256", "must be 64 hexadecimal digits")
