--- a/meter/table.go
+++ b/meter/table.go
@@ -33,6 +33,7 @@
 	HeldBytes       Name = "held_bytes"
 	ClaimsAppends   Name = "claims_appends"
 	Claims          Name = "claims"
+	PendingKeys     Name = "pending_keys"
 
 	TaskStarts    Name = "task_starts"
 	TaskRefusals  Name = "task_refusals"
@@ -112,6 +113,7 @@
 	{409, KeptAnswers, Gauge, "answers", nil, "Answers kept for resubmissions.", "0.1"},
 	{410, RunningJobs, Gauge, "jobs", nil, "Jobs and requests under an identity that run here.", "0.1"},
 	{411, HeldBytes, Gauge, "bytes", nil, "Closed state of dispatchers that have stopped, held for their callers.", "0.1"},
+	{412, PendingKeys, Gauge, "keys", nil, "Callers' own keys whose claim has not yet been read back from the log.", "0.1"},
 	{500, TaskStarts, Counter, "messages", nil, "Attempts sent to backend servers.", "0.1"},
 	{501, TaskRefusals, Counter, "messages", nil, "Attempts that a backend server answered with \"not run\".", "0.1"},
 	{502, TaskRetries, Counter, "messages", nil, "Attempts beyond the first of their task.", "0.1"},
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -79,6 +79,8 @@
 	{"limits.open_bytes", "bytes", "Most memory for the bodies of all open requests.", "", between(1, 64*giga)},
 	{"limits.idle_timeout", "", "How long a caller's connection may be without a request.", "", lasting(time.Second, time.Hour)},
 	{"limits.handoff_bytes", "bytes", "Most answers that a process hands over when it stops.", "", between(1, 64*giga)},
+	{"limits.pending_keys", "keys", "Most keys of callers' own that wait for the log.", "", between(1, 100*million)},
+	{"limits.key_skew", "", "By how much the clocks of callers and of the log may differ; the same in all dispatchers.", "", lasting(100*time.Millisecond, time.Hour)},
 	{"limits.held_bytes", "bytes", "Most answers that it holds of others that have stopped.", "", between(1, 64*giga)},
 
 	{"tables.settle", "", "The time in which a change of the tables is in force everywhere.", "", lasting(100*time.Millisecond, 10*time.Minute)},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -147,6 +147,11 @@
 	// HeldBytes what it holds of others that have stopped.
 	HandoffBytes int64 `toml:"handoff_bytes"`
 	HeldBytes    int64 `toml:"held_bytes"`
+	// PendingKeys bounds the callers' own keys that wait for the log. KeySkew
+	// is by how much the clocks of callers and of the log may differ; it must
+	// be the same in all dispatchers.
+	PendingKeys int      `toml:"pending_keys"`
+	KeySkew     Duration `toml:"key_skew"`
 }
 
 // Tables sets how the tables are followed.
@@ -214,6 +219,8 @@
 			IdleTimeout:     Duration(2 * time.Minute),
 			HandoffBytes:    8 << 20,
 			HeldBytes:       32 << 20,
+			PendingKeys:     10000,
+			KeySkew:         Duration(10 * time.Second),
 		},
 		Tables: Tables{
 			Settle:   Duration(8 * time.Second),
