--- a/counter/counter_test.go
+++ b/counter/counter_test.go
@@ -157,7 +157,7 @@
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Header.Set("Authorization", "Bearer secret")
 	for i := 0; i+1 < len(header); i += 2 {
-		if header[i] == HeaderKey {
+		if header[i] == counter.HeaderKey {
 			r.Header.Add(header[i], header[i+1])
 			continue
 		}
