--- a/load/plan_test.go
+++ b/load/plan_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"os"
 	"path/filepath"
 	"reflect"
 	"testing"
@@ -111,3 +112,31 @@
 		t.Errorf("mean of one size %v", m)
 	}
 }
+
+// A scenario of one's own is read over the table's defaults; an unknown key or a
+// value out of range is an error.
+func TestScenarioFile(t *testing.T) {
+	s, err := FindScenario("../examples/scenarios/morning.toml")
+	if err != nil || s.length() != 12*time.Second || s.Actions[0].Do != SlowWorker {
+		t.Errorf("%+v, %v", s, err)
+	}
+	tests := []struct{ name, text string }{
+		{"unknown key", "name = \"x\"\nload = 3\nphases = [{for = \"1s\", load = 0.5}]"},
+		{"too long", "name = \"x\"\nphases = [{for = \"1h\", load = 0.5}]"},
+		{"no phases", "name = \"x\""},
+		{"load out of range", "name = \"x\"\nphases = [{for = \"1s\", load = 50}]"},
+		{"empty sizes", "name = \"x\"\nphases = [{for = \"1s\", load = 1}]\njob_tasks = {min = 3, max = 2}"},
+	}
+	for _, tt := range tests {
+		path := filepath.Join(t.TempDir(), "s.toml")
+		if err := os.WriteFile(path, []byte(tt.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := FindScenario(path); err == nil {
+			t.Errorf("%s: accepted", tt.name)
+		}
+	}
+	if _, err := FindScenario("nowhere"); err == nil {
+		t.Error("an unknown name was accepted")
+	}
+}
