flood waits for its number of jobs instead of holding a time to it

Cause: the flood test held that 20 jobs were done by the time the dispatcher had stopped, which is a bound on wall-clock time: two runs ended with 18 and 17 jobs done and none failed. Ruled out: lost jobs (the list of others was empty).

Change: flooded lets the callers go on until 20 jobs are done (at most 20 s), and still holds that every job was done.

Seen and open: some runs take 7 to 13 s for 20 jobs of 0.1 s.

--- a/hub/faults_test.go
+++ b/hub/faults_test.go
@@ -134,6 +134,8 @@
 	floodCallers = 8
 	floodTasks   = 4
 	floodMin     = 20
+	floodLook    = 20 * time.Millisecond
+	floodLooks   = 1000
 )
 
 // flood TOKEN ADDRESS... submits jobs over the dispatchers at the addresses.
@@ -173,11 +175,24 @@
 	}
 }
 
-// flooded ends the flood and holds that every job was done.
+func (f *flood) enough() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done >= floodMin || len(f.bad) > 0
+}
+
+// flooded lets the flood go on until enough jobs are done, ends it, and holds
+// that every job was done.
 func endFlood(ts *testscript.TestScript, _ bool, _ []string) {
 	running.Lock()
 	f := floodOf[ts.Getenv("WORK")]
 	running.Unlock()
+	for range floodLooks {
+		if f.enough() {
+			break
+		}
+		time.Sleep(floodLook)
+	}
 	f.cancel()
 	f.wg.Wait()
 	ts.Logf("jobs done: %d", f.done)
