--- /dev/null
+++ b/hub/matrix/edits_test.go
@@ -0,0 +1,94 @@
+package matrix_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"snipehub.example/hub"
+	"snipehub.example/ledger"
+	"snipehub.example/tables"
+)
+
+// change is what an operator may change in the tables of a system.
+type change struct {
+	// pool is where the kind "check" goes.
+	pool string
+	// moved gives the second backend server of each data centre to "south".
+	moved bool
+	// leaving takes the first backend server of the first data centre away.
+	leaving bool
+}
+
+// rows are tables that send the kind "check" to a pool of the half "north" and
+// "menu" to the one of "south". Both pools of "north" have the same servers.
+func (w *system) rows(c change) tables.Rows {
+	r := tables.Rows{
+		Routes: []tables.Route{
+			{Kind: "check", Half: "north", Pool: c.pool},
+			{Kind: "menu", Half: "south", Pool: "pool-s"},
+		},
+		Pools: []tables.Pool{
+			{Name: "pool-a", Half: "north"},
+			{Name: "pool-b", Half: "north"},
+			{Name: "pool-s", Half: "south"},
+		},
+	}
+	for i, k := range w.workers {
+		pools := []string{"pool-a", "pool-b"}
+		if n := i % workersOfDC; n == 2 || n == 1 && c.moved {
+			pools = []string{"pool-s"}
+		}
+		for _, p := range pools {
+			r.Servers = append(r.Servers, tables.Server{
+				Pool: p, Address: k.address(), DataCenter: k.dc, Slots: coresOfWorker, Leaving: i == 0 && c.leaving,
+			})
+		}
+	}
+	return r
+}
+
+// append puts an edit on the log as an operator does and returns its offset;
+// an operator whose answer is lost gets false.
+func (w *system) append(base tables.Version, put tables.Rows) (tables.Version, bool) {
+	e := tables.Edit{ID: uuid.NewString(), Base: base, Author: "test", At: time.Now(), Put: put}
+	b, err := json.Marshal(e)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	status, out, err := w.do(http.MethodPost, "http://"+platformAt+"/v1/streams/"+tables.Stream, b)
+	var got struct {
+		Offset tables.Version `json:"offset"`
+	}
+	if err != nil || status != http.StatusOK || json.Unmarshal(out, &got) != nil {
+		return ledger.None, false
+	}
+	return got.Offset, true
+}
+
+func (w *system) apply(r tables.Rows) {
+	if _, ok := w.append(ledger.None, r); !ok {
+		w.t.Fatal("the first edit failed")
+	}
+}
+
+// version asks a dispatcher for its tables version and holds that it never goes
+// down within one incarnation.
+func (w *system) version(n *node) (tables.Version, bool) {
+	_, b, err := w.do(http.MethodGet, n.callers()+"/status", nil)
+	var s hub.Status
+	if err != nil || json.Unmarshal(b, &s) != nil {
+		return ledger.None, false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	key := fmt.Sprint(n.ip, s.Self.Owner.Incarnation)
+	if s.Tables < w.highest[key] {
+		w.t.Errorf("dispatcher %s: tables version went from %d down to %d", n.ip, w.highest[key], s.Tables)
+	}
+	w.highest[key] = s.Tables
+	return s.Tables, true
+}
--- a/hub/matrix/system_test.go
+++ b/hub/matrix/system_test.go
@@ -14,12 +14,8 @@
 	"testing"
 	"time"
 
-	"github.com/google/uuid"
-
 	"snipehub.example/hub"
-	"snipehub.example/job"
 	"snipehub.example/ledger"
-	"snipehub.example/refusal"
 	"snipehub.example/settings"
 	"snipehub.example/stand"
 	"snipehub.example/tables"
@@ -70,15 +66,6 @@
 	w      *stand.Worker
 }
 
-// said is what a caller was told about an identity.
-type said struct {
-	id      string
-	kind    string
-	refusal *refusal.Refusal
-	answer  job.Answer
-	tasks   int
-}
-
 type lockedBuffer struct {
 	mu sync.Mutex
 	b  bytes.Buffer
@@ -201,63 +188,10 @@
 `, n.dc, n.i, n.ip, callerPort, n.ip, peerPort, platformAt, platformAt, strings.Join(seeds, ", "))
 }
 
-// change is what an operator may change in the tables of a system.
-type change struct {
-	// pool is where the kind "check" goes.
-	pool string
-	// moved gives the second backend server of each data centre to "south".
-	moved bool
-	// leaving takes the first backend server of the first data centre away.
-	leaving bool
-}
-
-// rows are tables that send the kind "check" to a pool of the half "north" and
-// "menu" to the one of "south". Both pools of "north" have the same servers.
-func (w *system) rows(c change) tables.Rows {
-	r := tables.Rows{
-		Routes: []tables.Route{
-			{Kind: "check", Half: "north", Pool: c.pool},
-			{Kind: "menu", Half: "south", Pool: "pool-s"},
-		},
-		Pools: []tables.Pool{
-			{Name: "pool-a", Half: "north"},
-			{Name: "pool-b", Half: "north"},
-			{Name: "pool-s", Half: "south"},
-		},
-	}
-	for i, k := range w.workers {
-		pools := []string{"pool-a", "pool-b"}
-		if n := i % workersOfDC; n == 2 || n == 1 && c.moved {
-			pools = []string{"pool-s"}
-		}
-		for _, p := range pools {
-			r.Servers = append(r.Servers, tables.Server{
-				Pool: p, Address: k.address(), DataCenter: k.dc, Slots: coresOfWorker, Leaving: i == 0 && c.leaving,
-			})
-		}
-	}
-	return r
-}
-
 func (k *workerNode) address() netip.AddrPort {
 	return netip.AddrPortFrom(netip.MustParseAddr(k.ip), workerPort)
 }
 
-// record asks a backend server for its starts, in their order.
-func (w *system) record(k *workerNode) []stand.Start {
-	_, b, err := w.do(http.MethodGet, fmt.Sprintf("http://%s/stand/starts?view=full", k.address()), nil)
-	var out struct {
-		Starts []stand.Start `json:"starts"`
-	}
-	if err == nil {
-		err = json.Unmarshal(b, &out)
-	}
-	if err != nil {
-		w.t.Errorf("record of %s: %v", k.ip, err)
-	}
-	return out.Starts
-}
-
 func (w *system) putVMs() {
 	var in struct {
 		VMs []ledger.VM `json:"vms"`
@@ -298,109 +232,6 @@
 	return resp.StatusCode, b, err
 }
 
-// append puts an edit on the log as an operator does and returns its offset;
-// an operator whose answer is lost gets false.
-func (w *system) append(base tables.Version, put tables.Rows) (tables.Version, bool) {
-	e := tables.Edit{ID: uuid.NewString(), Base: base, Author: "test", At: time.Now(), Put: put}
-	b, err := json.Marshal(e)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	status, out, err := w.do(http.MethodPost, "http://"+platformAt+"/v1/streams/"+tables.Stream, b)
-	var got struct {
-		Offset tables.Version `json:"offset"`
-	}
-	if err != nil || status != http.StatusOK || json.Unmarshal(out, &got) != nil {
-		return ledger.None, false
-	}
-	return got.Offset, true
-}
-
-func (w *system) apply(r tables.Rows) {
-	if _, ok := w.append(ledger.None, r); !ok {
-		w.t.Fatal("the first edit failed")
-	}
-}
-
-func (n *node) callers() string { return fmt.Sprintf("http://%s:%d", n.ip, callerPort) }
-
-// mint takes a ticket over a dispatcher.
-func (w *system) mint(n *node) (job.Grant, bool) {
-	status, b, err := w.do(http.MethodPost, n.callers()+"/v1/tickets", nil)
-	var g job.Grant
-	if err != nil || status != http.StatusCreated || json.Unmarshal(b, &g) != nil {
-		return g, false
-	}
-	return g, true
-}
-
-// put submits a job of the kind "check".
-func (w *system) put(n *node, id string, tasks int) said {
-	return w.submit(n, id, "check", tasks)
-}
-
-// submit submits a job of the given number of tasks and keeps what it is told.
-func (w *system) submit(n *node, id, kind string, tasks int) said {
-	spec := job.Spec{Kind: kind}
-	for i := range tasks {
-		spec.Tasks = append(spec.Tasks, json.RawMessage(fmt.Sprintf(`"%s %d"`, id, i)))
-	}
-	b, err := json.Marshal(spec)
-	if err != nil {
-		w.t.Error(err)
-	}
-	s := said{id: id, kind: kind, tasks: tasks}
-	status, out, err := w.do(http.MethodPut, n.callers()+"/v1/jobs/"+id, b)
-	switch {
-	case err != nil:
-		return s
-	case status < 300:
-		err = json.Unmarshal(out, &s.answer)
-	default:
-		s.refusal = new(refusal.Refusal)
-		err = json.Unmarshal(out, s.refusal)
-	}
-	if err != nil {
-		w.t.Errorf("%s: answer %q: %v", id, out, err)
-	}
-	w.mu.Lock()
-	w.said = append(w.said, s)
-	w.mu.Unlock()
-	return s
-}
-
-// done tells whether the caller got the whole answer.
-func (s said) done() bool { return s.refusal == nil && s.answer.State == job.Done }
-
-// settled tells whether the caller got a final word: an answer, or a refusal
-// with which it need not come back under the same id.
-func (s said) settled() bool {
-	if s.refusal != nil {
-		return s.refusal.Again != refusal.AgainSame
-	}
-	return s.answer.State == job.Done || s.answer.State == job.Failed
-}
-
-// starts counts starts by task, over all backend servers and attempts.
-func (w *system) starts() map[string]int {
-	all := make(map[string]int)
-	for _, k := range w.workers {
-		_, b, err := w.do(http.MethodGet, fmt.Sprintf("http://%s:%d/stand/starts", k.ip, workerPort), nil)
-		if err != nil {
-			w.t.Errorf("starts: %v", err)
-			continue
-		}
-		m := make(map[string]int)
-		if err := json.Unmarshal(b, &m); err != nil {
-			w.t.Errorf("starts: %v", err)
-		}
-		for id, n := range m {
-			all[id[:strings.LastIndex(id, "/")]] += n
-		}
-	}
-	return all
-}
-
 // kill ends a process without a planned stop: its connections are reset and
 // nothing that it does afterwards is heard.
 func (w *system) kill(n *node) {
@@ -441,66 +272,3 @@
 	// The clock stands still once the test function has returned.
 	time.Sleep(time.Minute)
 }
-
-// version asks a dispatcher for its tables version and holds that it never goes
-// down within one incarnation.
-func (w *system) version(n *node) (tables.Version, bool) {
-	_, b, err := w.do(http.MethodGet, n.callers()+"/status", nil)
-	var s hub.Status
-	if err != nil || json.Unmarshal(b, &s) != nil {
-		return ledger.None, false
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	key := fmt.Sprint(n.ip, s.Self.Owner.Incarnation)
-	if s.Tables < w.highest[key] {
-		w.t.Errorf("dispatcher %s: tables version went from %d down to %d", n.ip, w.highest[key], s.Tables)
-	}
-	w.highest[key] = s.Tables
-	return s.Tables, true
-}
-
-// check holds what must always hold.
-func (w *system) check() {
-	starts := w.starts()
-	for task, n := range starts {
-		if n > 1 {
-			w.t.Errorf("task %s started %d times", task, n)
-		}
-	}
-	for _, s := range w.said {
-		w.checkOne(s, starts)
-	}
-}
-
-func (w *system) checkOne(s said, starts map[string]int) {
-	ran := 0
-	for i := range s.tasks {
-		ran += starts[fmt.Sprintf("%s/%d", s.id, i)]
-	}
-	if s.refusal != nil {
-		if s.refusal.Ran == refusal.RanNo && ran > 0 {
-			w.t.Errorf("job %s: the caller was told %q, ran no, but %d tasks started", s.id, s.refusal.Code, ran)
-		}
-		return
-	}
-	if s.answer.State != job.Done {
-		for i, r := range s.answer.Tasks {
-			if r.Ran == refusal.RanNo && starts[fmt.Sprintf("%s/%d", s.id, i)] > 0 {
-				w.t.Errorf("job %s: task %d was told not run, but started", s.id, i)
-			}
-			if len(r.Answer) > 0 {
-				w.t.Errorf("job %s: a job that is not done shows the answer of task %d", s.id, i)
-			}
-		}
-		return
-	}
-	if len(s.answer.Tasks) != s.tasks || s.answer.Job != s.id {
-		w.t.Errorf("job %s: answer for %s with %d of %d tasks", s.id, s.answer.Job, len(s.answer.Tasks), s.tasks)
-	}
-	for i, r := range s.answer.Tasks {
-		if !r.Done || len(r.Answer) == 0 {
-			w.t.Errorf("job %s: done, but task %d has no answer", s.id, i)
-		}
-	}
-}
