--- a/hub/hub.go
+++ b/hub/hub.go
@@ -17,7 +17,6 @@
 	"snipehub.example/certificate"
 	"snipehub.example/clock"
 	"snipehub.example/counter"
-	"snipehub.example/delivery"
 	"snipehub.example/dispatch"
 	"snipehub.example/event"
 	"snipehub.example/job"
@@ -110,12 +109,7 @@
 	cfg := h.cfg
 	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
 	h.tables = h.newTables(platform)
-	h.place = dispatch.New(dispatch.Config{
-		DataCenter:  cfg.Process.DataCenter,
-		Connections: cfg.Dispatch.Connections,
-		QueuedTasks: cfg.Limits.QueuedTasks,
-		TaskTimeout: cfg.Dispatch.TaskTimeout.D(),
-	}, delivery.New(cfg.Limits.AnswerBytes, cfg.Dispatch.Connections, h.net.DialContext), directory{h})
+	h.place = h.placing()
 	h.owner = job.New(h.self, h.place, job.Limits{
 		Tickets:    cfg.Limits.Tickets,
 		Range:      cfg.Limits.TicketRange,
@@ -124,7 +118,7 @@
 		KeptFor:    cfg.Limits.KeptAnswerFor.D(),
 		JobTimeout: cfg.Limits.JobTimeout.D(),
 	}, h.clock.Now)
-	h.roster = roster.New(roster.Member{Owner: h.self, Address: cfg.Listen.Peers}, cfg.Peers.SuspectAfter.D())
+	h.roster = roster.New(h.member(), cfg.Peers.SuspectAfter.D())
 	h.dialer = peer.NewDialer(h.certs.PeerClient(), cfg.Peers.Timeout.D(), h.net.DialContext)
 	h.peers = peer.NewServer(h.log, h.ln.peers)
 	h.fwd = &forwarder{
--- a/meter/table.go
+++ b/meter/table.go
@@ -34,15 +34,17 @@
 	ClaimsAppends   Name = "claims_appends"
 	Claims          Name = "claims"
 
-	TaskStarts    Name = "task_starts"
-	TaskRefusals  Name = "task_refusals"
-	TaskRetries   Name = "task_retries"
-	TasksDone     Name = "tasks_done"
-	TasksUnknown  Name = "tasks_unknown"
-	QueuedTasks   Name = "queued_tasks"
-	RunningTasks  Name = "running_tasks"
-	Handovers     Name = "handovers"
-	HandoverTasks Name = "handover_tasks"
+	TaskStarts     Name = "task_starts"
+	TaskRefusals   Name = "task_refusals"
+	TaskRetries    Name = "task_retries"
+	TasksDone      Name = "tasks_done"
+	TasksUnknown   Name = "tasks_unknown"
+	QueuedTasks    Name = "queued_tasks"
+	RunningTasks   Name = "running_tasks"
+	OpenResults    Name = "open_results"
+	BatchesRefused Name = "batches_refused"
+	Handovers      Name = "handovers"
+	HandoverTasks  Name = "handover_tasks"
 
 	ServersAside Name = "servers_aside"
 
@@ -119,6 +121,8 @@
 	{506, RunningTasks, Gauge, "tasks", nil, "Tasks in flight on backend servers.", "0.1"},
 	{507, Handovers, Counter, "messages", nil, "Batches of tasks handed over to other dispatchers.", "0.1"},
 	{508, HandoverTasks, Counter, "tasks", nil, "Tasks in those batches.", "0.1"},
+	{509, OpenResults, Gauge, "results", nil, "Results of tasks that wait to be taken by their job.", "0.1"},
+	{510, BatchesRefused, Counter, "jobs and requests", nil, "Jobs and requests that were refused before any task started, because of load or routes.", "0.1"},
 	{600, ServersAside, Gauge, "backend servers", nil, "Backend servers that are set aside because they fail.", "0.1"},
 	{700, Requests, Counter, "requests", nil, "Requests of callers, refused ones included.", "0.1"},
 	{701, Refusals, Counter, "answers", byCode, "Refusals given to callers, by code (docs/CALLERS.md).", "0.1"},
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"snipehub.example/dispatch/policy"
 	"snipehub.example/ticket"
 )
 
@@ -84,13 +85,14 @@
 	{"tables.snapshot", "", "Time between two snapshots of the tables on the log; at most a quarter of the time that the log keeps records.", "", lasting(time.Second, 24*time.Hour)},
 	{"tables.poll", "", "How long one read of the log waits for new records.", "", lasting(10*time.Millisecond, time.Minute)},
 
-	{"dispatch.policy", "", "How tasks are placed on backend servers.", "", anything},
-	{"dispatch.job_slots", "jobs", "How many jobs the process works on at once.", "", between(1, 10_000)},
+	{"dispatch.policy", "", "How tasks are placed on backend servers.", "", oneOf(policy.Names()...)},
+	{"dispatch.job_slots", "jobs", "How many jobs the process works on at once; 0 means no limit.", "", between(0, 10_000)},
 	{"dispatch.connections", "connections", "Most connections to backend servers, which is the most tasks in flight.", "", between(1, 100_000)},
 	{"dispatch.task_timeout", "", "Longest time of one attempt, where the route names none.", "", lasting(10*time.Millisecond, time.Hour)},
 	{"dispatch.retry_budget", "share", "Attempts beyond the first, as a share of first attempts.", "", between(0, 1)},
 	{"dispatch.max_wait", "", "Longest expected wait at which new work is still taken.", "", lasting(10*time.Millisecond, time.Hour)},
-	{"dispatch.aside_share", "share", "Largest part of a pool that is set aside as failing.", "", between(0, 0.9)},
+	{"dispatch.aside_share", "share", "Largest part of a pool that is set aside as failing.", "", between(0, 1)},
+	{"dispatch.attempts", "attempts", "Most attempts of a task, where those before were not run.", "", between(1, 1000)},
 
 	{"log.level", "", "The least level of the process's log lines.", "", oneOf("debug", "info", "warn", "error")},
 	{"log.format", "", "The form of the process's log lines.", "", oneOf("text", "json")},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -171,6 +171,8 @@
 	MaxWait     Duration `toml:"max_wait"`
 	// AsideShare is the largest part of a pool that is set aside as failing.
 	AsideShare float64 `toml:"aside_share"`
+	// Attempts bounds the attempts of one task.
+	Attempts int `toml:"attempts"`
 }
 
 // Log sets the process's own log lines.
@@ -226,6 +228,7 @@
 			RetryBudget: 0.1,
 			MaxWait:     Duration(10 * time.Second),
 			AsideShare:  0.3,
+			Attempts:    4,
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -72,6 +72,8 @@
 		{"task over job", `open = true`, "open = true\n[limits]\njob_timeout = \"5s\"", `dispatch.task_timeout: must not be above`},
 		{"share above 1", `open = true`, "open = true\n[dispatch]\nretry_budget = 1.5", `dispatch.retry_budget: must be from 0 to 1`},
 		{"poll too slow", `open = true`, "open = true\n[tables]\nsettle = \"3s\"", `tables.poll: must be at most a third of tables.settle`},
+		{"policy", `open = true`, "open = true\n[dispatch]\npolicy = \"best\"", `dispatch.policy: must be one of `},
+		{"attempts", `open = true`, "open = true\n[dispatch]\nattempts = 0", `dispatch.attempts: must be from 1`},
 		{"level", `open = true`, "open = true\n[log]\nlevel = \"loud\"", `log.level: must be one of debug`},
 		{"format", `open = true`, "open = true\n[log]\nformat = \"xml\"", `log.format: must be one of text`},
 	}
