docs: pages for callers and operators, a glossary, settings to start by hand

Cause: the pages that the README names did not exist.

Ruled out: curl as a need of the tests (a machine with Go alone may lack it).

Change: docs/CALLERS.md, OPERATORS.md, GLOSSARY.md, a README with the commands to start by hand, examples/hub0.toml, hub1.toml, routes.toml and pools.toml. TestScript/ctl_documented runs the example files and every shell line of CALLERS.md against processes; a small curl of the test binary knows the options that the page uses. TestExamples holds the example files loadable.

Seen red: the first run of ctl_documented printed "have 5 matches for "state":"done", want 4" and showed that the page's last line is answered with owner_gone and not, as the page said, with not_found; page and script are mended.

--- a/hub/script_test.go
+++ b/hub/script_test.go
@@ -33,6 +33,7 @@
 		"snipectl":   func() { os.Exit(program.Run(operator.Command())) },
 		"snipestand": func() { os.Exit(program.Run(stand.Command())) },
 		"snipeload":  func() { os.Exit(program.Run(load.Command())) },
+		"curl":       func() { os.Exit(curl()) },
 	})
 }
 
@@ -41,11 +42,13 @@
 // and $A3, peers at $A2 and $A4), the log at $A0, a backend server at $A5.
 func TestScript(t *testing.T) {
 	cmds := map[string]func(ts *testscript.TestScript, neg bool, args []string){
-		"call":   call,
-		"await":  await,
-		"subst":  subst,
-		"keep":   keep,
-		"signal": signalProcess,
+		"call":       call,
+		"await":      await,
+		"subst":      subst,
+		"keep":       keep,
+		"signal":     signalProcess,
+		"documented": documented,
+		"move":       move,
 	}
 	maps.Copy(cmds, faultCmds)
 	testscript.Run(t, testscript.Params{Dir: "testdata/script", Setup: setUp, Cmds: cmds})
@@ -55,6 +58,11 @@
 	if err := freeAddresses(e); err != nil {
 		return err
 	}
+	examples, err := filepath.Abs("../examples")
+	if err != nil {
+		return err
+	}
+	e.Setenv("EXAMPLES", examples)
 	return copyCommon(e)
 }
 
