--- /dev/null
+++ b/operator/editor_test.go
@@ -0,0 +1,201 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipehub.example/ledger"
+	"snipehub.example/tables"
+)
+
+// fakeLog is a log in memory whose faults are functions.
+type fakeLog struct {
+	records []ledger.Record
+	appends int
+	// append replaces the ordinary append, read comes before each read.
+	append func(data []byte) error
+	read   func() error
+}
+
+func (l *fakeLog) put(data []byte) {
+	l.records = append(l.records, ledger.Record{Offset: ledger.Offset(len(l.records)), Data: data})
+}
+
+func (l *fakeLog) Append(_ context.Context, _ string, data []byte) (ledger.Offset, error) {
+	l.appends++
+	if l.append != nil {
+		return ledger.None, l.append(data)
+	}
+	l.put(data)
+	return ledger.Offset(len(l.records) - 1), nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ string, from ledger.Offset, wait time.Duration) (ledger.Page, error) {
+	if l.read != nil {
+		if err := l.read(); err != nil {
+			return ledger.Page{}, err
+		}
+	}
+	if int(from) >= len(l.records) {
+		_ = pause(ctx, wait)
+	}
+	rest := l.records[min(int(from), len(l.records)):]
+	return ledger.Page{Next: max(from, ledger.Offset(len(l.records))), Records: rest}, nil
+}
+
+// other is an edit of somebody else, made for an empty log.
+func other() []byte {
+	e := tables.Edit{ID: "other", Base: ledger.None, Put: tables.Rows{Pools: []tables.Pool{{Name: "south", Half: "south"}}}}
+	b, _ := json.Marshal(e)
+	return b
+}
+
+// The log's answer to an operator's edit is lost, before or after the edit took
+// effect, or the log refuses it for its rate, or goes down while the operator
+// asks what became of it. Appending once more, to be sure, would stand in the
+// history as a race lost against oneself; giving up would leave the operator
+// with an error for a change that is in force.
+func TestLostAnswers(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  func(l *fakeLog)
+		want    error
+		appends int
+	}{
+		{"no fault", func(*fakeLog) {}, nil, 1},
+		{"answer lost after the append", func(l *fakeLog) {
+			l.append = func(b []byte) error { l.put(b); return ledger.ErrDown }
+		}, nil, 1},
+		{"answer lost, and the log is down for a while", func(l *fakeLog) {
+			n := 0
+			l.append = func(b []byte) error { l.put(b); return ledger.ErrDown }
+			l.read = func() error {
+				if n++; n > 1 && n < 10 {
+					return ledger.ErrDown
+				}
+				return nil
+			}
+		}, nil, 1},
+		{"the edit shows up late", func(l *fakeLog) {
+			n := 0
+			var late []byte
+			l.append = func(b []byte) error { late = b; return ledger.ErrDown }
+			l.read = func() error {
+				if n++; n == 10 {
+					l.put(late)
+				}
+				return nil
+			}
+		}, nil, 1},
+		{"refused for the rate three times", func(l *fakeLog) {
+			n := 0
+			l.append = func(b []byte) error {
+				if n++; n <= 3 {
+					return ledger.ErrRate
+				}
+				l.put(b)
+				return nil
+			}
+		}, nil, 4},
+		{"lost before the append", func(l *fakeLog) {
+			l.append = func([]byte) error { return ledger.ErrDown }
+		}, ErrOpen, 1},
+		{"always over the rate", func(l *fakeLog) {
+			l.append = func([]byte) error { return ledger.ErrRate }
+		}, ledger.ErrRate, 0},
+		{"another edit comes first", func(l *fakeLog) {
+			l.append = func(b []byte) error { l.put(other()); l.put(b); return nil }
+		}, &Lost{}, 1},
+		{"answer lost, and another edit comes first", func(l *fakeLog) {
+			l.append = func([]byte) error { l.put(other()); return ledger.ErrDown }
+		}, &Lost{}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+				defer cancel()
+				l := &fakeLog{}
+				tt.faults(l)
+				want := tables.Rows{Pools: []tables.Pool{{Name: "north", Half: "north"}}}
+				_, err := newEditor(l).change(ctx, func(tables.Rows) tables.Rows { return want }, nil, "ann")
+				var lost *Lost
+				if errors.As(tt.want, &lost) {
+					if !errors.As(err, &lost) || len(lost.Put.Pools) != 1 || len(lost.Drop.Pools) != 1 {
+						t.Errorf("have %v, want a lost race and the difference that is left", err)
+					}
+				} else if !errors.Is(err, tt.want) {
+					t.Errorf("have %v, want %v", err, tt.want)
+				}
+				if tt.appends > 0 && l.appends != tt.appends {
+					t.Errorf("%d appends, want %d", l.appends, tt.appends)
+				}
+			})
+		})
+	}
+}
+
+// An operator makes a change by a page that is an hour old. With --base, it
+// takes effect only if nobody else has changed the tables meanwhile.
+func TestBase(t *testing.T) {
+	l := &fakeLog{}
+	l.put(other())
+	old, now := ledger.None, tables.Version(0)
+	want := func(cur tables.Rows) tables.Rows {
+		cur.Pools = append(cur.Pools, tables.Pool{Name: "west", Half: "south"})
+		return cur
+	}
+	var lost *Lost
+	if _, err := newEditor(l).change(t.Context(), want, &old, "ann"); !errors.As(err, &lost) || l.appends != 0 {
+		t.Errorf("have %v and %d appends, want a lost race before any append", err, l.appends)
+	}
+	if o, err := newEditor(l).change(t.Context(), want, &now, "ann"); err != nil || o.Version != 1 {
+		t.Errorf("have %+v, %v", o, err)
+	}
+	same := func(cur tables.Rows) tables.Rows { return cur }
+	if o, err := newEditor(l).change(t.Context(), same, nil, "ann"); err != nil || o.Edit != "" || l.appends != 1 {
+		t.Errorf("nothing to change: %+v, %v, %d appends", o, err, l.appends)
+	}
+}
+
+// TestFiles has files that can't be used, and what the operator reads.
+func TestFiles(t *testing.T) {
+	tests := []struct {
+		name string
+		t    table
+		text string
+		want string
+	}{
+		{"not TOML", routesTable, "[[routes]]\nkind = \"a\"\nhalf =\n", "line 3: routes.half: "},
+		{"wrong type", poolsTable, "[[servers]]\npool = \"a\"\nslots = \"many\"\n", "servers.slots"},
+		{"unknown key", routesTable, "[[routes]]\nkind = \"a\"\npol = \"x\"\n", "f.toml: routes.pol: unknown key (line 3)"},
+		{"unknown section", routesTable, "\n[[route]]\nkind = \"a\"\n", "f.toml: route: unknown key (line 2)"},
+		{"pools in a routes file", routesTable, "[[pools]]\nname = \"a\"\nhalf = \"a\"\n", "f.toml: pools: does not belong in a routes file"},
+		{"routes in a pools file", poolsTable, "[[routes]]\nkind = \"a\"\n", "f.toml: routes: does not belong in a pools file"},
+		{"no such pool", bothTables, "[[routes]]\nkind = \"a\"\nhalf = \"n\"\npool = \"x\"\n", `f.toml: routes: kind "a": no pool "x" (line 2)`},
+		{"half missing", bothTables, "[[pools]]\nname = \"a\"\n", `f.toml: pools: pool "a": name and half must be set (line 2)`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "f.toml")
+			if err := os.WriteFile(path, []byte(tt.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, err := readRows(tt.t, []string{path})
+			if err == nil {
+				_, err = ReadFiles([]string{path})
+			}
+			if err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("have %v, want %s", err, tt.want)
+			}
+		})
+	}
+}
