--- a/hub/members.go
+++ b/hub/members.go
@@ -34,6 +34,7 @@
 	b := h.roster.Beat(func(m *roster.Member) {
 		m.Tables = h.tables.State().Version
 		m.Leaving = h.stopping.Load()
+		m.FreeSlots = h.place.Free()
 	})
 	to := h.roster.Peers(h.cfg.Peers.Fanout)
 	if len(to) == 0 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,11 +10,13 @@
 	"encoding/hex"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
 	"github.com/go-faster/errors"
 
+	"snipehub.example/dispatch/policy"
 	"snipehub.example/ticket"
 )
 
@@ -146,7 +148,9 @@
 	Settle Duration `toml:"settle"`
 	// Snapshot is how often a snapshot is put on the log.
 	Snapshot Duration `toml:"snapshot"`
-	Poll     Duration `toml:"poll"`
+	// Poll is how long one read of the log waits for new records. The tables
+	// are confirmed once in this time, so it must be well below Settle.
+	Poll Duration `toml:"poll"`
 }
 
 // Dispatch sets how tasks are placed.
@@ -160,6 +164,8 @@
 	MaxWait     Duration `toml:"max_wait"`
 	// AsideShare is the largest part of a pool that is set aside as failing.
 	AsideShare float64 `toml:"aside_share"`
+	// Attempts bounds the attempts of one task.
+	Attempts int `toml:"attempts"`
 }
 
 // Log sets the process's own log lines.
@@ -201,7 +207,7 @@
 		Tables: Tables{
 			Settle:   Duration(8 * time.Second),
 			Snapshot: Duration(10 * time.Minute),
-			Poll:     Duration(5 * time.Second),
+			Poll:     Duration(2 * time.Second),
 		},
 		Dispatch: Dispatch{
 			Policy:      "random",
@@ -211,6 +217,7 @@
 			RetryBudget: 0.1,
 			MaxWait:     Duration(10 * time.Second),
 			AsideShare:  0.3,
+			Attempts:    4,
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
@@ -260,6 +267,10 @@
 		return bad("callers.tokens", "is empty; set callers.open = true to let everybody in")
 	case c.Callers.Open && len(c.Callers.Tokens) > 0:
 		return bad("callers.open", "contradicts callers.tokens")
+	case c.Tables.Poll <= 0 || 3*c.Tables.Poll > c.Tables.Settle:
+		return bad("tables.poll", "must be above 0 and at most a third of tables.settle")
+	case c.Tables.Snapshot <= 0:
+		return bad("tables.snapshot", "must be above 0, and at most a quarter of the time that the log keeps records")
 	}
 	if w := c.Limits.TicketWindow; w < 1 || w > ticket.MaxWidth {
 		return bad("limits.ticket_window", "must be from 1 to 65536")
@@ -274,6 +285,9 @@
 	case c.Platform.AppendRate <= 0:
 		return bad("platform.append_rate", "must be above 0")
 	}
+	if err := c.Dispatch.check(); err != nil {
+		return err
+	}
 	for _, t := range c.Callers.Tokens {
 		if h, err := hex.DecodeString(t.SHA256); err != nil || len(h) != 32 {
 			return bad("callers.tokens.sha256", "must be 64 hexadecimal digits")
@@ -282,6 +296,30 @@
 	return nil
 }
 
+func (d Dispatch) check() error {
+	bad := func(key, reason string) error { return errors.Errorf("dispatch.%s: %s", key, reason) }
+	_, known := policy.Find(d.Policy)
+	switch {
+	case !known:
+		return bad("policy", "must be one of "+strings.Join(policy.Names(), ", "))
+	case d.JobSlots < 0:
+		return bad("job_slots", "must not be below 0; 0 means no limit")
+	case d.Connections <= 0:
+		return bad("connections", "must be above 0")
+	case d.TaskTimeout <= 0:
+		return bad("task_timeout", "must be above 0")
+	case d.RetryBudget < 0 || d.RetryBudget > 1:
+		return bad("retry_budget", "must be between 0 and 1")
+	case d.MaxWait <= 0:
+		return bad("max_wait", "must be above 0")
+	case d.AsideShare < 0 || d.AsideShare > 1:
+		return bad("aside_share", "must be between 0 and 1")
+	case d.Attempts <= 0:
+		return bad("attempts", "must be above 0")
+	}
+	return nil
+}
+
 // Encode writes the settings as TOML.
 func Encode(c Config) ([]byte, error) {
 	var b bytes.Buffer
