--- a/meter/table.go
+++ b/meter/table.go
@@ -46,6 +46,7 @@
 	HandoverTasks Name = "handover_tasks"
 	TaskReports   Name = "task_reports"
 	JobsRefused   Name = "jobs_refused"
+	HandedTasks   Name = "handed_tasks"
 
 	ServersAside Name = "servers_aside"
 
@@ -125,6 +126,7 @@
 	{508, HandoverTasks, Counter, "tasks", nil, "Tasks in those batches.", "0.1"},
 	{509, TaskReports, Gauge, "reports", nil, "Outcomes that wait to be told to the owner of their job.", "0.1"},
 	{510, JobsRefused, Counter, "jobs", nil, "Jobs and requests that the guards refused as a whole.", "0.1"},
+	{511, HandedTasks, Gauge, "tasks", nil, "Tasks that other dispatchers run for this one now.", "0.1"},
 	{600, ServersAside, Gauge, "backend servers", nil, "Backend servers that are set aside because they fail.", "0.1"},
 	{700, Requests, Counter, "requests", nil, "Requests of callers, refused ones included.", "0.1"},
 	{701, Refusals, Counter, "answers", byCode, "Refusals given to callers, by code (docs/CALLERS.md).", "0.1"},
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -94,6 +94,8 @@
 	{"dispatch.retry_budget", "share", "Attempts beyond the first, as a share of first attempts.", "", between(0, 1)},
 	{"dispatch.max_wait", "", "Longest expected wait at which new work is still taken.", "", lasting(10*time.Millisecond, time.Hour)},
 	{"dispatch.attempts", "attempts", "Most attempts of one task.", "", between(1, 100)},
+	{"dispatch.hand_after", "", "Expected wait beyond which tasks are handed over to other dispatchers.", "", lasting(0, time.Hour)},
+	{"dispatch.hand_least", "tasks", "Fewest tasks that are worth a message to another dispatcher.", "", between(1, 10_000)},
 	{"dispatch.aside_share", "share", "Largest part of a pool that is set aside as failing.", "", between(0, 0.9)},
 
 	{"log.level", "", "The least level of the process's log lines.", "", oneOf("debug", "info", "warn", "error")},
