--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"snipehub.example/delivery"
 	"snipehub.example/dispatch/plan"
 	"snipehub.example/event"
+	"snipehub.example/meter"
 	"snipehub.example/refusal"
 	"snipehub.example/roster"
 	"snipehub.example/tables"
@@ -40,7 +41,10 @@
 	// whatever status the backend server answers goes to the caller, and a
 	// route may allow it to be repeated.
 	Request bool
-	Tasks   [][]byte
+	// Guest tells that this is one task that a peer has handed over; Job is
+	// then the id of the attempt.
+	Guest bool
+	Tasks [][]byte
 	// Done is called once for each task, from any goroutine.
 	Done func(index int, r Result)
 }
@@ -80,8 +84,8 @@
 
 // gauges is what the dispatcher tells the metrics.
 type gauges interface {
-	Count(name string, n int64)
-	Gauge(name string, v float64)
+	Count(name meter.Name, n int64)
+	Gauge(name meter.Name, v float64)
 }
 
 // Config sets the bounds of a dispatcher.
@@ -122,6 +126,9 @@
 	p        *plan.Planner
 	world    plan.World
 	batches  map[string]*batch
+	sender   sender
+	sends    chan struct{}
+	peers    map[string]roster.Known
 	acts     plan.Actions
 	complain time.Time
 }
@@ -132,10 +139,12 @@
 	left int
 }
 
-// ending is the outcome of an attempt.
+// ending is the outcome of an attempt, or what a peer tells of its room.
 type ending struct {
 	number uint64
 	o      delivery.Outcome
+	peer   string
+	free   int
 }
 
 // New makes a dispatcher.
@@ -154,6 +163,8 @@
 		reports:  newReports(),
 		p:        plan.New(cfg.Config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		batches:  make(map[string]*batch),
+		sends:    make(chan struct{}, handovers),
+		peers:    make(map[string]roster.Known),
 	}
 }
 
@@ -184,7 +195,7 @@
 		case r := <-d.requests:
 			d.take(r)
 		case e := <-d.ended:
-			d.p.Ended(d.clock.Now(), e.number, e.o)
+			d.hear(e)
 		case <-d.wake:
 			d.look(d.clock.Now())
 		case <-sub.C:
@@ -194,13 +205,34 @@
 	}
 }
 
+func (d *Dispatcher) count(k delivery.Kind) {
+	switch k {
+	case delivery.Done, delivery.Ran:
+		d.m.Count(meter.TasksDone, 1)
+	case delivery.NotRun:
+		d.m.Count(meter.TaskRefusals, 1)
+	case delivery.Unknown:
+		d.m.Count(meter.TasksUnknown, 1)
+	}
+}
+
+func (d *Dispatcher) hear(e ending) {
+	if e.peer != "" {
+		d.p.Reported(e.peer, e.free)
+		return
+	}
+	d.count(e.o.Kind)
+	d.p.Ended(d.clock.Now(), e.number, e.o)
+}
+
 func (d *Dispatcher) tick(now time.Time) {
 	d.look(now)
 	d.p.Tick(now)
 	d.free.Store(int64(d.p.Free()))
-	d.m.Gauge("dispatch_waiting", float64(d.p.Waiting()))
-	d.m.Gauge("dispatch_busy", float64(d.p.Busy()))
-	d.m.Gauge("dispatch_reports", float64(d.reports.len()))
+	d.m.Gauge(meter.QueuedTasks, float64(d.p.Waiting()))
+	d.m.Gauge(meter.RunningTasks, float64(d.p.Busy()))
+	d.m.Gauge(meter.TaskReports, float64(d.reports.len()))
+	d.m.Gauge(meter.HandedTasks, float64(d.p.Handed()))
 }
 
 // act asks the planner what to do, and does it.
@@ -214,6 +246,9 @@
 	for _, s := range d.acts.Starts {
 		d.start(ctx, s)
 	}
+	for _, h := range d.acts.Hands {
+		d.hand(ctx, h)
+	}
 	for _, n := range d.acts.News {
 		switch {
 		case n.Capped:
@@ -228,19 +263,23 @@
 
 func (d *Dispatcher) start(ctx context.Context, s plan.Start) {
 	b := d.batches[s.Job]
+	id := delivery.TaskID(s.Job, s.Task, s.Attempt)
+	if b.Guest {
+		id = b.Job
+	}
 	a := delivery.Attempt{
 		Server:  s.Server,
 		Kind:    b.Kind,
-		Task:    delivery.TaskID(s.Job, s.Task, s.Attempt),
+		Task:    id,
 		Body:    b.Tasks[s.Task],
 		Type:    b.Type,
 		Expires: s.Expires,
 	}
-	d.m.Count("dispatch_starts", 1)
+	d.m.Count(meter.TaskStarts, 1)
 	if s.Attempt > 0 {
-		d.m.Count("dispatch_retries", 1)
+		d.m.Count(meter.TaskRetries, 1)
 	}
-	go func() { d.ended <- ending{s.Number, d.c.Deliver(ctx, a)} }()
+	go func() { d.ended <- ending{number: s.Number, o: d.c.Deliver(ctx, a)} }()
 }
 
 func (d *Dispatcher) end(e plan.End) {
--- a/hub/desk.go
+++ b/hub/desk.go
@@ -34,6 +34,8 @@
 	methodRequest = "request"
 	methodLookup  = "lookup"
 	methodCancel  = "cancel"
+	methodAwait   = "await"
+	methodStatus  = "status"
 	methodFind    = "find"
 	methodHeld    = "held"
 	methodHold    = "hold"
@@ -48,7 +50,8 @@
 // handle sets the methods by which peers reach this process. They answer from
 // this process alone and never forward.
 func (d *desk) handle(s *peer.Server) {
-	peer.Handle(s, methodSubmit, d.owner.Submit)
+	peer.Handle(s, methodSubmit, d.submitHere)
+	peer.Handle(s, methodAwait, d.awaitHere)
 	peer.Handle(s, methodRequest, d.owner.Request)
 	peer.Handle(s, methodLookup, func(_ context.Context, r reference) (job.Answer, error) {
 		return d.owner.Lookup(r.Caller, r.ID)
@@ -76,7 +79,7 @@
 		s.ID, s.Key = id, ""
 	}
 	if s.ID.Owner == d.self {
-		return d.owner.Submit(ctx, s)
+		return d.submitHere(ctx, s)
 	}
 	q := question{caller: s.Caller.Name, id: s.ID, sum: s.Sum(), method: methodSubmit, params: s}
 	return forward(ctx, d.fwd, q, job.Outcome.AsAnswer)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -14,10 +14,12 @@
 	"github.com/go-faster/errors"
 	"github.com/thejerf/suture/v4"
 
+	"snipehub.example/certificate"
 	"snipehub.example/claim"
 	"snipehub.example/clock"
 	"snipehub.example/counter"
 	"snipehub.example/dispatch"
+	"snipehub.example/dispatch/handover"
 	"snipehub.example/event"
 	"snipehub.example/job"
 	"snipehub.example/ledger"
@@ -42,12 +44,14 @@
 	dialer *peer.Dialer
 	peers  *peer.Server
 	place  *dispatch.Dispatcher
+	guests *handover.Receiver
 	owner  *job.Owner
 	fwd    *forwarder
 	desk   *desk
 	claims *claim.Claimer
 	http   *http.Server
-	ln     net.Listener
+	ln     listeners
+	certs  *certificate.Set
 
 	stopping atomic.Bool
 }
@@ -77,22 +81,23 @@
 
 // New binds the addresses of the settings and makes the parts.
 func New(cfg settings.Config, log *slog.Logger, nw Network) (*Hub, error) {
-	ln, err := nw.Listen("tcp", cfg.Listen.Callers.String())
+	certs, err := certificate.Load(cfg.TLS)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen.callers")
+		return nil, err
 	}
-	pln, err := nw.Listen("tcp", cfg.Listen.Peers.String())
+	ln, err := bind(cfg.Listen, nw)
 	if err != nil {
-		_ = ln.Close()
-		return nil, errors.Wrap(err, "listen.peers")
+		return nil, err
 	}
+	ln.secure(certs)
 	h := &Hub{
 		cfg:   cfg,
 		net:   nw,
 		log:   log,
 		ln:    ln,
+		certs: certs,
 		clock: clock.New(),
-		meter: meter.New(),
+		meter: meter.New(cfg.Limits.MetricSeries, func() { event.MetricsFull.Log(log) }),
 		self: ticket.Owner{
 			DataCenter:  cfg.Process.DataCenter,
 			VM:          cfg.Process.VM,
@@ -100,11 +105,11 @@
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
 	}
-	h.build(pln)
+	h.build()
 	return h, nil
 }
 
-func (h *Hub) build(pln net.Listener) {
+func (h *Hub) build() {
 	cfg := h.cfg
 	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
 	h.tables = h.newTables(platform)
@@ -115,13 +120,14 @@
 		Window:     cfg.Limits.TicketWindow,
 		KeptBytes:  cfg.Limits.KeptAnswerBytes,
 		KeptFor:    cfg.Limits.KeptAnswerFor.D(),
-		JobTimeout: cfg.Limits.WriteTimeout.D(),
+		JobTimeout: cfg.Limits.JobTimeout.D(),
 	}, h.clock.Now)
 	h.roster = roster.New(h.member(), cfg.Peers.SuspectAfter.D())
-	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D(), h.net.DialContext)
-	h.peers = peer.NewServer(h.log, pln)
+	h.dialer = peer.NewDialer(h.certs.PeerClient(), cfg.Peers.Timeout.D(), h.net.DialContext)
+	h.peers = peer.NewServer(h.log, h.ln.peers)
 	h.fwd = &forwarder{
 		log:      h.log,
+		meter:    h.meter,
 		self:     h.self,
 		address:  cfg.Listen.Peers,
 		seeds:    cfg.Peers.Seeds,
@@ -142,18 +148,13 @@
 	}, platform, h.clock.Now, h.appendShare, h.owner.Reserve)
 	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: h.claims, tables: h.tables.State}
 	h.handlePeers()
-	h.http = &http.Server{
-		Handler:           counter.New(h.log, cfg, callerService{h.desk, h}, h.meter),
-		ReadHeaderTimeout: cfg.Limits.ReadTimeout.D(),
-		ReadTimeout:       cfg.Limits.ReadTimeout.D(),
-		WriteTimeout:      cfg.Limits.WriteTimeout.D(),
-		MaxHeaderBytes:    cfg.Limits.HeaderBytes,
-	}
+	h.handOver()
+	h.http = counter.NewServer(cfg.Limits, counter.New(h.log, cfg, callerService{h.desk, h}, h.meter))
 }
 
 // Addr returns the address that callers are served at.
 func (h *Hub) Addr() netip.AddrPort {
-	return h.ln.Addr().(*net.TCPAddr).AddrPort()
+	return h.ln.callers.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // Run serves until ctx ends, then stops without cutting what is in flight.
@@ -168,6 +169,7 @@
 	cancel()
 	<-done
 	h.dialer.Close()
+	h.meter.Close()
 	event.ProcessStopped.Log(h.log)
 	return nil
 }
@@ -178,9 +180,11 @@
 	h.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Limits.StopDeadline.D())
 	defer cancel()
+	h.guests.Stop()
 	_ = h.owner.Stop(ctx)
 	h.fwd.handOver(ctx, append(h.owner.Closed(h.cfg.Limits.HandoffBytes), h.fwd.holder.Closed()...))
 	_ = h.http.Shutdown(ctx)
+	h.guests.Drain(ctx)
 	h.peers.Drain(ctx)
 }
 
@@ -202,6 +206,12 @@
 	root.Add(service("callers", h.serveHTTP))
 	root.Add(service("forwards", h.watchForwards))
 	root.Add(service("gauges", h.gauges))
+	if !h.certs.Expires().IsZero() {
+		root.Add(service("certificates", h.refreshKeys))
+	}
+	if h.ln.operators != nil {
+		root.Add(service("operators", h.serveOperators))
+	}
 	root.Add(service("claim reads", h.claims.ServeReads))
 	root.Add(service("claim appends", h.claims.ServeAppends))
 	return root
@@ -224,7 +234,7 @@
 func (s namedService) String() string { return s.name }
 
 func (h *Hub) serveHTTP(ctx context.Context) error {
-	err := h.http.Serve(h.ln)
+	err := h.http.Serve(h.ln.callers)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return suture.ErrDoNotRestart
@@ -242,6 +252,9 @@
 	peer.Handle(h.peers, methodBeat, func(_ context.Context, b roster.Beat) (roster.Beat, error) {
 		return h.roster.Answer(h.clock.Now(), b), nil
 	})
+	peer.Handle(h.peers, methodStatus, func(context.Context, struct{}) (Status, error) {
+		return h.status(), nil
+	})
 	h.desk.handle(h.peers)
 }
 
@@ -277,25 +290,3 @@
 func (h *Hub) Ready() bool {
 	return !h.stopping.Load() && h.tables.State().Version != ledger.None
 }
-
-// Status is what operators see of a dispatcher.
-type Status struct {
-	Self   roster.Member  `json:"self"`
-	Tables tables.Version `json:"tables"`
-	// TablesAgeMS is the time since the tables were last confirmed.
-	TablesAgeMS int64          `json:"tables_age_ms"`
-	Ready       bool           `json:"ready"`
-	Roster      []roster.Known `json:"roster"`
-}
-
-// Status returns the status of this process.
-func (h *Hub) Status() any {
-	now := h.clock.Now()
-	return Status{
-		Self:        h.roster.Self(),
-		Tables:      h.tables.State().Version,
-		TablesAgeMS: now.Sub(h.tables.Confirmed()).Milliseconds(),
-		Ready:       h.Ready(),
-		Roster:      h.roster.All(now),
-	}
-}
--- a/hub/members.go
+++ b/hub/members.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"snipehub.example/meter"
 	"snipehub.example/peer"
 	"snipehub.example/roster"
 )
@@ -50,8 +51,11 @@
 func (h *Hub) beatTo(ctx context.Context, addr netip.AddrPort, b roster.Beat) {
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Peers.Timeout.D())
 	defer cancel()
+	h.meter.Count(meter.Heartbeats, 1)
 	answer, err := peer.Call[roster.Beat](ctx, h.dialer, addr, methodBeat, b)
-	if err == nil {
-		h.roster.Take(h.clock.Now(), answer)
+	if err != nil {
+		h.meter.Count(meter.HeartbeatsFailed, 1)
+		return
 	}
+	h.roster.Take(h.clock.Now(), answer)
 }
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -6,7 +6,7 @@
 // identity may be given only by the process that owns the identity, and burns
 // it: see package ticket.
 //
-// Three codes are given before it is known who owns the identity that the
+// Some codes are given before it is known who owns the identity that the
 // request names: see AboutIdentity.
 package refusal
 
@@ -92,6 +92,13 @@
 		c := *r
 		c.Ran, c.Again = RanUnknown, AgainNever
 		return &c
+	case Busy, TooSlow, NoPath, NoMethod:
+		c := *r
+		c.Ran = RanUnknown
+		if c.Again == AgainNew {
+			c.Again = AgainSame
+		}
+		return &c
 	}
 	return r
 }
