--- a/hub/forward.go
+++ b/hub/forward.go
@@ -61,6 +61,9 @@
 	// stopping tells that this process is stopping.
 	stopping func() bool
 
+	// asking counts the questions to peers whose answers may no longer matter.
+	asking sync.WaitGroup
+
 	mu      sync.Mutex
 	waiting map[*awaited]struct{}
 	unheld  map[ticket.Owner]time.Time
@@ -231,15 +234,17 @@
 	out := make(chan reply[R], len(peers))
 	var wg sync.WaitGroup
 	for _, p := range peers {
-		wg.Go(func() {
+		wg.Add(1)
+		f.asking.Go(func() {
+			defer wg.Done()
 			var r reply[R]
 			r.err = f.net.Call(ctx, p, method, params, &r.value)
 			out <- r
 		})
 	}
-	go func() {
+	f.asking.Go(func() {
 		wg.Wait()
 		close(out)
-	}()
+	})
 	return out
 }
--- a/hub/world_test.go
+++ b/hub/world_test.go
@@ -239,6 +239,13 @@
 	}
 }
 
+// forget drops the oldest records of the log.
+func (w *world) forget(n int) {
+	n = min(n, len(w.log))
+	w.log = w.log[n:]
+	w.logFirst += ledger.Offset(n)
+}
+
 // holder returns a process other than nodes 0 and 1 that holds something.
 func (w *world) holder() *node {
 	for _, n := range w.nodes[2:] {
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -264,3 +264,19 @@
 		t.Errorf("a ticket with a running job was retired: %v", err)
 	}
 }
+
+// A caller guesses the next identity on the ticket from which its own keys are
+// served. If it were taken, the next key would get the answer to another order.
+func TestReservedIdentityIsNotGuessed(t *testing.T) {
+	b := newBench(t, small)
+	id, err := b.o.Reserve(lake.Name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = b.put(id.ID.Job(id.Seq+1), `1`)
+	b.want(err, refusal.NotFound, refusal.RanUnknown)
+	next, _ := b.o.Reserve(lake.Name)
+	if _, err := b.put(next, `2`); err != nil || next.Seq != id.Seq+1 {
+		t.Errorf("%v: %v", next, err)
+	}
+}
