--- a/hub/forward.go
+++ b/hub/forward.go
@@ -12,6 +12,7 @@
 
 	"snipehub.example/event"
 	"snipehub.example/job"
+	"snipehub.example/meter"
 	"snipehub.example/peer"
 	"snipehub.example/refusal"
 	"snipehub.example/roster"
@@ -49,6 +50,7 @@
 // in circles.
 type forwarder struct {
 	log     *slog.Logger
+	meter   *meter.Meter
 	self    ticket.Owner
 	address netip.AddrPort
 	seeds   []netip.AddrPort
@@ -167,6 +169,7 @@
 	f.mu.Lock()
 	f.waiting[w] = struct{}{}
 	f.mu.Unlock()
+	f.meter.Count(meter.Forwards, 1)
 	err := f.net.Call(ctx, at, q.method, q.params, out)
 	f.mu.Lock()
 	delete(f.waiting, w)
@@ -177,6 +180,7 @@
 	if r := given(err); r != nil {
 		return r
 	}
+	f.meter.Count(meter.ForwardsFailed, 1)
 	event.JobForwardFailed.Log(f.log, "owner", q.id.ID, "error", err)
 	if r := given(context.Cause(ctx)); r != nil {
 		return r
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,22 +2,18 @@
 //
 // Reading is strict: an unknown key, a value out of range or a contradiction
 // is one error that names file, key and reason. Defaults stand in Default and
-// nowhere else.
+// nowhere else; what each key means and which values it may have stands in the
+// table in keys.go, from which docs/SETTINGS.md is made.
 package settings
 
 import (
 	"bytes"
-	"encoding/hex"
 	"net/netip"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
 	"github.com/go-faster/errors"
-
-	"snipehub.example/dispatch/policy"
-	"snipehub.example/ticket"
 )
 
 // Duration is a time.Duration written as "5s" in TOML.
@@ -67,6 +63,9 @@
 type Listen struct {
 	Callers netip.AddrPort `toml:"callers"`
 	Peers   netip.AddrPort `toml:"peers"`
+	// Operators shows status and metrics with the names of callers. Without
+	// it, the callers' address shows them without these names.
+	Operators netip.AddrPort `toml:"operators"`
 }
 
 // TLS names certificate files; empty means plain TCP.
@@ -76,6 +75,8 @@
 	PeerCert   string `toml:"peer_cert"`
 	PeerKey    string `toml:"peer_key"`
 	PeerCA     string `toml:"peer_ca"`
+	// Refresh is how often the files are looked at.
+	Refresh Duration `toml:"refresh"`
 }
 
 // Platform gives the addresses of the platform's services.
@@ -131,10 +132,26 @@
 	ReadTimeout     Duration `toml:"read_timeout"`
 	WriteTimeout    Duration `toml:"write_timeout"`
 	StopDeadline    Duration `toml:"stop_deadline"`
+	// MetricSeries bounds the series that metrics tell apart.
+	MetricSeries int `toml:"metric_series"`
+	// JobTimeout bounds a job or a request; it holds for those that ask for
+	// no other.
+	JobTimeout Duration `toml:"job_timeout"`
+	// OpenRequests bounds the requests of callers that are open at once, and
+	// OpenBytes the bodies of all of them together.
+	OpenRequests int   `toml:"open_requests"`
+	OpenBytes    int64 `toml:"open_bytes"`
+	// IdleTimeout is how long a connection may be without a request.
+	IdleTimeout Duration `toml:"idle_timeout"`
 	// HandoffBytes bounds what a process hands over when it stops, and
 	// HeldBytes what it holds of others that have stopped.
 	HandoffBytes int64 `toml:"handoff_bytes"`
 	HeldBytes    int64 `toml:"held_bytes"`
+	// PendingKeys bounds the callers' own keys that wait for the log. KeySkew
+	// is by how much the clocks of callers and of the log may differ; it must
+	// be the same in all dispatchers.
+	PendingKeys int      `toml:"pending_keys"`
+	KeySkew     Duration `toml:"key_skew"`
 }
 
 // Tables sets how the tables are followed.
@@ -150,7 +167,8 @@
 
 // Dispatch sets how tasks are placed.
 type Dispatch struct {
-	Policy      string   `toml:"policy"`
+	Policy string `toml:"policy"`
+	// JobSlots is how many jobs have tasks under way at once; 0 means no limit.
 	JobSlots    int      `toml:"job_slots"`
 	Connections int      `toml:"connections"`
 	TaskTimeout Duration `toml:"task_timeout"`
@@ -161,6 +179,10 @@
 	AsideShare float64 `toml:"aside_share"`
 	// Attempts bounds the attempts of one task.
 	Attempts int `toml:"attempts"`
+	// HandAfter is the expected wait beyond which tasks are handed to peers,
+	// HandLeast the fewest tasks that are worth a message.
+	HandAfter Duration `toml:"hand_after"`
+	HandLeast int      `toml:"hand_least"`
 }
 
 // Log sets the process's own log lines.
@@ -172,6 +194,7 @@
 // Default returns the settings that hold where the file is silent.
 func Default() Config {
 	return Config{
+		TLS:      TLS{Refresh: Duration(10 * time.Second)},
 		Platform: Platform{AppendRate: 100, Timeout: Duration(2 * time.Second)},
 		Peers: Peers{
 			Heartbeat:    Duration(time.Second),
@@ -192,10 +215,17 @@
 			Claims:          100000,
 			QueuedTasks:     200000,
 			ReadTimeout:     Duration(10 * time.Second),
-			WriteTimeout:    Duration(2 * time.Minute),
+			WriteTimeout:    Duration(30 * time.Second),
 			StopDeadline:    Duration(30 * time.Second),
+			MetricSeries:    500,
+			JobTimeout:      Duration(2 * time.Minute),
+			OpenRequests:    10000,
+			OpenBytes:       256 << 20,
+			IdleTimeout:     Duration(2 * time.Minute),
 			HandoffBytes:    8 << 20,
 			HeldBytes:       32 << 20,
+			PendingKeys:     10000,
+			KeySkew:         Duration(10 * time.Second),
 		},
 		Tables: Tables{
 			Settle:   Duration(8 * time.Second),
@@ -204,13 +234,15 @@
 		},
 		Dispatch: Dispatch{
 			Policy:      "random",
-			JobSlots:    8,
+			JobSlots:    0,
 			Connections: 64,
 			TaskTimeout: Duration(10 * time.Second),
 			RetryBudget: 0.1,
 			MaxWait:     Duration(10 * time.Second),
 			AsideShare:  0.3,
-			Attempts:    4,
+			Attempts:    10,
+			HandAfter:   Duration(50 * time.Millisecond),
+			HandLeast:   8,
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
@@ -218,6 +250,9 @@
 
 // Load reads and checks the file at path.
 func Load(path string) (Config, error) {
+	if path == "" {
+		return Config{}, errors.New("settings: no file is named")
+	}
 	b, err := os.ReadFile(path)
 	if err != nil {
 		return Config{}, errors.Wrap(err, "settings")
@@ -235,6 +270,9 @@
 	if extra := md.Undecoded(); len(extra) > 0 {
 		return Config{}, errors.Errorf("%s: %s: unknown key", name, extra[0])
 	}
+	if !cfg.Platform.VMs.IsValid() {
+		cfg.Platform.VMs = cfg.Platform.Log
+	}
 	if err := cfg.check(); err != nil {
 		return Config{}, errors.Errorf("%s: %v", name, err)
 	}
@@ -242,65 +280,10 @@
 }
 
 func (c *Config) check() error {
-	bad := func(key, reason string) error { return errors.Errorf("%s: %s", key, reason) }
-	switch {
-	case c.Process.DataCenter == "":
-		return bad("process.data_center", "must be set")
-	case c.Process.VM == "":
-		return bad("process.vm", "must be set")
-	case c.Process.Name == "":
-		return bad("process.name", "must be set")
-	case !c.Listen.Callers.IsValid():
-		return bad("listen.callers", "must be an address such as 127.0.0.1:7400")
-	case !c.Listen.Peers.IsValid():
-		return bad("listen.peers", "must be an address such as 127.0.0.1:7500")
-	case !c.Platform.Log.IsValid():
-		return bad("platform.log", "must be an address such as 127.0.0.1:7300")
-	case !c.Callers.Open && len(c.Callers.Tokens) == 0:
-		return bad("callers.tokens", "is empty; set callers.open = true to let everybody in")
-	case c.Callers.Open && len(c.Callers.Tokens) > 0:
-		return bad("callers.open", "contradicts callers.tokens")
-	case c.Tables.Poll <= 0 || 3*c.Tables.Poll > c.Tables.Settle:
-		return bad("tables.poll", "must be above 0 and at most a third of tables.settle")
-	case c.Tables.Snapshot <= 0:
-		return bad("tables.snapshot", "must be above 0, and at most a quarter of the time that the log keeps records")
-	}
-	if w := c.Limits.TicketWindow; w < 1 || w > ticket.MaxWidth {
-		return bad("limits.ticket_window", "must be from 1 to 65536")
-	}
-	if err := c.Dispatch.check(); err != nil {
+	if err := c.checkKeys(); err != nil {
 		return err
 	}
-	for _, t := range c.Callers.Tokens {
-		if h, err := hex.DecodeString(t.SHA256); err != nil || len(h) != 32 {
-			return bad("callers.tokens.sha256", "must be 64 hexadecimal digits")
-		}
-	}
-	return nil
-}
-
-func (d Dispatch) check() error {
-	bad := func(key, reason string) error { return errors.Errorf("dispatch.%s: %s", key, reason) }
-	_, known := policy.Find(d.Policy)
-	switch {
-	case !known:
-		return bad("policy", "must be one of "+strings.Join(policy.Names(), ", "))
-	case d.JobSlots < 0:
-		return bad("job_slots", "must not be below 0; 0 means no limit")
-	case d.Connections <= 0:
-		return bad("connections", "must be above 0")
-	case d.TaskTimeout <= 0:
-		return bad("task_timeout", "must be above 0")
-	case d.RetryBudget < 0 || d.RetryBudget > 1:
-		return bad("retry_budget", "must be between 0 and 1")
-	case d.MaxWait <= 0:
-		return bad("max_wait", "must be above 0")
-	case d.AsideShare < 0 || d.AsideShare > 1:
-		return bad("aside_share", "must be between 0 and 1")
-	case d.Attempts <= 0:
-		return bad("attempts", "must be above 0")
-	}
-	return nil
+	return c.checkTogether()
 }
 
 // Encode writes the settings as TOML.
