load: claims by the second; every call of a hand-over is a message

Cause: the dispatchers take callers' keys now, so the cost of claims can be measured; and `handovers` counts batches only, while a batch is followed by questions for its outcomes, which are messages too.

Ruled out: estimating the questions from the batches.

Change: hub counts each call about a hand-over (`handover_calls`, one line in hub/placing.go, number 512), and the load tool reads that; `slopes` measures appends and bytes on the log by claims, `capacity` what that means for readers and for the time between two appends of one dispatcher; the suite's page links its plots.

A dispatcher refuses keys with `log_down` until its first read of the claims stream, up to 5 s after its start; the measure waits for that.

--- a/hub/placing.go
+++ b/hub/placing.go
@@ -10,6 +10,7 @@
 	"snipehub.example/dispatch/handover"
 	"snipehub.example/dispatch/plan"
 	"snipehub.example/dispatch/policy"
+	"snipehub.example/meter"
 	"snipehub.example/peer"
 	"snipehub.example/roster"
 	"snipehub.example/ticket"
@@ -66,6 +67,7 @@
 
 // Ask sends an ask and returns its answer.
 func (n neighbours) Ask(ctx context.Context, to roster.Known, a handover.Ask) (handover.Answer, error) {
+	n.h.meter.Count(meter.HandoverCalls, 1)
 	out, err := peer.Call[handover.Answer](ctx, n.h.dialer, to.Address, methodHand, a)
 	if errors.Is(err, peer.ErrNotSent) {
 		return out, errors.Wrap(handover.ErrNotSent, err.Error())
--- a/load/capacity.go
+++ b/load/capacity.go
@@ -8,6 +8,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
+
+	"snipehub.example/settings"
 )
 
 // size is a size of the whole system, and the shape of its load.
@@ -23,6 +25,8 @@
 	connections float64
 	// keptFor is how long answers are kept, in seconds.
 	keptFor float64
+	// appendRate is our share of the log's appends a second.
+	appendRate float64
 }
 
 // The budget for control on each node.
@@ -41,7 +45,7 @@
 	return size{
 		workers: 13_000, starts: 510_000, teams: 190, dataCenters: 7, changesPerDay: 14_000,
 		meanJob: ordinaryJobs.mean(), meanService: ordinaryService.spread().Mean().Seconds(),
-		connections: 64, keptFor: 600,
+		connections: 64, keptFor: 600, appendRate: settings.Default().Platform.AppendRate,
 	}
 }
 
@@ -71,7 +75,7 @@
 	}
 	for _, name := range []string{
 		slopeCPU, slopeKept, slopeKeptLarge, slopeTicket, slopeQueue, slopeRows, slopeApply, slopeEditBytes,
-		slopeIdleCPU, slopeIdleBytes, slopeIdleRSS, slopeStatus, slopeLogReads,
+		slopeIdleCPU, slopeIdleBytes, slopeIdleRSS, slopeStatus, slopeLogReads, slopeClaims, slopeClaimBytes,
 	} {
 		if _, ok := f[name]; !ok {
 			return nil, errors.Errorf("capacity: the slopes lack %q", name)
@@ -80,6 +84,7 @@
 	out := dispatcherNeeds(z, f)
 	out = append(out, readerNeeds(z, f)...)
 	out = append(out, memberNeeds(z, f)...)
+	out = append(out, claimNeeds(z, f)...)
 	return append(out, platformNeeds(z, f)...), nil
 }
 
@@ -135,6 +140,20 @@
 	}
 }
 
+// logOverhead is the bytes that a reader receives for one on the log: records
+// travel in base64.
+const logOverhead = 4.0 / 3
+
+func claimNeeds(z size, f map[string]Fit) []need {
+	const role = "claim writer"
+	perClaim := f[slopeClaimBytes].Slope * logOverhead
+	return []need{
+		{role: role, quantity: "one claim, at each reader", value: perClaim, unit: "bytes", from: slopeClaimBytes + ", in base64"},
+		{role: role, quantity: "claims that fill the budget of traffic", value: budgetBytes / perClaim, unit: "claims/s", from: "every dispatcher reads all claims"},
+		{role: role, quantity: "time between two appends of a dispatcher", value: z.dispatchers() / z.appendRate, unit: "s", from: "platform.append_rate, divided over all dispatchers"},
+	}
+}
+
 func platformNeeds(z size, f map[string]Fit) []need {
 	n := z.dispatchers()
 	return []need{
--- /dev/null
+++ b/load/claimslopes.go
@@ -0,0 +1,131 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"snipehub.example/job"
+	"snipehub.example/stand"
+)
+
+const (
+	slopeClaims     = "appends by claims"
+	slopeClaimBytes = "bytes on the log by claims"
+	claimsFor       = 3 * time.Second
+)
+
+// claimSlopes measures how many appends, and bytes on the log, the claims of
+// callers' own keys cost, by how many claims a second there are. Callers are a closed loop here: each
+// waits for its job before it brings the next key.
+func claimSlopes(ctx context.Context) ([]Slope, error) {
+	b, err := newBench(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer b.Close()
+	if err := b.claimable(ctx); err != nil {
+		return nil, err
+	}
+	var appends, size []Point
+	for _, callers := range []int{1, 4, 16, 64, 256} {
+		var before, after stand.LogCounts
+		if err := get(ctx, b.Platform, "/stand/counts", &before); err != nil {
+			return nil, err
+		}
+		began := time.Now()
+		n, err := b.claims(ctx, callers)
+		if err != nil {
+			return nil, err
+		}
+		seconds := time.Since(began).Seconds()
+		if err := get(ctx, b.Platform, "/stand/counts", &after); err != nil {
+			return nil, err
+		}
+		rate := float64(n) / seconds
+		appends = append(appends, Point{rate, float64(after.Appends-before.Appends) / seconds})
+		size = append(size, Point{rate, float64(after.AppendBytes-before.AppendBytes) / seconds})
+	}
+	return []Slope{
+		newSlope(slopeClaims, "claims a second", "appends a second", appends, absolute),
+		newSlope(slopeClaimBytes, "claims a second", "bytes a second", size, absolute),
+	}, nil
+}
+
+// claimable waits until the dispatcher takes keys: it refuses them until it has
+// read the claims stream once.
+func (b *bench) claimable(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	body, err := json.Marshal(b.job(1, time.Millisecond))
+	if err != nil {
+		return errors.Wrap(err, "slopes")
+	}
+	for {
+		err := b.keyed(ctx, http.DefaultClient, body)
+		if err == nil || !sleep(ctx, 200*time.Millisecond) {
+			return err
+		}
+	}
+}
+
+// claims submits jobs of one task under new keys, over so many callers, and
+// returns how many were done.
+func (b *bench) claims(ctx context.Context, callers int) (int64, error) {
+	body, err := json.Marshal(b.job(1, time.Millisecond))
+	if err != nil {
+		return 0, errors.Wrap(err, "slopes")
+	}
+	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}, Timeout: patience}
+	defer hc.CloseIdleConnections()
+	end := time.Now().Add(claimsFor)
+	var n atomic.Int64
+	var wg sync.WaitGroup
+	var once sync.Once
+	for range callers {
+		wg.Go(func() {
+			for time.Now().Before(end) {
+				if e := b.keyed(ctx, hc, body); e != nil {
+					once.Do(func() { err = e })
+					return
+				}
+				n.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return n.Load(), err
+}
+
+// keyed submits the job under a new key of the caller's own.
+func (b *bench) keyed(ctx context.Context, hc *http.Client, body []byte) error {
+	key, err := uuid.NewV7()
+	if err != nil {
+		return errors.Wrap(err, "slopes")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.entry().String()+"/v1/jobs", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "slopes")
+	}
+	req.Header.Set("Authorization", "Bearer "+b.Callers[0].Token)
+	req.Header.Set("Idempotency-Key", key.String())
+	resp, err := hc.Do(req)
+	if err != nil {
+		return errors.Wrap(ErrCall, err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	var a job.Answer
+	if err != nil || resp.StatusCode != http.StatusOK || json.Unmarshal(text, &a) != nil || a.State != job.Done {
+		return errors.Wrapf(ErrCall, "claim: status %d: %s", resp.StatusCode, text)
+	}
+	return nil
+}
--- a/load/probe.go
+++ b/load/probe.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"snipehub.example/meter"
 	"snipehub.example/stand"
 )
 
@@ -80,12 +81,12 @@
 
 // messages fills in the exchanges between two readings.
 func (m *Messages) between(a, b reading, tasks int) {
-	n := func(name string) int64 { return int64(b.metrics[name] - a.metrics[name]) }
+	n := func(name meter.Name) int64 { return int64(b.metrics[string(name)] - a.metrics[string(name)]) }
 	m.Refusals = b.refused - a.refused
-	m.Dials = max(n("task_refusals")-m.Refusals, 0)
-	m.Handovers = n("handovers")
-	m.Forwards = n("forwards")
-	m.Heartbeats = n("heartbeats")
+	m.Dials = max(n(meter.TaskRefusals)-m.Refusals, 0)
+	m.Handovers = n(meter.HandoverCalls)
+	m.Forwards = n(meter.Forwards)
+	m.Heartbeats = n(meter.Heartbeats)
 	m.Log = b.log.Appends + b.log.Reads + b.log.ListReads - a.log.Appends - a.log.Reads - a.log.ListReads
 	placement := m.Refusals + m.Dials + m.Handovers
 	m.Placement = float64(placement) / float64(max(tasks, 1))
--- a/load/report.go
+++ b/load/report.go
@@ -96,7 +96,9 @@
 	// Refusals are attempts that a backend server refused.
 	Refusals int64 `json:"refusals"`
 	// Dials are attempts that reached no backend server.
-	Dials     int64 `json:"dials"`
+	Dials int64 `json:"dials"`
+	// Handovers are calls between dispatchers about tasks handed over: the
+	// batches, and the questions for their outcomes.
 	Handovers int64 `json:"handovers"`
 	// Forwards are callers' calls passed on to the owner.
 	Forwards int64 `json:"forwards"`
--- a/load/slopes.go
+++ b/load/slopes.go
@@ -26,6 +26,7 @@
 	{"queue", queueSlopes},
 	{"tables", tableSlopes},
 	{"members", memberSlopes},
+	{"claims", claimSlopes},
 }
 
 // The names of the slopes that the capacity page is computed from.
--- a/load/suite.go
+++ b/load/suite.go
@@ -78,7 +78,11 @@
 		}
 	}
 	if page := c.String("page"); page != "" {
-		if err := replaceInPage(page, markdown(all)); err != nil {
+		text := markdown(all)
+		if dir := c.String("plots"); dir != "" {
+			text += plotLinks(all, page, dir, c.String("format"))
+		}
+		if err := replaceInPage(page, text); err != nil {
 			return err
 		}
 	}
@@ -136,6 +140,19 @@
 	return b.String()
 }
 
+// plotLinks are Markdown images of the reports' plots, as seen from the page.
+func plotLinks(all []Report, page, dir, format string) string {
+	rel, err := filepath.Rel(filepath.Dir(page), dir)
+	if err != nil {
+		rel = dir
+	}
+	text := "\n### Plots\n\n"
+	for _, d := range drawings(all) {
+		text += fmt.Sprintf("![%s](%s)\n", d.title, filepath.ToSlash(filepath.Join(rel, d.name+"."+format)))
+	}
+	return text
+}
+
 func (s Safety) short() string {
 	if !s.Broken() {
 		return "0"
--- a/meter/table.go
+++ b/meter/table.go
@@ -44,6 +44,7 @@
 	RunningTasks  Name = "running_tasks"
 	Handovers     Name = "handovers"
 	HandoverTasks Name = "handover_tasks"
+	HandoverCalls Name = "handover_calls"
 	TaskReports   Name = "task_reports"
 	JobsRefused   Name = "jobs_refused"
 	HandedTasks   Name = "handed_tasks"
@@ -127,6 +128,7 @@
 	{509, TaskReports, Gauge, "reports", nil, "Outcomes that wait to be told to the owner of their job.", "0.1"},
 	{510, JobsRefused, Counter, "jobs", nil, "Jobs and requests that the guards refused as a whole.", "0.1"},
 	{511, HandedTasks, Gauge, "tasks", nil, "Tasks that other dispatchers run for this one now.", "0.1"},
+	{512, HandoverCalls, Counter, "calls", nil, "Calls to other dispatchers about hand-overs: the batches, and the questions for their outcomes.", "0.1"},
 	{600, ServersAside, Gauge, "backend servers", nil, "Backend servers that are set aside because they fail.", "0.1"},
 	{700, Requests, Counter, "requests", nil, "Requests of callers, refused ones included.", "0.1"},
 	{701, Refusals, Counter, "answers", byCode, "Refusals given to callers, by code (docs/CALLERS.md).", "0.1"},
