--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -63,7 +63,7 @@
 	}
 	h := &hands{}
 	ticks := clock.New()
-	return New(cfg, h, world{st}, ticks, slog.New(slog.DiscardHandler), meter.New()), h, ticks
+	return New(cfg, h, world{st}, ticks, slog.New(slog.DiscardHandler), meter.New(100, func() {})), h, ticks
 }
 
 // serve runs the dispatcher and its clock until the test's end.
