dispatch: the test closes its meter

Cause: the meter reports in a goroutine, which outlived the test on its fake clock. Red before: "main bubble goroutine has exited but blocked goroutines remain"; green after, with -race.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -43,7 +43,7 @@
 	return delivery.Outcome{Kind: delivery.Done, Status: 200, Body: a.Body}
 }
 
-func make1(t *testing.T) (*Dispatcher, *hands, *clock.Service) {
+func newDispatcher(t *testing.T) (*Dispatcher, *hands, *clock.Service) {
 	t.Helper()
 	st, err := tables.Build(1, tables.Rows{
 		Routes:  []tables.Route{{Kind: "price", Half: "north", Pool: "quick"}},
@@ -63,7 +63,9 @@
 	}
 	h := &hands{}
 	ticks := clock.New()
-	return New(cfg, h, world{st}, ticks, slog.New(slog.DiscardHandler), meter.New(100, func() {})), h, ticks
+	m := meter.New(100, func() {})
+	t.Cleanup(m.Close)
+	return New(cfg, h, world{st}, ticks, slog.New(slog.DiscardHandler), m), h, ticks
 }
 
 // serve runs the dispatcher and its clock until the test's end.
@@ -88,7 +90,7 @@
 // so would every caller of the process.
 func TestDoneDoesNotBlockSubmit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d, _, ticks := make1(t)
+		d, _, ticks := newDispatcher(t)
 		serve(t, d, ticks)
 		// A channel as the lock: synctest does not see a wait for a mutex.
 		lock := make(chan struct{}, 1)
@@ -121,7 +123,7 @@
 // the same order under a new identity.
 func TestTimedOutSubmissionNeverStarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d, h, ticks := make1(t)
+		d, h, ticks := newDispatcher(t)
 		began := time.Now()
 		err := d.Submit(batch1("late", 1, func(int, Result) {}))
 		var r *refusal.Refusal
@@ -140,7 +142,7 @@
 // run. None may wait for ever.
 func TestFullRingRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d, _, _ := make1(t)
+		d, _, _ := newDispatcher(t)
 		var waiting sync.WaitGroup
 		for range 2 * ring {
 			waiting.Go(func() {
@@ -157,7 +159,7 @@
 // others are told as not run and never start.
 func TestCancelledTasksNeverStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d, h, ticks := make1(t)
+		d, h, ticks := newDispatcher(t)
 		serve(t, d, ticks)
 		var mu sync.Mutex
 		got := make(map[refusal.Ran]int)
