roster, hub: flat heartbeats, gone for good by evidence, the stale-reader rule

Cause: heartbeats carried all members, so their cost grew with the square of the nodes; silence of a member was judged by each process alone; "gone" was decided by the number of an incarnation, which is a clock's. Usable and MayPlace always said yes; nobody read the VM list; tables came from the log only.

Ruled out: numbers of incarnations as the order (a restart with a clock that went back makes the new process the "old" one, its running jobs are answered as failed; a higher number taken on first contact does not help a process that starts while it reaches nobody); counting heartbeats of all by gossip (cost grows with the members); a member's absence from the VM list alone (the list lags, names and addresses are used again).

Change: Book is pure. A heartbeat goes to two random peers, one of the own data centre, and tells of 16 members. One that fails to answer for suspect_after is suspect, and refutes it by its next heartbeat. Gone for good: another incarnation answers a call that began when both were known, or the list lacks the VM and the member is silent for gone_after. Many members at once are sent to a new process, and to one that knows fewer than a peer, once in 10 s. The heartbeat tells version and age of confirmation; bodies are fetched from a peer when the log does not bring them. hub: VM list, holds, stale-reader rule, the gate before the queue that refuses new work of own tickets with CutOff (which burns them like any "not run"), readiness. New settings stand in [peers].

A process took its own predecessor at its address for live, as it never calls itself. Whoever else is known at the own address is now gone.

--- a/event/table.go
+++ b/event/table.go
@@ -25,10 +25,15 @@
 	ServersHeld      ID = 211
 	HeldEditsDropped ID = 212
 	SnapshotFailed   ID = 213
+	TablesNotFetched ID = 214
 
 	MemberJoined  ID = 300
 	MemberSuspect ID = 301
 	MemberGone    ID = 302
+	RosterFull    ID = 303
+	Disowned      ID = 304
+	VMsUnknown    ID = 305
+	VMsKnown      ID = 306
 
 	JobForwardFailed ID = 400
 
@@ -55,9 +60,14 @@
 	{ServersHeld, slog.LevelInfo, "backend servers held back", "Backend servers moved between halves. They get no work from here until tables.settle has passed.", "0.1"},
 	{HeldEditsDropped, slog.LevelWarn, "waiting edits given up", "More edits than are kept arrived before a snapshot. A later snapshot is needed.", "0.1"},
 	{SnapshotFailed, slog.LevelWarn, "snapshot not appended", "The log did not take the snapshot, or its answer was lost. It is tried again after the interval unless another dispatcher was first.", "0.1"},
+	{TablesNotFetched, slog.LevelWarn, "tables not fetched from a peer", "A peer has newer tables and could not pass them on. The next heartbeat tries again.", "0.1"},
 	{MemberJoined, slog.LevelInfo, "dispatcher joined", "A dispatcher was heard for the first time, or with a newer incarnation.", "0.1"},
 	{MemberSuspect, slog.LevelWarn, "dispatcher suspect", "A dispatcher has been silent for the suspicion time. Its jobs are answered as unknown until it is heard again.", "0.1"},
 	{MemberGone, slog.LevelInfo, "dispatcher gone", "A dispatcher incarnation is gone for good: the VM list no longer has its VM, or a newer incarnation has its address.", "0.1"},
+	{RosterFull, slog.LevelWarn, "roster full", "More dispatchers than peers.members were heard of. The one given is not remembered; its jobs are answered as unknown from here.", "0.1"},
+	{Disowned, slog.LevelError, "held to be gone", "Other dispatchers take this process for gone, so its jobs are answered as failed over them. Restart it; look for a VM that uses the same address, or a VM list that lags longer than peers.gone_after.", "0.1"},
+	{VMsUnknown, slog.LevelWarn, "VM list unreachable", "The platform's VM list did not answer. The last one stays in use.", "0.1"},
+	{VMsKnown, slog.LevelInfo, "VM list reachable again", "The platform's VM list answers again.", "0.1"},
 	{JobForwardFailed, slog.LevelWarn, "forward to owner failed", "The owner of a job did not answer. The caller was told that the outcome is unknown.", "0.1"},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "A defect: the handler of a caller's request panicked. The caller got an error with the outcome unknown.", "0.1"},
 }
--- a/hub/forward.go
+++ b/hub/forward.go
@@ -35,9 +35,7 @@
 }
 
 func (h *Hub) handlePeers() {
-	peer.Handle(h.peers, methodBeat, func(_ context.Context, b roster.Beat) (roster.Beat, error) {
-		return h.roster.Answer(h.clock.Now(), b), nil
-	})
+	h.handleMembers()
 	peer.Handle(h.peers, methodSubmit, h.owner.Submit)
 	peer.Handle(h.peers, methodLookup, func(_ context.Context, r reference) (job.Answer, error) {
 		return h.owner.Lookup(r.Caller, r.ID)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -46,7 +46,14 @@
 	http   *http.Server
 	ln     net.Listener
 
+	ledger   *ledger.Client
+	platform *platform
 	stopping atomic.Bool
+	// fetching is set while the tables are fetched from a peer.
+	fetching atomic.Bool
+	// placing is the last answer to whether work may be placed, cutOffOK
+	// whether it may be although the tables are not confirmed.
+	placing, cutOffOK atomic.Bool
 }
 
 // Network is the way to listen and to connect. Tests put one in memory in its
@@ -103,15 +110,16 @@
 
 func (h *Hub) build(pln net.Listener) {
 	cfg := h.cfg
-	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
-	h.tables = h.newTables(platform)
+	h.ledger = ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
+	h.tables = h.newTables()
+	h.platform = newPlatform(cfg.Peers)
 	h.place = dispatch.New(dispatch.Config{
 		DataCenter:  cfg.Process.DataCenter,
 		Connections: cfg.Dispatch.Connections,
 		QueuedTasks: cfg.Limits.QueuedTasks,
 		TaskTimeout: cfg.Dispatch.TaskTimeout.D(),
 	}, delivery.New(cfg.Limits.AnswerBytes, cfg.Dispatch.Connections, h.net.DialContext), directory{h})
-	h.owner = job.New(h.self, h.place, job.Limits{
+	h.owner = job.New(h.self, gate{h}, job.Limits{
 		Tickets:    cfg.Limits.Tickets,
 		Range:      cfg.Limits.TicketRange,
 		Window:     cfg.Limits.TicketWindow,
@@ -119,7 +127,7 @@
 		KeptFor:    cfg.Limits.KeptAnswerFor.D(),
 		JobTimeout: cfg.Limits.WriteTimeout.D(),
 	})
-	h.roster = roster.New(roster.Member{Owner: h.self, Address: cfg.Listen.Peers}, cfg.Peers.SuspectAfter.D())
+	h.roster = h.newRoster()
 	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D(), h.net.DialContext)
 	h.peers = peer.NewServer(h.log, pln)
 	h.handlePeers()
@@ -178,6 +186,8 @@
 	root.Add(h.place)
 	root.Add(h.peers)
 	root.Add(service("snapshots", h.snapshots))
+	root.Add(service("VM list", h.watchVMs))
+	root.Add(service("standing", h.watchStanding))
 	root.Add(service("heartbeat", h.heartbeat))
 	root.Add(service("callers", h.serveHTTP))
 	return root
@@ -210,7 +220,7 @@
 
 // Ready tells whether the balancer should send callers here.
 func (h *Hub) Ready() bool {
-	return !h.stopping.Load() && h.tables.State().Version != ledger.None
+	return !h.stopping.Load() && h.tables.State().Version != ledger.None && h.mayPlace(h.clock.Now())
 }
 
 // Status is what operators see of a dispatcher.
--- a/hub/members.go
+++ b/hub/members.go
@@ -2,12 +2,67 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
+	"time"
 
+	"snipehub.example/event"
 	"snipehub.example/peer"
 	"snipehub.example/roster"
+	"snipehub.example/tables"
 )
 
+// methodTables asks a peer for the tables.
+const methodTables = "tables"
+
+func (h *Hub) newRoster() *roster.Roster {
+	p := h.cfg.Peers
+	cfg := roster.Config{
+		SuspectAfter: p.SuspectAfter.D(),
+		GoneAfter:    p.GoneAfter.D(),
+		KeepGone:     p.KeepGone.D(),
+		Members:      p.Members,
+		News:         p.News,
+	}
+	self := roster.Member{Owner: h.self, Address: h.cfg.Listen.Peers}
+	rnd := rand.New(rand.NewPCG(h.self.Incarnation, 1))
+	return roster.New(self, cfg, rnd, h.describe, h.memberChanged)
+}
+
+// describe fills in what a heartbeat tells of this process.
+func (h *Hub) describe(now time.Time, m *roster.Member) {
+	m.Tables = h.tables.State().Version
+	m.Leaving = h.stopping.Load()
+	if at := h.tables.Confirmed(); !at.IsZero() {
+		m.Confirmed, m.Age = true, max(0, now.Sub(at))
+	}
+}
+
+func (h *Hub) memberChanged(c roster.Change) {
+	id := event.MemberJoined
+	switch {
+	case c.Self:
+		id = event.Disowned
+	case c.Full:
+		id = event.RosterFull
+	case c.State == roster.Suspect:
+		id = event.MemberSuspect
+	case c.State == roster.Gone:
+		id = event.MemberGone
+	}
+	id.Log(h.log, "owner", c.Owner, "address", c.Address, "state", c.State)
+}
+
+// handleMembers answers what the peers' rosters and tables ask.
+func (h *Hub) handleMembers() {
+	peer.Handle(h.peers, methodBeat, func(_ context.Context, b roster.Beat) (roster.Beat, error) {
+		return h.roster.Answer(h.clock.Now(), b), nil
+	})
+	peer.Handle(h.peers, methodTables, func(_ context.Context, a tables.Ask) (tables.Body, error) {
+		return h.tables.Body(a)
+	})
+}
+
 func (h *Hub) heartbeat(ctx context.Context) error {
 	sub := h.clock.Subscribe(h.cfg.Peers.Heartbeat.D())
 	defer sub.Stop()
@@ -17,14 +72,7 @@
 			return ctx.Err()
 		case <-sub.C:
 		}
-		b := h.roster.Beat(func(m *roster.Member) {
-			m.Tables = h.tables.State().Version
-			m.Leaving = h.stopping.Load()
-		})
-		to := h.roster.Peers(h.cfg.Peers.Fanout)
-		if len(to) == 0 {
-			to = h.cfg.Peers.Seeds
-		}
+		b, to := h.roster.Beat(h.clock.Now(), h.cfg.Peers.Fanout, h.platform.addresses())
 		for _, addr := range to {
 			if addr != h.cfg.Listen.Peers {
 				go h.beatTo(ctx, addr, b)
@@ -36,8 +84,35 @@
 func (h *Hub) beatTo(ctx context.Context, addr netip.AddrPort, b roster.Beat) {
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Peers.Timeout.D())
 	defer cancel()
+	sent := h.clock.Now()
 	answer, err := peer.Call[roster.Beat](ctx, h.dialer, addr, methodBeat, b)
+	now := h.clock.Now()
+	if err != nil {
+		h.roster.Failed(now, addr)
+		return
+	}
+	h.roster.Answered(sent, now, addr, answer)
+	h.learnTables(ctx, addr, sent, answer.From)
+}
+
+// learnTables takes what a peer told of its tables: their version, which is
+// fetched when the log does not bring it, and the age of its confirmation.
+func (h *Hub) learnTables(ctx context.Context, addr netip.AddrPort, sent time.Time, m roster.Member) {
+	if h.tables.Wants(h.clock.Now(), m.Tables) && h.fetching.CompareAndSwap(false, true) {
+		h.fetch(ctx, addr)
+		h.fetching.Store(false)
+	}
+	if m.Confirmed {
+		h.tables.Confirm(m.Tables, sent, m.Age)
+	}
+}
+
+func (h *Hub) fetch(ctx context.Context, addr netip.AddrPort) {
+	b, err := peer.Call[tables.Body](ctx, h.dialer, addr, methodTables, h.tables.Ask())
 	if err == nil {
-		h.roster.Take(h.clock.Now(), answer)
+		err = h.tables.Take(b)
+	}
+	if err != nil {
+		event.TablesNotFetched.Log(h.log, "peer", addr, "error", err)
 	}
 }
--- /dev/null
+++ b/hub/platform.go
@@ -0,0 +1,84 @@
+package hub
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+
+	"snipehub.example/event"
+	"snipehub.example/ledger"
+	"snipehub.example/settings"
+)
+
+// platform is what this process knows of the platform's VM list. The list may
+// be late or down; the last one read stays in use.
+type platform struct {
+	cfg  settings.Peers
+	last atomic.Pointer[vmList]
+}
+
+type vmList struct {
+	leaving map[netip.Addr]struct{}
+	// members are addresses at which there may be dispatchers.
+	members []netip.AddrPort
+}
+
+func newPlatform(cfg settings.Peers) *platform {
+	p := &platform{cfg: cfg}
+	p.take(nil)
+	return p
+}
+
+func (p *platform) take(vms []ledger.VM) {
+	l := &vmList{leaving: make(map[netip.Addr]struct{}), members: append([]netip.AddrPort(nil), p.cfg.Seeds...)}
+	for _, v := range vms {
+		if v.Leaving {
+			l.leaving[v.Address] = struct{}{}
+		}
+		if !strings.HasPrefix(v.Name, p.cfg.VMPrefix) {
+			continue
+		}
+		for _, port := range p.cfg.Ports {
+			l.members = append(l.members, netip.AddrPortFrom(v.Address, port))
+		}
+	}
+	p.last.Store(l)
+}
+
+// isLeaving tells whether the VM list says that the VM will be taken away.
+func (p *platform) isLeaving(a netip.Addr) bool {
+	_, ok := p.last.Load().leaving[a]
+	return ok
+}
+
+// addresses returns where there may be dispatchers.
+func (p *platform) addresses() []netip.AddrPort { return p.last.Load().members }
+
+// watchVMs reads the VM list from time to time.
+func (h *Hub) watchVMs(ctx context.Context) error {
+	sub := h.clock.Subscribe(h.cfg.Peers.VMPoll.D())
+	defer sub.Stop()
+	down := false
+	for {
+		vms, err := h.ledger.VMs(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil && !down:
+			event.VMsUnknown.Log(h.log, "error", err)
+		case err == nil && down:
+			event.VMsKnown.Log(h.log)
+		}
+		down = err != nil
+		if err == nil {
+			h.platform.take(vms)
+			h.roster.List(h.clock.Now(), vms)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-sub.C:
+		}
+	}
+}
--- a/hub/tables.go
+++ b/hub/tables.go
@@ -5,12 +5,11 @@
 	"math/rand/v2"
 	"time"
 
-	"snipehub.example/ledger"
 	"snipehub.example/tables"
 )
 
-func (h *Hub) newTables(platform *ledger.Client) *tables.Follower {
-	return tables.New(h.log, platform, tables.Config{
+func (h *Hub) newTables() *tables.Follower {
+	return tables.New(h.log, h.ledger, tables.Config{
 		Poll:     h.cfg.Tables.Poll.D(),
 		Snapshot: h.cfg.Tables.Snapshot.D(),
 		Settle:   h.cfg.Tables.Settle.D(),
--- /dev/null
+++ b/roster/book_test.go
@@ -0,0 +1,268 @@
+package roster
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"snipehub.example/ledger"
+	"snipehub.example/ticket"
+)
+
+// faults is a few processes under every fault at once, and a platform whose VM
+// list lags.
+type faults struct {
+	*sim
+	count uint64
+	links map[[2]*node]bool
+	// late are answers that are still on their way; lists the VM lists of the
+	// past.
+	late  []func(time.Time)
+	lists [][]ledger.VM
+}
+
+const (
+	faultNodes = 6
+	// listLag is how many seconds the VM list is late, less than GoneAfter.
+	listLag = 12
+)
+
+func newFaults() *faults {
+	f := &faults{sim: newSim(faultNodes, 1), links: make(map[[2]*node]bool)}
+	f.cfg.GoneAfter = 20 * time.Second
+	f.cut = func(a, b *node) bool { return f.links[[2]*node{a, b}] }
+	for i := range faultNodes {
+		f.boot(i, 500)
+	}
+	return f
+}
+
+// boot starts a process; its clock gives an incarnation around the number.
+func (f *faults) boot(i int, around uint64) {
+	f.count++
+	f.start(i, around*1000+f.count)
+}
+
+func (f *faults) pass(t *rapid.T, seconds int) {
+	for range seconds {
+		f.second()
+		f.lists = append(f.lists, f.list())
+		f.check(t)
+	}
+}
+
+// check holds that no incarnation that runs is held to be gone by anybody.
+func (f *faults) check(t *rapid.T) {
+	for _, n := range f.nodes {
+		for _, k := range n.book.All() {
+			o := f.nodes[k.Address]
+			if k.State == Gone && o != nil && o.book.self.Owner == k.Owner {
+				t.Fatalf("%v holds %v to be gone, and it runs", n.book.self.Owner, k.Owner)
+			}
+		}
+	}
+}
+
+// Processes die, freeze and start again at the same address, some with a clock
+// that went back; calls are cut one way and both ways, answers arrive after
+// their sender has died; the VM list is late or down, and VMs come back under
+// the same name and address. A running process that others held to be gone
+// would have its callers told that their jobs failed.
+func TestRapidRunningIsNeverGone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFaults()
+		any := rapid.IntRange(0, faultNodes-1)
+		at := func(t *rapid.T) *node { return f.nodes[simAddress(any.Draw(t, "node"))] }
+		t.Repeat(map[string]func(*rapid.T){
+			"":       f.check,
+			"second": func(t *rapid.T) { f.pass(t, 1) },
+			"while":  func(t *rapid.T) { f.pass(t, 20) },
+			"end":    func(t *rapid.T) { delete(f.nodes, simAddress(any.Draw(t, "node"))) },
+			"restart": func(t *rapid.T) {
+				f.boot(any.Draw(t, "node"), rapid.Uint64Range(1, 999).Draw(t, "clock"))
+			},
+			"freeze or thaw": func(t *rapid.T) {
+				if n := at(t); n != nil {
+					n.frozen = !n.frozen
+				}
+			},
+			"cut or join": func(t *rapid.T) {
+				k := [2]*node{at(t), at(t)}
+				f.links[k] = !f.links[k]
+			},
+			"slow call": func(t *rapid.T) {
+				n, to := at(t), any.Draw(t, "to")
+				if n == nil || n.frozen {
+					return
+				}
+				if done := f.call(n, simAddress(to), n.book.Beat(Member{})); done != nil {
+					f.late = append(f.late, done)
+				}
+			},
+			"late answer": func(t *rapid.T) {
+				if len(f.late) > 0 {
+					rapid.SampledFrom(f.late).Draw(t, "answer")(f.now)
+				}
+			},
+			"VM list": func(t *rapid.T) {
+				lag := rapid.IntRange(1, listLag).Draw(t, "lag")
+				if n := at(t); n != nil && len(f.lists) >= lag {
+					n.book.List(f.now, f.lists[len(f.lists)-lag])
+				}
+			},
+		})
+		f.heal(t)
+	})
+}
+
+// heal ends the faults; soon all agree on who runs.
+func (f *faults) heal(t *rapid.T) {
+	clear(f.links)
+	for i := range faultNodes {
+		if n := f.nodes[simAddress(i)]; n == nil {
+			f.boot(i, 1)
+		} else {
+			n.frozen = false
+		}
+	}
+	for range 60 {
+		f.pass(t, 1)
+		if f.agree() {
+			return
+		}
+	}
+	t.Fatal("no agreement a minute after the faults")
+}
+
+// A VM is taken away. Its process is silent and the list no longer has the VM,
+// so callers must learn that its jobs failed; but not while the list may only
+// be late, and not when the list comes back empty.
+func TestGoneByTheVMList(t *testing.T) {
+	s := newSim(8, 1)
+	for i := range 8 {
+		s.start(i, 1)
+	}
+	for range 10 {
+		s.second()
+	}
+	whole := s.list()
+	victim := s.nodes[simAddress(7)].book.self.Owner
+	delete(s.nodes, simAddress(6))
+	delete(s.nodes, simAddress(7))
+	b := s.nodes[simAddress(0)].book
+	b.List(s.now, whole)
+	state := func() State {
+		k, _ := b.Find(victim)
+		return k.State
+	}
+	run := func(seconds int, list []ledger.VM) {
+		for range seconds {
+			s.second()
+			b.List(s.now, list)
+		}
+	}
+	run(120, whole)
+	run(120, nil)
+	if state() != Suspect {
+		t.Fatalf("%s without a word of the list, want suspect", state())
+	}
+	run(59, s.list())
+	if state() != Suspect {
+		t.Fatalf("%s within the lag of the list, want suspect", state())
+	}
+	run(3, s.list())
+	if state() != Gone {
+		t.Fatalf("%s after the lag of the list, want gone", state())
+	}
+	run(600, s.list())
+	if _, ok := b.Find(victim); ok {
+		t.Fatal("gone members are kept for ever")
+	}
+}
+
+// The platform uses a VM's name and address again. The new process is heard and
+// then cut off from this one, while the list still lacks the VM because it lags.
+// The new process must not be held to be gone for the absence of the old VM.
+func TestAbsenceOfTheOldVMSaysNothingOfTheNew(t *testing.T) {
+	s := newSim(8, 1)
+	for i := range 8 {
+		s.start(i, 1)
+	}
+	s.second()
+	whole := s.list()
+	b := s.nodes[simAddress(0)].book
+	run := func(seconds int, list []ledger.VM) {
+		for range seconds {
+			s.second()
+			b.List(s.now, list)
+		}
+	}
+	run(10, whole)
+	delete(s.nodes, simAddress(6))
+	delete(s.nodes, simAddress(7))
+	without := s.list()
+	run(30, without)
+	again := s.start(7, 2).book.self.Owner
+	run(15, without)
+	s.cut = func(from, to *node) bool { return to == s.nodes[simAddress(7)] || from == s.nodes[simAddress(7)] }
+	run(40, without)
+	if k, _ := b.Find(again); k.State != Suspect {
+		t.Fatalf("the new process is %q, want suspect", k.State)
+	}
+}
+
+// Far more members are heard of than the settings allow, as after a mistake in
+// the seeds of two systems. The book stays bounded and forgets the dead first;
+// whoever was forgotten is unknown, not gone.
+func TestBookIsBounded(t *testing.T) {
+	cfg := simConfig
+	cfg.Members = 10
+	s := newSim(3, 1)
+	s.cfg = cfg
+	b := s.start(0, 1).book
+	member := func(i int) Member {
+		return Member{Owner: ticket.Owner{DataCenter: "d", VM: "v", Process: "p", Incarnation: uint64(i)}, Address: simAddress(i), Count: 1}
+	}
+	for i := 1; i <= 20; i++ {
+		b.Heard(s.now, Beat{From: member(i)})
+	}
+	if b.Len() != 10 || !b.full {
+		t.Fatalf("%d members, want 10", b.Len())
+	}
+	b.Failed(s.now, simAddress(3))
+	b.Tick(s.now.Add(time.Minute))
+	b.Heard(s.now.Add(time.Minute), Beat{From: member(30)})
+	if _, ok := b.Find(member(3).Owner); ok {
+		t.Error("a suspect member was kept rather than a live one")
+	}
+	if _, ok := b.Find(member(30).Owner); !ok || b.Len() != 10 {
+		t.Error("no room was made for a live member")
+	}
+}
+
+func FuzzBeat(f *testing.F) {
+	s := newSim(4, 1)
+	for i := range 4 {
+		s.start(i, 1)
+	}
+	s.second()
+	text, _ := json.Marshal(s.nodes[simAddress(0)].book.Beat(Member{Confirmed: true, Age: time.Second}))
+	f.Add(text)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var b Beat
+		if json.Unmarshal(text, &b) != nil {
+			return
+		}
+		s := newSim(1, 1)
+		n := s.start(0, 1)
+		n.book.Heard(s.now, b)
+		n.book.Answered(s.now, s.now, simAddress(1), b)
+		n.book.Tick(s.now.Add(time.Minute))
+		again, err := json.Marshal(n.book.Answer(Member{}, b))
+		if err != nil || json.Unmarshal(again, &b) != nil {
+			t.Fatalf("%s became an answer that can't be read: %s", text, again)
+		}
+	})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -1,180 +1,110 @@
-// Package roster knows which dispatchers there are.
-//
-// Members tell each other by heartbeats with a few random peers. Silence makes
-// a member suspect, nothing more: only a newer incarnation at the same address,
-// or the platform's VM list, makes an incarnation gone for good. A suspect
-// owner's jobs are "unknown, come back with the same id"; a gone owner's are
-// failed.
 package roster
 
 import (
-	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
-	"snipehub.example/tables"
+	"snipehub.example/ledger"
 	"snipehub.example/ticket"
 )
 
-// State is how sure we are of a member.
-type State string
-
-// The states of a member.
-const (
-	Live    State = "live"
-	Suspect State = "suspect"
-	Leaving State = "leaving"
-	Gone    State = "gone"
-)
+// Roster is a book that may be used from any goroutine.
+type Roster struct {
+	fill func(now time.Time, m *Member)
+	// report is told each change, without a lock held.
+	report func(Change)
 
-// Member is one dispatcher incarnation as its peers know it.
-type Member struct {
-	Owner   ticket.Owner   `json:"owner"`
-	Address netip.AddrPort `json:"address"`
-	Leaving bool           `json:"leaving,omitempty"`
-	// Count grows with each heartbeat of the member's own.
-	Count uint64 `json:"count"`
-	// Tables is the tables version in force there.
-	Tables tables.Version `json:"tables"`
-	// FreeSlots is how many more tasks it could start now.
-	FreeSlots int `json:"free_slots"`
+	mu   sync.Mutex
+	book *Book
 }
 
-// Beat is a heartbeat, and the answer to one.
-type Beat struct {
-	From Member   `json:"from"`
-	News []Member `json:"news,omitempty"`
+// New makes a roster that knows only this process. Fill sets what a heartbeat
+// tells of it; report is called for each change.
+func New(self Member, cfg Config, rnd *rand.Rand, fill func(time.Time, *Member), report func(Change)) *Roster {
+	return &Roster{fill: fill, report: report, book: NewBook(self, cfg, rnd)}
 }
 
-// Known is a member with what we think of it.
-type Known struct {
-	Member
-	State State     `json:"state"`
-	Heard time.Time `json:"heard"`
+func (r *Roster) with(do func(b *Book)) {
+	r.mu.Lock()
+	do(r.book)
+	changes := r.book.Changes()
+	r.mu.Unlock()
+	for _, c := range changes {
+		r.report(c)
+	}
 }
 
-// Roster is the members that this process knows. Its methods may be called
-// from any goroutine.
-type Roster struct {
-	suspectAfter time.Duration
-
-	mu   sync.Mutex
-	self Member
-	m    map[ticket.Owner]*Known
+func (r *Roster) self(now time.Time) Member {
+	var m Member
+	r.fill(now, &m)
+	return m
 }
 
-// New makes a roster that knows only this process.
-func New(self Member, suspectAfter time.Duration) *Roster {
-	return &Roster{suspectAfter: suspectAfter, self: self, m: make(map[ticket.Owner]*Known)}
+// Beat returns the next heartbeat of this process and up to n addresses to send
+// it to; others are addresses at which there may be members.
+func (r *Roster) Beat(now time.Time, n int, others []netip.AddrPort) (beat Beat, to []netip.AddrPort) {
+	self := r.self(now)
+	r.with(func(b *Book) {
+		b.Tick(now)
+		to = b.Targets(n, others)
+		beat = b.Beat(self)
+	})
+	return beat, to
 }
 
-// Beat returns the next heartbeat of this process.
-func (r *Roster) Beat(update func(*Member)) Beat {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.self.Count++
-	update(&r.self)
-	return Beat{From: r.self, News: r.news()}
+// Answer takes a peer's heartbeat and returns the answer to it.
+func (r *Roster) Answer(now time.Time, in Beat) (out Beat) {
+	self := r.self(now)
+	r.with(func(b *Book) {
+		b.Heard(now, in)
+		out = b.Answer(self, in)
+	})
+	return out
 }
 
-// Answer takes a peer's heartbeat and returns the answer to it.
-func (r *Roster) Answer(now time.Time, b Beat) Beat {
-	r.Take(now, b)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return Beat{From: r.self, News: r.news()}
+// Answered takes the answer to a heartbeat that was sent to the address.
+func (r *Roster) Answered(sent, now time.Time, to netip.AddrPort, in Beat) {
+	r.with(func(b *Book) { b.Answered(sent, now, to, in) })
 }
 
-// Take learns from a heartbeat or its answer.
-func (r *Roster) Take(now time.Time, b Beat) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.learn(now, b.From)
-	for _, m := range b.News {
-		r.learn(now, m)
-	}
+// Failed notes that the address did not answer.
+func (r *Roster) Failed(now time.Time, to netip.AddrPort) {
+	r.with(func(b *Book) { b.Failed(now, to) })
 }
 
-func (r *Roster) learn(now time.Time, m Member) {
-	if m.Owner == r.self.Owner {
-		return
-	}
-	k, ok := r.m[m.Owner]
-	if ok && m.Count <= k.Count {
-		return
-	}
-	r.m[m.Owner] = &Known{Member: m, State: Live, Heard: now}
-	for o, k := range r.m {
-		if k.Address == m.Address && o.Incarnation < m.Owner.Incarnation {
-			k.State = Gone
-		}
-	}
+// List takes the platform's VM list.
+func (r *Roster) List(now time.Time, vms []ledger.VM) {
+	r.with(func(b *Book) { b.List(now, vms) })
 }
 
 // Find returns what is known of an incarnation.
-func (r *Roster) Find(now time.Time, o ticket.Owner) (Known, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	k, ok := r.m[o]
-	if !ok {
-		return Known{}, false
-	}
-	return r.judge(now, *k), true
+func (r *Roster) Find(_ time.Time, o ticket.Owner) (k Known, ok bool) {
+	r.with(func(b *Book) { k, ok = b.Find(o) })
+	return k, ok
 }
 
-// All returns the other members, sorted by name.
-func (r *Roster) All(now time.Time) []Known {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := make([]Known, 0, len(r.m))
-	for _, k := range r.m {
-		out = append(out, r.judge(now, *k))
-	}
-	slices.SortFunc(out, func(a, b Known) int { return a.Address.Compare(b.Address) })
+// All returns the other members, sorted by address.
+func (r *Roster) All(time.Time) (out []Known) {
+	r.with(func(b *Book) { out = b.All() })
 	return out
 }
 
-// Self returns this process.
-func (r *Roster) Self() Member {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.self
-}
-
-// Peers picks up to n random members that are not gone.
-func (r *Roster) Peers(n int) []netip.AddrPort {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []netip.AddrPort
-	for _, k := range r.m {
-		if k.State != Gone {
-			out = append(out, k.Address)
-		}
-	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(n, len(out))]
+// Self returns this process as it last spoke.
+func (r *Roster) Self() (m Member) {
+	r.with(func(b *Book) { m = b.Self() })
+	return m
 }
 
-func (r *Roster) judge(now time.Time, k Known) Known {
-	switch {
-	case k.State == Gone:
-	case now.Sub(k.Heard) > r.suspectAfter:
-		k.State = Suspect
-	case k.Leaving:
-		k.State = Leaving
-	}
-	return k
+// Neighbours returns the other members of the data centre that are not gone.
+func (r *Roster) Neighbours() (out []Neighbour) {
+	r.with(func(b *Book) { out = b.Neighbours() })
+	return out
 }
 
-func (r *Roster) news() []Member {
-	out := make([]Member, 0, len(r.m))
-	for _, o := range slices.Collect(maps.Keys(r.m)) {
-		if k := r.m[o]; k.State != Gone {
-			out = append(out, k.Member)
-		}
-	}
-	return out
+// Len returns how many other members are remembered.
+func (r *Roster) Len() (n int) {
+	r.with(func(b *Book) { n = b.Len() })
+	return n
 }
--- /dev/null
+++ b/roster/sim_test.go
@@ -0,0 +1,168 @@
+package roster
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"snipehub.example/ledger"
+	"snipehub.example/ticket"
+)
+
+// TestMain fixes the seed of rapid, so that a run has the same verdict each
+// time. For long runs:
+//
+//	go test ./roster -run Rapid -rapid.seed=0 -rapid.checks=5000
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "100")
+	_ = flag.Set("rapid.steps", "60")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// sim is many books that exchange encoded heartbeats on one clock.
+type sim struct {
+	now   time.Time
+	rnd   *rand.Rand
+	cfg   Config
+	seeds []netip.AddrPort
+	nodes map[netip.AddrPort]*node
+	// cut tells that a call does not get through.
+	cut func(from, to *node) bool
+	// encode sends heartbeats in their wire form.
+	encode bool
+	bytes  int
+	calls  int
+}
+
+type node struct {
+	addr   netip.AddrPort
+	book   *Book
+	frozen bool
+}
+
+var simConfig = Config{
+	SuspectAfter: 3 * time.Second,
+	GoneAfter:    time.Minute,
+	KeepGone:     10 * time.Minute,
+	Members:      8192,
+	News:         16,
+}
+
+func newSim(n int, seed uint64) *sim {
+	s := &sim{
+		now:   time.Unix(1000000, 0),
+		rnd:   rand.New(rand.NewPCG(seed, 0)),
+		cfg:   simConfig,
+		nodes: make(map[netip.AddrPort]*node),
+		cut:   func(_, _ *node) bool { return false },
+	}
+	for i := range min(n, 3) {
+		s.seeds = append(s.seeds, simAddress(i))
+	}
+	return s
+}
+
+// simAddress gives two processes to each VM.
+func simAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 512), byte(i / 2 % 256)}), uint16(7500+i%2))
+}
+
+func (s *sim) start(i int, incarnation uint64) *node {
+	o := ticket.Owner{DataCenter: fmt.Sprint("dc", i/2%3), VM: fmt.Sprint("vm", i/2), Process: fmt.Sprint("hub", i%2), Incarnation: incarnation}
+	n := &node{addr: simAddress(i)}
+	n.book = NewBook(Member{Owner: o, Address: n.addr}, s.cfg, rand.New(rand.NewPCG(s.rnd.Uint64(), 1)))
+	s.nodes[n.addr] = n
+	return n
+}
+
+// second lets every process send its heartbeats.
+func (s *sim) second() {
+	s.now = s.now.Add(time.Second)
+	for i := range 2*len(s.nodes) + 8 {
+		n := s.nodes[simAddress(i)]
+		if n == nil || n.frozen {
+			continue
+		}
+		n.book.Tick(s.now)
+		to := n.book.Targets(2, s.seeds)
+		b := n.book.Beat(Member{})
+		for _, a := range to {
+			if done := s.call(n, a, b); done != nil {
+				done(s.now)
+			}
+		}
+	}
+}
+
+// call sends a heartbeat and returns what the sender does with the answer.
+func (s *sim) call(n *node, a netip.AddrPort, b Beat) func(now time.Time) {
+	if a == n.addr {
+		return nil
+	}
+	t, sent := s.nodes[a], s.now
+	if t == nil || t.frozen || s.cut(n, t) {
+		n.book.Failed(s.now, a)
+		return nil
+	}
+	in := s.wire(b)
+	t.book.Heard(s.now, in)
+	out := s.wire(t.book.Answer(Member{}, in))
+	return func(now time.Time) { n.book.Answered(sent, now, a, out) }
+}
+
+func (s *sim) wire(b Beat) Beat {
+	if !s.encode {
+		return b
+	}
+	text, err := json.Marshal(b)
+	if err != nil {
+		panic(err)
+	}
+	s.bytes += len(text)
+	s.calls++
+	var out Beat
+	if err := json.Unmarshal(text, &out); err != nil {
+		panic(err)
+	}
+	return out
+}
+
+func (s *sim) list() []ledger.VM {
+	var out []ledger.VM
+	for _, n := range s.nodes {
+		out = append(out, ledger.VM{Name: n.book.self.Owner.VM, Address: n.addr.Addr()})
+	}
+	return out
+}
+
+// agree tells whether every process has every other one as live and none that
+// has ended.
+func (s *sim) agree() bool {
+	for _, n := range s.nodes {
+		if n.frozen {
+			continue
+		}
+		live := 0
+		for _, k := range n.book.All() {
+			t := s.nodes[k.Address]
+			runs := t != nil && t.book.self.Owner == k.Owner
+			if (k.State == Live) != runs {
+				return false
+			}
+			if runs {
+				live++
+			}
+		}
+		if live != len(s.nodes)-1 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/roster/wire.go
@@ -0,0 +1,124 @@
+package roster
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipehub.example/tables"
+	"snipehub.example/ticket"
+)
+
+// ErrBeat is returned for text that is not a heartbeat.
+var ErrBeat = errors.New("roster: malformed heartbeat")
+
+// maxBeatNews bounds the news of a heartbeat that is read.
+const maxBeatNews = 2048
+
+// wireMember is a member as it stands in a heartbeat. The owner is written as
+// a ticket's name: as an object it would take a third of the heartbeat.
+type wireMember struct {
+	Owner   string         `json:"owner"`
+	Address netip.AddrPort `json:"addr"`
+	Leaving bool           `json:"leaving,omitempty"`
+	Count   uint64         `json:"count"`
+	Tables  tables.Version `json:"tables"`
+	Age     *int64         `json:"age,omitempty"`
+	Free    int            `json:"free,omitempty"`
+	State   State          `json:"state,omitempty"`
+}
+
+type wireBeat struct {
+	From wireMember   `json:"from"`
+	Join bool         `json:"join,omitempty"`
+	Size int          `json:"size,omitempty"`
+	News []wireMember `json:"news,omitempty"`
+}
+
+// MarshalJSON writes the heartbeat in its short form.
+func (b Beat) MarshalJSON() ([]byte, error) {
+	w := wireBeat{From: toWire(b.From, Live), Join: b.Join, Size: b.Size, News: make([]wireMember, 0, len(b.News))}
+	if b.From.Confirmed {
+		ms := b.From.Age.Milliseconds()
+		w.From.Age = &ms
+	}
+	for _, n := range b.News {
+		w.News = append(w.News, toWire(n.Member, n.State))
+	}
+	return json.Marshal(w)
+}
+
+// UnmarshalJSON reads what MarshalJSON writes.
+func (b *Beat) UnmarshalJSON(text []byte) error {
+	var w wireBeat
+	if err := json.Unmarshal(text, &w); err != nil {
+		return errors.Wrap(ErrBeat, err.Error())
+	}
+	if len(w.News) > maxBeatNews {
+		return errors.Wrapf(ErrBeat, "%d news", len(w.News))
+	}
+	from, _, err := fromWire(w.From)
+	if err != nil {
+		return err
+	}
+	out := Beat{From: from, Join: w.Join, Size: w.Size, News: make([]News, 0, len(w.News))}
+	for _, m := range w.News {
+		member, state, err := fromWire(m)
+		if err != nil {
+			return err
+		}
+		out.News = append(out.News, News{member, state})
+	}
+	*b = out
+	return nil
+}
+
+func toWire(m Member, s State) wireMember {
+	w := wireMember{
+		Owner:   ticket.ID{Owner: m.Owner}.String(),
+		Address: m.Address,
+		Leaving: m.Leaving,
+		Count:   m.Count,
+		Tables:  m.Tables,
+		Free:    m.FreeSlots,
+	}
+	if s == Suspect || s == Gone {
+		w.State = s
+	}
+	return w
+}
+
+func fromWire(w wireMember) (Member, State, error) {
+	id, err := ticket.ParseID(w.Owner)
+	switch {
+	case err != nil:
+		return Member{}, "", errors.Wrap(ErrBeat, err.Error())
+	case !w.Address.IsValid():
+		return Member{}, "", errors.Wrap(ErrBeat, "no address")
+	case w.State != "" && w.State != Suspect && w.State != Gone:
+		return Member{}, "", errors.Wrapf(ErrBeat, "state %q", w.State)
+	case w.Age != nil && (*w.Age < 0 || *w.Age > maxAge.Milliseconds()):
+		return Member{}, "", errors.Wrapf(ErrBeat, "age %d", *w.Age)
+	}
+	m := Member{
+		Owner:     id.Owner,
+		Address:   w.Address,
+		Leaving:   w.Leaving,
+		Count:     w.Count,
+		Tables:    w.Tables,
+		FreeSlots: w.Free,
+	}
+	if w.Age != nil {
+		// A part of a millisecond was cut off; an age is never told too young.
+		m.Confirmed, m.Age = true, time.Duration(*w.Age+1)*time.Millisecond
+	}
+	if w.State == "" {
+		w.State = Live
+	}
+	return m, w.State, nil
+}
+
+// maxAge bounds the age of a confirmation that is told.
+const maxAge = 1000 * time.Hour
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -94,6 +94,20 @@
 	Fanout       int      `toml:"fanout"`
 	SuspectAfter Duration `toml:"suspect_after"`
 	Timeout      Duration `toml:"timeout"`
+	// GoneAfter is how long the VM list must lack a VM before its silent
+	// processes are gone for good; it must exceed the lag of the list.
+	GoneAfter Duration `toml:"gone_after"`
+	// KeepGone is how long gone processes are remembered.
+	KeepGone Duration `toml:"keep_gone"`
+	// Members bounds the dispatchers that are remembered.
+	Members int `toml:"members"`
+	// News is how many other dispatchers one heartbeat tells of.
+	News int `toml:"news"`
+	// VMPoll is how often the VM list is read.
+	VMPoll Duration `toml:"vm_poll"`
+	// VMPrefix begins the names of entry VMs in the VM list; only at these are
+	// the ports tried.
+	VMPrefix string `toml:"vm_prefix"`
 }
 
 // Callers sets who may call.
@@ -168,6 +182,11 @@
 			Fanout:       2,
 			SuspectAfter: Duration(3 * time.Second),
 			Timeout:      Duration(2 * time.Second),
+			GoneAfter:    Duration(time.Minute),
+			KeepGone:     Duration(10 * time.Minute),
+			Members:      4096,
+			News:         16,
+			VMPoll:       Duration(2 * time.Second),
 		},
 		Limits: Limits{
 			BodyBytes:       8 << 20,
@@ -247,6 +266,18 @@
 		return bad("callers.tokens", "is empty; set callers.open = true to let everybody in")
 	case c.Callers.Open && len(c.Callers.Tokens) > 0:
 		return bad("callers.open", "contradicts callers.tokens")
+	case c.Listen.Peers.Addr().IsUnspecified():
+		return bad("listen.peers", "must be the address at which peers reach this process")
+	case c.Peers.Heartbeat <= 0 || c.Peers.Timeout <= 0 || c.Peers.VMPoll <= 0:
+		return bad("peers", "heartbeat, timeout and vm_poll must be above 0")
+	case c.Peers.Fanout < 1 || c.Peers.Fanout > 8:
+		return bad("peers.fanout", "must be 1 to 8")
+	case c.Peers.SuspectAfter < c.Peers.Heartbeat:
+		return bad("peers.suspect_after", "must not be below peers.heartbeat")
+	case c.Peers.Members < 1 || c.Peers.Members > 65536:
+		return bad("peers.members", "must be 1 to 65536")
+	case c.Peers.News < 4 || c.Peers.News > 64:
+		return bad("peers.news", "must be 4 to 64")
 	case c.Tables.Poll <= 0 || 3*c.Tables.Poll > c.Tables.Settle:
 		return bad("tables.poll", "must be above 0 and at most a third of tables.settle")
 	case c.Tables.Snapshot <= 0:
--- a/tables/follow.go
+++ b/tables/follow.go
@@ -55,6 +55,7 @@
 	// not wait.
 	interrupt context.CancelFunc
 	hurry     bool
+	notBefore time.Time
 	downSince time.Time
 	readAt    time.Time
 }
@@ -156,7 +157,7 @@
 	}
 	f.publish()
 	if f.replay.Complete() && p.Next >= p.End {
-		f.confirm(f.replay.State().Version, asked)
+		f.confirm(f.replay.State().Version, asked, 0)
 	}
 }
 
@@ -215,25 +216,31 @@
 	return f.holds.Held(now, server)
 }
 
-// Confirm tells that the version was known to be the newest at the time. It
-// changes nothing while the state is older than the version.
-func (f *Follower) Confirm(v Version, at time.Time) {
+// Confirm tells that a peer knew the version to be the newest one age before
+// it answered the call that was sent at the given time. It changes nothing while
+// the state here is older than the version.
+func (f *Follower) Confirm(v Version, sent time.Time, age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.confirm(v, at)
+	f.confirm(v, sent, age)
 }
 
-func (f *Follower) confirm(v Version, at time.Time) {
-	if f.State().Version >= v && at.After(f.Confirmed()) {
+func (f *Follower) confirm(v Version, sent time.Time, age time.Duration) {
+	at := sent.Add(-age)
+	if f.State().Version >= v && !sent.Before(f.notBefore) && at.After(f.Confirmed()) {
 		f.confirmed.Store(&at)
 	}
 }
 
-// Refresh asks the log at once. It is for a process that was frozen: a read
-// that was sent before the freeze says nothing about the time since.
-func (f *Follower) Refresh() {
+// Refresh is for a process that was frozen until the given time. The clock may
+// have stood still as well (a suspended VM), so the age of the confirmation is
+// not known; the state counts as unconfirmed, and the log is asked at once.
+// Answers to what was asked before the time confirm nothing.
+func (f *Follower) Refresh(until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.notBefore = until
+	f.confirmed.Store(new(time.Time))
 	f.hurry = true
 	f.interrupt()
 }
--- a/tables/follow_test.go
+++ b/tables/follow_test.go
@@ -79,7 +79,7 @@
 			t.Fatal("not confirmed at the end of the log")
 		}
 		was := f.Confirmed()
-		f.Confirm(7, was.Add(time.Hour))
+		f.Confirm(7, was.Add(time.Hour), 0)
 		if f.Confirmed() != was {
 			t.Fatal("confirmed by a peer that has a newer version")
 		}
