--- /dev/null
+++ b/hub/gauges.go
@@ -0,0 +1,55 @@
+package hub
+
+import (
+	"context"
+	"time"
+
+	"snipehub.example/event"
+	"snipehub.example/meter"
+)
+
+const gaugeEvery = time.Second
+
+// bound is a limit of memory: a gauge of what is there, and a count of how
+// often the limit was reached, whose growth is logged.
+type bound struct {
+	gauge meter.Name
+	event event.ID
+	seen  int64
+}
+
+// gauges keeps the metrics of what is remembered for callers, and logs when a
+// limit is reached.
+func (h *Hub) gauges(ctx context.Context) error {
+	sub := h.clock.Subscribe(gaugeEvery)
+	defer sub.Stop()
+	answers := &bound{gauge: meter.KeptAnswerBytes, event: event.AnswersEvicted}
+	tickets := &bound{gauge: meter.Tickets, event: event.TicketsFull}
+	held := &bound{gauge: meter.HeldBytes, event: event.HeldDropped}
+	keys := &bound{gauge: meter.Claims, event: event.ClaimsEvicted}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-sub.C:
+		}
+		s := h.owner.Stats()
+		h.meter.Gauge(meter.RunningJobs, float64(s.Running))
+		h.meter.Gauge(meter.KeptAnswers, float64(s.Kept))
+		h.observe(answers, s.KeptBytes, s.Crowded)
+		h.observe(tickets, s.Tickets, s.Full+s.Retired)
+		claims, pending, evicted := h.claims.Stats()
+		h.meter.Gauge(meter.PendingKeys, float64(pending))
+		h.observe(keys, int64(claims), evicted)
+		bytes, dropped := h.fwd.holder.Stats()
+		h.observe(held, bytes, dropped)
+	}
+}
+
+func (h *Hub) observe(b *bound, value, reached int64) {
+	h.meter.Gauge(b.gauge, float64(value))
+	if reached > b.seen {
+		b.event.Log(h.log, "times", reached-b.seen)
+	}
+	b.seen = reached
+}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -14,10 +14,12 @@
 	"github.com/go-faster/errors"
 	"github.com/thejerf/suture/v4"
 
+	"snipehub.example/certificate"
+	"snipehub.example/claim"
 	"snipehub.example/clock"
 	"snipehub.example/counter"
-	"snipehub.example/delivery"
 	"snipehub.example/dispatch"
+	"snipehub.example/dispatch/handover"
 	"snipehub.example/event"
 	"snipehub.example/job"
 	"snipehub.example/ledger"
@@ -42,18 +44,23 @@
 	dialer *peer.Dialer
 	peers  *peer.Server
 	place  *dispatch.Dispatcher
+	guests *handover.Receiver
 	owner  *job.Owner
+	fwd    *forwarder
+	desk   *desk
+	claims *claim.Claimer
 	http   *http.Server
-	ln     net.Listener
+	ln     listeners
+	certs  *certificate.Set
 
 	ledger   *ledger.Client
 	platform *platform
 	stopping atomic.Bool
 	// fetching is set while the tables are fetched from a peer.
 	fetching atomic.Bool
-	// placing is the last answer to whether work may be placed, cutOffOK
+	// allowed is the last answer to whether work may be placed, cutOffOK
 	// whether it may be although the tables are not confirmed.
-	placing, cutOffOK atomic.Bool
+	allowed, cutOffOK atomic.Bool
 }
 
 // Network is the way to listen and to connect. Tests put one in memory in its
@@ -81,22 +88,23 @@
 
 // New binds the addresses of the settings and makes the parts.
 func New(cfg settings.Config, log *slog.Logger, nw Network) (*Hub, error) {
-	ln, err := nw.Listen("tcp", cfg.Listen.Callers.String())
+	certs, err := certificate.Load(cfg.TLS)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen.callers")
+		return nil, err
 	}
-	pln, err := nw.Listen("tcp", cfg.Listen.Peers.String())
+	ln, err := bind(cfg.Listen, nw)
 	if err != nil {
-		_ = ln.Close()
-		return nil, errors.Wrap(err, "listen.peers")
+		return nil, err
 	}
+	ln.secure(certs)
 	h := &Hub{
 		cfg:   cfg,
 		net:   nw,
 		log:   log,
 		ln:    ln,
+		certs: certs,
 		clock: clock.New(),
-		meter: meter.New(),
+		meter: meter.New(cfg.Limits.MetricSeries, func() { event.MetricsFull.Log(log) }),
 		self: ticket.Owner{
 			DataCenter:  cfg.Process.DataCenter,
 			VM:          cfg.Process.VM,
@@ -104,45 +112,57 @@
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
 	}
-	h.build(pln)
+	h.build()
 	return h, nil
 }
 
-func (h *Hub) build(pln net.Listener) {
+func (h *Hub) build() {
 	cfg := h.cfg
 	h.ledger = ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
 	h.tables = h.newTables()
 	h.platform = newPlatform(cfg.Peers)
-	h.place = dispatch.New(dispatch.Config{
-		DataCenter:  cfg.Process.DataCenter,
-		Connections: cfg.Dispatch.Connections,
-		QueuedTasks: cfg.Limits.QueuedTasks,
-		TaskTimeout: cfg.Dispatch.TaskTimeout.D(),
-	}, delivery.New(cfg.Limits.AnswerBytes, cfg.Dispatch.Connections, h.net.DialContext), directory{h})
+	h.place = h.placing()
 	h.owner = job.New(h.self, gate{h}, job.Limits{
 		Tickets:    cfg.Limits.Tickets,
 		Range:      cfg.Limits.TicketRange,
 		Window:     cfg.Limits.TicketWindow,
 		KeptBytes:  cfg.Limits.KeptAnswerBytes,
 		KeptFor:    cfg.Limits.KeptAnswerFor.D(),
-		JobTimeout: cfg.Limits.WriteTimeout.D(),
-	})
+		JobTimeout: cfg.Limits.JobTimeout.D(),
+	}, h.clock.Now)
 	h.roster = h.newRoster()
-	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D(), h.net.DialContext)
-	h.peers = peer.NewServer(h.log, pln)
-	h.handlePeers()
-	h.http = &http.Server{
-		Handler:           counter.New(h.log, cfg, h, h.meter),
-		ReadHeaderTimeout: cfg.Limits.ReadTimeout.D(),
-		ReadTimeout:       cfg.Limits.ReadTimeout.D(),
-		WriteTimeout:      cfg.Limits.WriteTimeout.D(),
-		MaxHeaderBytes:    cfg.Limits.HeaderBytes,
+	h.dialer = peer.NewDialer(h.certs.PeerClient(), cfg.Peers.Timeout.D(), h.net.DialContext)
+	h.peers = peer.NewServer(h.log, h.ln.peers)
+	h.fwd = &forwarder{
+		log:      h.log,
+		meter:    h.meter,
+		self:     h.self,
+		address:  cfg.Listen.Peers,
+		seeds:    cfg.Peers.Seeds,
+		now:      h.clock.Now,
+		net:      dialed{h.dialer},
+		members:  h.roster,
+		holder:   job.NewHolder(cfg.Limits.HeldBytes, cfg.Limits.KeptAnswerFor.D(), h.clock.Now),
+		stopping: h.stopping.Load,
+		waiting:  make(map[*awaited]struct{}),
+		unheld:   make(map[ticket.Owner]time.Time),
 	}
+	h.claims = claim.New(claim.Config{
+		Claims:    cfg.Limits.Claims,
+		Pending:   cfg.Limits.PendingKeys,
+		Skew:      cfg.Limits.KeySkew.D(),
+		Patience:  cfg.Platform.Timeout.D(),
+		MarkEvery: markEvery,
+	}, h.ledger, h.clock.Now, h.appendShare, h.owner.Reserve)
+	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: h.claims, tables: h.tables.State}
+	h.handlePeers()
+	h.handOver()
+	h.http = counter.NewServer(cfg.Limits, counter.New(h.log, cfg, callerService{h.desk, h}, h.meter))
 }
 
 // Addr returns the address that callers are served at.
 func (h *Hub) Addr() netip.AddrPort {
-	return h.ln.Addr().(*net.TCPAddr).AddrPort()
+	return h.ln.callers.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // Run serves until ctx ends, then stops without cutting what is in flight.
@@ -157,6 +177,7 @@
 	cancel()
 	<-done
 	h.dialer.Close()
+	h.meter.Close()
 	event.ProcessStopped.Log(h.log)
 	return nil
 }
@@ -167,8 +188,11 @@
 	h.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Limits.StopDeadline.D())
 	defer cancel()
+	h.guests.Stop()
 	_ = h.owner.Stop(ctx)
+	h.fwd.handOver(ctx, append(h.owner.Closed(h.cfg.Limits.HandoffBytes), h.fwd.holder.Closed()...))
 	_ = h.http.Shutdown(ctx)
+	h.guests.Drain(ctx)
 	h.peers.Drain(ctx)
 }
 
@@ -190,6 +214,16 @@
 	root.Add(service("standing", h.watchStanding))
 	root.Add(service("heartbeat", h.heartbeat))
 	root.Add(service("callers", h.serveHTTP))
+	root.Add(service("forwards", h.watchForwards))
+	root.Add(service("gauges", h.gauges))
+	if !h.certs.Expires().IsZero() {
+		root.Add(service("certificates", h.refreshKeys))
+	}
+	if h.ln.operators != nil {
+		root.Add(service("operators", h.serveOperators))
+	}
+	root.Add(service("claim reads", h.claims.ServeReads))
+	root.Add(service("claim appends", h.claims.ServeAppends))
 	return root
 }
 
@@ -210,7 +244,7 @@
 func (s namedService) String() string { return s.name }
 
 func (h *Hub) serveHTTP(ctx context.Context) error {
-	err := h.http.Serve(h.ln)
+	err := h.http.Serve(h.ln.callers)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return suture.ErrDoNotRestart
@@ -218,29 +252,49 @@
 	return err
 }
 
-// Ready tells whether the balancer should send callers here.
-func (h *Hub) Ready() bool {
-	return !h.stopping.Load() && h.tables.State().Version != ledger.None && h.mayPlace(h.clock.Now())
+// callerService is what stands behind the counter.
+type callerService struct {
+	*desk
+	*Hub
+}
+
+func (h *Hub) handlePeers() {
+	h.handleMembers()
+	peer.Handle(h.peers, methodStatus, func(context.Context, struct{}) (Status, error) {
+		return h.status(), nil
+	})
+	h.desk.handle(h.peers)
+}
+
+// markEvery is how old the newest claim on the log may get; see claim.Config.
+const markEvery = time.Minute
+
+// appendShare is this process's part of the append rate: all dispatchers that
+// are not gone share it alike.
+func (h *Hub) appendShare() float64 {
+	n := 1
+	for _, k := range h.roster.All(h.clock.Now()) {
+		if k.State != roster.Gone {
+			n++
+		}
+	}
+	return h.cfg.Platform.AppendRate / float64(n)
 }
 
-// Status is what operators see of a dispatcher.
-type Status struct {
-	Self   roster.Member  `json:"self"`
-	Tables tables.Version `json:"tables"`
-	// TablesAgeMS is the time since the tables were last confirmed.
-	TablesAgeMS int64          `json:"tables_age_ms"`
-	Ready       bool           `json:"ready"`
-	Roster      []roster.Known `json:"roster"`
-}
-
-// Status returns the status of this process.
-func (h *Hub) Status() any {
-	now := h.clock.Now()
-	return Status{
-		Self:        h.roster.Self(),
-		Tables:      h.tables.State().Version,
-		TablesAgeMS: now.Sub(h.tables.Confirmed()).Milliseconds(),
-		Ready:       h.Ready(),
-		Roster:      h.roster.All(now),
+func (h *Hub) watchForwards(ctx context.Context) error {
+	sub := h.clock.Subscribe(watchEvery)
+	defer sub.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-sub.C:
+			h.fwd.watch(now)
+		}
 	}
 }
+
+// Ready tells whether the balancer should send callers here.
+func (h *Hub) Ready() bool {
+	return !h.stopping.Load() && h.tables.State().Version != ledger.None && h.mayPlace(h.clock.Now())
+}
--- /dev/null
+++ b/hub/matrix/system_test.go
@@ -0,0 +1,277 @@
+package matrix_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"snipehub.example/hub"
+	"snipehub.example/ledger"
+	"snipehub.example/settings"
+	"snipehub.example/stand"
+	"snipehub.example/tables"
+)
+
+// The hosts of a system. Two data centres have two dispatchers and three backend
+// servers each: the first two are of the half "north", the third of "south".
+const (
+	platformIP = "127.9.0.1"
+	callerIP   = "127.9.0.2"
+	platformAt = platformIP + ":7300"
+)
+
+// system is a small one in memory: real dispatchers, the platform's stand-in
+// and backend servers, on a fake clock.
+type system struct {
+	t       *testing.T
+	net     *memNet
+	log     *stand.Log
+	hubs    []*node
+	workers []*workerNode
+	hc      *http.Client
+	logs    *lockedBuffer
+
+	starting sync.Mutex
+	// changed is what the scenario's operator has asked for.
+	changed change
+
+	mu      sync.Mutex
+	said    []said
+	highest map[string]tables.Version
+}
+
+// node is one dispatcher process.
+type node struct {
+	i      int
+	dc     string
+	ip     string
+	cancel context.CancelFunc
+	done   chan struct{}
+	killed bool
+	h      *hub.Hub
+	host   *memHost
+}
+
+type workerNode struct {
+	dc, ip string
+	w      *stand.Worker
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+const (
+	hubCount      = 4
+	workersOfDC   = 3
+	workerCount   = 6
+	callerPort    = 7400
+	peerPort      = 7500
+	workerPort    = 9000
+	coresOfWorker = 8
+)
+
+// newSystem starts everything and waits until all dispatchers are ready.
+func newSystem(t *testing.T) *system {
+	w := &system{
+		t:       t,
+		net:     newMemNet(500 * time.Microsecond),
+		logs:    new(lockedBuffer),
+		highest: make(map[string]tables.Version),
+	}
+	w.hc = &http.Client{
+		Transport: &http.Transport{DialContext: w.net.host(callerIP).DialContext},
+		Timeout:   60 * time.Second,
+	}
+	w.log = stand.NewLog(time.Hour, 300)
+	w.serve(platformIP, 7300, w.log)
+	for i := range workerCount {
+		k := &workerNode{dc: dcName(i / workersOfDC), ip: fmt.Sprintf("127.3.%d.%d", i/workersOfDC, i%workersOfDC+1)}
+		k.w = stand.NewWorker(netip.AddrPortFrom(netip.MustParseAddr(k.ip), workerPort), coresOfWorker, 1, stand.Spread{Min: 200 * time.Millisecond, Max: 2 * time.Second}, uint64(i))
+		w.serve(k.ip, workerPort, k.w)
+		w.workers = append(w.workers, k)
+	}
+	w.putVMs()
+	w.apply(w.rows(change{pool: "pool-a"}))
+	for i := range hubCount {
+		w.hubs = append(w.hubs, w.startHub(i))
+	}
+	time.Sleep(5 * time.Second)
+	return w
+}
+
+// hub returns the process that runs on a VM now.
+func (w *system) hub(i int) *node {
+	w.starting.Lock()
+	defer w.starting.Unlock()
+	return w.hubs[i]
+}
+
+func dcName(i int) string { return fmt.Sprintf("dc%d", i) }
+
+func (w *system) serve(ip string, port int, h http.Handler) {
+	ln, err := w.net.host(ip).Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	s := &http.Server{Handler: h, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	go func() { _ = s.Serve(ln) }()
+	w.t.Cleanup(func() { _ = s.Close() })
+}
+
+// startHub starts a dispatcher process on its VM; a second start on the same VM
+// is a restart.
+func (w *system) startHub(i int) *node {
+	n := &node{i: i, dc: dcName(i / 2), ip: fmt.Sprintf("127.1.%d.%d", i/2, i%2+1), done: make(chan struct{})}
+	cfg, err := settings.Parse("system.toml", []byte(w.settings(n)))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	log := slog.New(slog.NewTextHandler(w.logs, nil)).With("hub", i)
+	n.host = w.net.host(n.ip)
+	n.h, err = hub.New(cfg, log, n.host)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.done)
+		_ = n.h.Run(ctx)
+	}()
+	return n
+}
+
+func (w *system) settings(n *node) string {
+	var seeds []string
+	for i := range hubCount {
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("127.1.%d.%d:%d", i/2, i%2+1, peerPort)))
+	}
+	return fmt.Sprintf(`[process]
+data_center = %q
+vm = "vm%d"
+name = "hub"
+[listen]
+callers = "%s:%d"
+peers = "%s:%d"
+[platform]
+log = %q
+vms = %q
+[peers]
+seeds = [%s]
+[callers]
+open = true
+[tables]
+settle = "6s"
+`, n.dc, n.i, n.ip, callerPort, n.ip, peerPort, platformAt, platformAt, strings.Join(seeds, ", "))
+}
+
+func (k *workerNode) address() netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr(k.ip), workerPort)
+}
+
+func (w *system) putVMs() {
+	var in struct {
+		VMs []ledger.VM `json:"vms"`
+	}
+	for i := range hubCount {
+		in.VMs = append(in.VMs, ledger.VM{
+			Name:       fmt.Sprintf("vm%d", i),
+			Address:    netip.MustParseAddr(fmt.Sprintf("127.1.%d.%d", i/2, i%2+1)),
+			DataCenter: dcName(i / 2),
+		})
+	}
+	w.control(http.MethodPut, "http://"+platformAt+"/stand/vms", in)
+}
+
+// control speaks to a stand-in.
+func (w *system) control(method, url string, in any) {
+	b, err := json.Marshal(in)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	status, out, err := w.do(method, url, b, nil)
+	if err != nil || status != http.StatusOK {
+		w.t.Fatalf("%s: %d %s %v", url, status, out, err)
+	}
+}
+
+func (w *system) do(method, url string, body []byte, header map[string]string) (int, []byte, error) {
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := w.hc.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, b, err
+}
+
+// kill ends a process without a planned stop: its connections are reset and
+// nothing that it does afterwards is heard.
+func (w *system) kill(n *node) {
+	if n.killed {
+		return
+	}
+	n.killed = true
+	n.host.dead.Store(true)
+	w.net.reset(n.host.ip)
+	n.cancel()
+}
+
+// close ends everything.
+func (w *system) close() {
+	for _, n := range w.hubs {
+		n.cancel()
+	}
+	for _, n := range w.hubs {
+		<-n.done
+	}
+	w.net.update(func() {
+		clear(w.net.cut)
+		clear(w.net.frozen)
+	})
+	w.hc.CloseIdleConnections()
+	w.net.mu.Lock()
+	var all []*memConn
+	for c := range w.net.conns {
+		all = append(all, c)
+	}
+	for _, l := range w.net.listeners {
+		l.shut()
+	}
+	w.net.mu.Unlock()
+	for _, c := range all {
+		_ = c.Close()
+	}
+	// The clock stands still once the test function has returned.
+	time.Sleep(time.Minute)
+}
--- a/hub/members.go
+++ b/hub/members.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"snipehub.example/event"
+	"snipehub.example/meter"
 	"snipehub.example/peer"
 	"snipehub.example/roster"
 	"snipehub.example/tables"
@@ -24,15 +25,16 @@
 		Members:      p.Members,
 		News:         p.News,
 	}
-	self := roster.Member{Owner: h.self, Address: h.cfg.Listen.Peers}
 	rnd := rand.New(rand.NewPCG(h.self.Incarnation, 1))
-	return roster.New(self, cfg, rnd, h.describe, h.memberChanged)
+	return roster.New(h.member(), cfg, rnd, h.describe, h.memberChanged)
 }
 
 // describe fills in what a heartbeat tells of this process.
 func (h *Hub) describe(now time.Time, m *roster.Member) {
 	m.Tables = h.tables.State().Version
 	m.Leaving = h.stopping.Load()
+	m.FreeSlots = h.place.Free()
+	m.Connections = h.cfg.Dispatch.Connections
 	if at := h.tables.Confirmed(); !at.IsZero() {
 		m.Confirmed, m.Age = true, max(0, now.Sub(at))
 	}
@@ -63,20 +65,32 @@
 	})
 }
 
+// searchEvery is the pause between heartbeats while no other member is known:
+// until one is, nobody can find the tickets that this process mints.
+const searchEvery = 100 * time.Millisecond
+
 func (h *Hub) heartbeat(ctx context.Context) error {
-	sub := h.clock.Subscribe(h.cfg.Peers.Heartbeat.D())
+	sub := h.clock.Subscribe(min(searchEvery, h.cfg.Peers.Heartbeat.D()))
 	defer sub.Stop()
+	var next time.Time
 	for {
+		if now := h.clock.Now(); !now.Before(next) || h.roster.Len() == 0 {
+			next = now.Add(h.cfg.Peers.Heartbeat.D())
+			h.beat(ctx, now)
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-sub.C:
 		}
-		b, to := h.roster.Beat(h.clock.Now(), h.cfg.Peers.Fanout, h.platform.addresses())
-		for _, addr := range to {
-			if addr != h.cfg.Listen.Peers {
-				go h.beatTo(ctx, addr, b)
-			}
+	}
+}
+
+func (h *Hub) beat(ctx context.Context, now time.Time) {
+	b, to := h.roster.Beat(now, h.cfg.Peers.Fanout, h.platform.addresses())
+	for _, addr := range to {
+		if addr != h.cfg.Listen.Peers {
+			go h.beatTo(ctx, addr, b)
 		}
 	}
 }
@@ -84,10 +98,12 @@
 func (h *Hub) beatTo(ctx context.Context, addr netip.AddrPort, b roster.Beat) {
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Peers.Timeout.D())
 	defer cancel()
+	h.meter.Count(meter.Heartbeats, 1)
 	sent := h.clock.Now()
 	answer, err := peer.Call[roster.Beat](ctx, h.dialer, addr, methodBeat, b)
 	now := h.clock.Now()
 	if err != nil {
+		h.meter.Count(meter.HeartbeatsFailed, 1)
 		h.roster.Failed(now, addr)
 		return
 	}
--- a/hub/script_test.go
+++ b/hub/script_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -31,25 +36,64 @@
 	})
 }
 
-// TestScript runs the binaries as processes. Each script gets free ports as
-// $A0 to $A11.
+// TestScript runs the binaries as processes. Each script gets free addresses as
+// $A0 to $A11, and the files of testdata/common: two dispatchers (callers at $A1
+// and $A3, peers at $A2 and $A4), the log at $A0, a backend server at $A5.
 func TestScript(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir:   "testdata/script",
-		Setup: freeAddresses,
-		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"call":   call,
-			"await":  await,
-			"subst":  subst,
-			"keep":   keep,
-			"signal": signalProcess,
-		},
-	})
+	cmds := map[string]func(ts *testscript.TestScript, neg bool, args []string){
+		"call":   call,
+		"await":  await,
+		"subst":  subst,
+		"keep":   keep,
+		"signal": signalProcess,
+	}
+	maps.Copy(cmds, faultCmds)
+	testscript.Run(t, testscript.Params{Dir: "testdata/script", Setup: setUp, Cmds: cmds})
+}
+
+func setUp(e *testscript.Env) error {
+	if err := freeAddresses(e); err != nil {
+		return err
+	}
+	return copyCommon(e)
+}
+
+// copyCommon puts the files of testdata/common into the script's directory,
+// with the addresses filled in.
+func copyCommon(e *testscript.Env) error {
+	const dir = "testdata/common"
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		b, err := os.ReadFile(filepath.Join(dir, f.Name()))
+		if err != nil {
+			return err
+		}
+		to := filepath.Join(e.WorkDir, f.Name())
+		if _, err := os.Stat(to); err == nil {
+			continue
+		}
+		if err := os.WriteFile(to, []byte(os.Expand(string(b), e.Getenv)), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
+// scripts counts the scripts of this process.
+var scripts atomic.Int32
+
+// freeAddresses gives each script a loopback address of its own, $HOST. On
+// 127.0.0.1, a port that is free now is soon given to somebody's outgoing
+// connection, and the script fails with "address already in use".
 func freeAddresses(e *testscript.Env) error {
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 1+scripts.Add(1)%250)
+	e.Setenv("HOST", host)
 	for i := range 12 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", host+":0")
 		if err != nil {
 			return err
 		}
@@ -86,7 +130,11 @@
 		k, v, _ := strings.Cut(h, ":")
 		req.Header.Set(k, v)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	hc, err := httpClient(ts, args[1])
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := hc.Do(req)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -95,6 +143,21 @@
 	return resp.StatusCode, out, err
 }
 
+// httpClient trusts the authority in keys/ca.pem where the URL wants TLS.
+func httpClient(ts *testscript.TestScript, url string) (*http.Client, error) {
+	if !strings.HasPrefix(url, "https:") {
+		return http.DefaultClient, nil
+	}
+	ca, err := os.ReadFile(ts.MkAbs("keys/ca.pem"))
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(ca)
+	tr := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, DisableKeepAlives: true}
+	return &http.Client{Transport: tr}, nil
+}
+
 // await URL [TEXT] asks until the answer is 200 and contains the text.
 func await(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 1 {
--- a/hub/standing.go
+++ b/hub/standing.go
@@ -105,7 +105,7 @@
 	}
 	ok := s.mayPlace()
 	h.cutOffOK.Store(ok && !fresh)
-	if was := h.placing.Swap(ok); was == ok {
+	if was := h.allowed.Swap(ok); was == ok {
 		return
 	}
 	id := event.PlacingStopped
--- a/job/job.go
+++ b/job/job.go
@@ -82,8 +82,10 @@
 	// Key is the caller's own key, when it brings one in place of an id.
 	Key  string `json:"key,omitempty"`
 	Spec Spec   `json:"spec"`
-	// Wait tells to answer only when the job has ended.
-	Wait bool `json:"wait"`
+	// Wait tells to answer only when the job has ended, or after WaitFor if
+	// that is above 0.
+	Wait    bool          `json:"wait"`
+	WaitFor time.Duration `json:"wait_for,omitempty"`
 }
 
 // Request is one request that is passed through to a backend server. ID or Key
@@ -106,3 +108,21 @@
 	Type   string `json:"type,omitempty"`
 	Body   []byte `json:"body,omitempty"`
 }
+
+// Time returns the bound of the request, or def when it has none.
+func (r Request) Time(def time.Duration) time.Duration {
+	if r.Timeout <= 0 {
+		return def
+	}
+	return r.Timeout
+}
+
+// Sum tells whether two submissions of one identity are the same.
+func (s Submission) Sum() uint64 {
+	return digest(s.Spec.Kind, "", compact(s.Spec.Tasks))
+}
+
+// Sum tells whether two requests of one identity are the same.
+func (r Request) Sum() uint64 {
+	return digest(r.Kind, r.Type, [][]byte{r.Body})
+}
--- a/roster/gossip.go
+++ b/roster/gossip.go
@@ -25,6 +25,9 @@
 	// that no known member has, so that two groups that forgot each other
 	// during a long partition find together again.
 	exploreEvery = 16
+	// searchWidth is how many addresses a process tries at once while it knows
+	// nobody.
+	searchWidth = 4
 	// pickTries bounds the search for a random member that fits.
 	pickTries = 16
 )
@@ -103,6 +106,9 @@
 // at which there may be members: seeds, and those that the VM list gives.
 func (b *Book) Targets(n int, others []netip.AddrPort) []netip.AddrPort {
 	b.beats++
+	if len(b.order) == 0 {
+		return b.search(others)
+	}
 	var out []netip.AddrPort
 	if a, ok := b.urgent(); ok {
 		out = append(out, a)
@@ -120,6 +126,20 @@
 	return out[:min(n, len(out))]
 }
 
+// search picks addresses for a process that knows nobody.
+func (b *Book) search(others []netip.AddrPort) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, i := range b.rnd.Perm(len(others)) {
+		if len(out) == searchWidth {
+			break
+		}
+		if others[i] != b.self.Address {
+			out = append(out, others[i])
+		}
+	}
+	return out
+}
+
 // urgent returns an address whose member must be known better: two incarnations
 // are known there, or the one did not answer. It is one a heartbeat at most, so
 // that a rack that fails does not take the heartbeats from the others.
--- a/roster/member.go
+++ b/roster/member.go
@@ -48,6 +48,8 @@
 	Age       time.Duration `json:"age,omitempty"`
 	// FreeSlots is how many more tasks it could start now.
 	FreeSlots int `json:"free_slots"`
+	// Connections is its size: how many tasks it runs at once.
+	Connections int `json:"connections,omitempty"`
 }
 
 // Known is a member with what we think of it.
--- a/roster/wire.go
+++ b/roster/wire.go
@@ -27,6 +27,7 @@
 	Tables  tables.Version `json:"tables"`
 	Age     *int64         `json:"age,omitempty"`
 	Free    int            `json:"free,omitempty"`
+	Conns   int            `json:"conns,omitempty"`
 	State   State          `json:"state,omitempty"`
 }
 
@@ -83,6 +84,7 @@
 		Count:   m.Count,
 		Tables:  m.Tables,
 		Free:    m.FreeSlots,
+		Conns:   m.Connections,
 	}
 	if s == Suspect || s == Gone {
 		w.State = s
@@ -103,12 +105,13 @@
 		return Member{}, "", errors.Wrapf(ErrBeat, "age %d", *w.Age)
 	}
 	m := Member{
-		Owner:     id.Owner,
-		Address:   w.Address,
-		Leaving:   w.Leaving,
-		Count:     w.Count,
-		Tables:    w.Tables,
-		FreeSlots: w.Free,
+		Owner:       id.Owner,
+		Address:     w.Address,
+		Leaving:     w.Leaving,
+		Count:       w.Count,
+		Tables:      w.Tables,
+		FreeSlots:   w.Free,
+		Connections: w.Conns,
 	}
 	if w.Age != nil {
 		// A part of a millisecond was cut off; an age is never told too young.
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -24,6 +24,18 @@
 	Incarnation uint64 `json:"incarnation"`
 }
 
+// String writes the owner as it stands in ids.
+func (o Owner) String() string {
+	return strings.Join([]string{o.DataCenter, o.VM, o.Process, strconv.FormatUint(o.Incarnation, 36)}, separator)
+}
+
+// Precedes tells whether o is an earlier incarnation of the process n.
+func (o Owner) Precedes(n Owner) bool {
+	earlier := o.Incarnation < n.Incarnation
+	n.Incarnation = o.Incarnation
+	return earlier && o == n
+}
+
 // ID is the name of a ticket.
 type ID struct {
 	Owner
