--- a/settings/keys.go
+++ b/settings/keys.go
@@ -55,6 +55,12 @@
 	{"peers.fanout", "dispatchers", "How many random ones get each heartbeat.", "", between(1, 64)},
 	{"peers.suspect_after", "", "Silence after which a dispatcher is suspect.", "", lasting(20*time.Millisecond, 10*time.Minute)},
 	{"peers.timeout", "", "How long a call to another dispatcher may take, besides what it waits for.", "", lasting(10*time.Millisecond, time.Minute)},
+	{"peers.gone_after", "", "How long the VM list must lack a VM before its silent dispatchers are gone for good; more than the list may lag.", "", lasting(100*time.Millisecond, 24*time.Hour)},
+	{"peers.keep_gone", "", "How long gone dispatchers are remembered.", "", lasting(time.Second, 24*time.Hour)},
+	{"peers.members", "dispatchers", "Most other dispatchers that are remembered.", "", between(1, 65_536)},
+	{"peers.news", "dispatchers", "How many others one heartbeat tells of.", "", between(4, 64)},
+	{"peers.vm_poll", "", "Time between two reads of the VM list.", "", lasting(10*time.Millisecond, time.Hour)},
+	{"peers.vm_prefix", "", "Beginning of the names of entry VMs in the VM list; the peer ports are tried only there.", "", anything},
 
 	{"callers.open", "", "Lets everybody in, as the caller \"anyone\".", "", anything},
 	{"callers.tokens", "", "The callers: name, team, and the SHA-256 of the bearer token in hexadecimal. A caller may have several tokens, so that they can be changed without a gap.", `[{ caller = "counter-a", team = "a", sha256 = "a70bf50e531ce1a817561f2f5d5b6645d4e806becf58ccc5e8cf6b8045a090a8" }]`, anything},
