--- a/counter/identity.go
+++ b/counter/identity.go
@@ -74,10 +74,13 @@
 	if len(h) == 0 {
 		return "", nil
 	}
+	if len(h) > 1 {
+		return "", refusal.New(refusal.BadRequest, HeaderKey+" stands twice")
+	}
 	text := strings.Trim(h[0], `"`)
 	id, err := uuid.Parse(text)
-	if err != nil || len(text) != len(uuid.Nil.String()) || id.Version() != keyVersion || len(h) > 1 {
-		return "", refusal.New(refusal.BadRequest, HeaderKey+" must be one UUID of version 7")
+	if err != nil || len(text) != len(uuid.Nil.String()) || id.Version() != keyVersion {
+		return "", refusal.New(refusal.BadKey, HeaderKey+" must be a UUID of version 7")
 	}
 	return id.String(), nil
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -41,7 +41,10 @@
 	// whatever status the backend server answers goes to the caller, and a
 	// route may allow it to be repeated.
 	Request bool
-	Tasks   [][]byte
+	// Guest tells that this is one task that a peer has handed over; Job is
+	// then the id of the attempt.
+	Guest bool
+	Tasks [][]byte
 	// Done is called once for each task, from any goroutine.
 	Done func(index int, r Result)
 }
@@ -123,6 +126,9 @@
 	p        *plan.Planner
 	world    plan.World
 	batches  map[string]*batch
+	sender   sender
+	sends    chan struct{}
+	peers    map[string]roster.Known
 	acts     plan.Actions
 	complain time.Time
 }
@@ -133,10 +139,12 @@
 	left int
 }
 
-// ending is the outcome of an attempt.
+// ending is the outcome of an attempt, or what a peer tells of its room.
 type ending struct {
 	number uint64
 	o      delivery.Outcome
+	peer   string
+	free   int
 }
 
 // New makes a dispatcher.
@@ -155,6 +163,8 @@
 		reports:  newReports(),
 		p:        plan.New(cfg.Config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		batches:  make(map[string]*batch),
+		sends:    make(chan struct{}, handovers),
+		peers:    make(map[string]roster.Known),
 	}
 }
 
@@ -185,10 +195,7 @@
 		case r := <-d.requests:
 			d.take(r)
 		case e := <-d.ended:
-			if e.o.Kind == delivery.NotRun {
-				d.m.Count(meter.TaskRefusals, 1)
-			}
-			d.p.Ended(d.clock.Now(), e.number, e.o)
+			d.hear(e)
 		case <-d.wake:
 			d.look(d.clock.Now())
 		case <-sub.C:
@@ -198,13 +205,34 @@
 	}
 }
 
+func (d *Dispatcher) count(k delivery.Kind) {
+	switch k {
+	case delivery.Done, delivery.Ran:
+		d.m.Count(meter.TasksDone, 1)
+	case delivery.NotRun:
+		d.m.Count(meter.TaskRefusals, 1)
+	case delivery.Unknown:
+		d.m.Count(meter.TasksUnknown, 1)
+	}
+}
+
+func (d *Dispatcher) hear(e ending) {
+	if e.peer != "" {
+		d.p.Reported(e.peer, e.free)
+		return
+	}
+	d.count(e.o.Kind)
+	d.p.Ended(d.clock.Now(), e.number, e.o)
+}
+
 func (d *Dispatcher) tick(now time.Time) {
 	d.look(now)
 	d.p.Tick(now)
 	d.free.Store(int64(d.p.Free()))
 	d.m.Gauge(meter.QueuedTasks, float64(d.p.Waiting()))
 	d.m.Gauge(meter.RunningTasks, float64(d.p.Busy()))
-	d.m.Gauge(meter.OpenResults, float64(d.reports.len()))
+	d.m.Gauge(meter.TaskReports, float64(d.reports.len()))
+	d.m.Gauge(meter.HandedTasks, float64(d.p.Handed()))
 }
 
 // act asks the planner what to do, and does it.
@@ -218,6 +246,9 @@
 	for _, s := range d.acts.Starts {
 		d.start(ctx, s)
 	}
+	for _, h := range d.acts.Hands {
+		d.hand(ctx, h)
+	}
 	for _, n := range d.acts.News {
 		switch {
 		case n.Capped:
@@ -232,10 +263,14 @@
 
 func (d *Dispatcher) start(ctx context.Context, s plan.Start) {
 	b := d.batches[s.Job]
+	id := delivery.TaskID(s.Job, s.Task, s.Attempt)
+	if b.Guest {
+		id = b.Job
+	}
 	a := delivery.Attempt{
 		Server:  s.Server,
 		Kind:    b.Kind,
-		Task:    delivery.TaskID(s.Job, s.Task, s.Attempt),
+		Task:    id,
 		Body:    b.Tasks[s.Task],
 		Type:    b.Type,
 		Expires: s.Expires,
@@ -244,7 +279,7 @@
 	if s.Attempt > 0 {
 		d.m.Count(meter.TaskRetries, 1)
 	}
-	go func() { d.ended <- ending{s.Number, d.c.Deliver(ctx, a)} }()
+	go func() { d.ended <- ending{number: s.Number, o: d.c.Deliver(ctx, a)} }()
 }
 
 func (d *Dispatcher) end(e plan.End) {
@@ -256,12 +291,6 @@
 	case delivery.Ran:
 		r.Done = b.Request
 	}
-	switch {
-	case r.Done:
-		d.m.Count(meter.TasksDone, int64(e.To-e.From))
-	case r.Ran != refusal.RanNo:
-		d.m.Count(meter.TasksUnknown, int64(e.To-e.From))
-	}
 	if r.Done {
 		r.Answer = e.Outcome.Body
 		r.Type = e.Outcome.Type
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -97,13 +97,14 @@
 		Team:    b.Team,
 		Expires: b.Expires,
 		Request: b.Request,
+		Guest:   b.Guest,
 		Tasks:   len(b.Tasks),
 	})
 	if err == nil {
 		d.batches[b.Job] = &batch{*b, len(b.Tasks)}
 		return nil
 	}
-	d.m.Count(meter.BatchesRefused, 1)
+	d.m.Count(meter.JobsRefused, 1)
 	var r *refusal.Refusal
 	if errors.As(err, &r) && r.Code == refusal.Overloaded && now.Sub(d.complain) > quiet {
 		d.complain = now
--- a/event/table.go
+++ b/event/table.go
@@ -38,6 +38,7 @@
 	AnswersEvicted   ID = 402
 	TicketsFull      ID = 403
 	HeldDropped      ID = 404
+	ClaimsEvicted    ID = 405
 
 	QueueFull ID = 500
 
@@ -83,6 +84,7 @@
 	{AnswersEvicted, slog.LevelWarn, "answers made room", "Answers were dropped before limits.kept_answer_for was over, because limits.kept_answer_bytes was reached. A caller that comes back for one is told that the outcome is unknown.", "0.1"},
 	{TicketsFull, slog.LevelWarn, "tickets at their limit", "limits.tickets is reached, or a caller has a quarter of it: idle tickets are retired, and while there are none, new ones are refused. Find the caller that takes a ticket for each job.", "0.1"},
 	{HeldDropped, slog.LevelWarn, "held answers dropped", "limits.held_bytes is reached: the oldest closed state of a stopped dispatcher was dropped. Its callers are told that the outcome is unknown.", "0.1"},
+	{ClaimsEvicted, slog.LevelWarn, "claims made room", "limits.claims is reached: the oldest claims of callers' own keys were forgotten here. Keys that are as old are refused as unknown by this process.", "0.1"},
 	{QueueFull, slog.LevelWarn, "work refused for load", "Jobs are refused with a true \"not run\" because the expected wait or the number of waiting tasks is over its limit (dispatch.max_wait, limits.queued_tasks). Logged at most every 10 s; the metric dispatch_refused counts all. If it lasts, the pool needs more backend servers.", "0.1"},
 	{ServerAside, slog.LevelWarn, "backend server set aside", "The server gets no tasks but one now and then, to see whether it is well again, for the reason given.", "0.1"},
 	{ServerBack, slog.LevelInfo, "backend server back in use", "A trial task ended well on a server that was set aside.", "0.1"},
--- a/hub/gauges.go
+++ b/hub/gauges.go
@@ -26,6 +26,7 @@
 	answers := &bound{gauge: meter.KeptAnswerBytes, event: event.AnswersEvicted}
 	tickets := &bound{gauge: meter.Tickets, event: event.TicketsFull}
 	held := &bound{gauge: meter.HeldBytes, event: event.HeldDropped}
+	keys := &bound{gauge: meter.Claims, event: event.ClaimsEvicted}
 	for {
 		select {
 		case <-ctx.Done():
@@ -37,6 +38,9 @@
 		h.meter.Gauge(meter.KeptAnswers, float64(s.Kept))
 		h.observe(answers, s.KeptBytes, s.Crowded)
 		h.observe(tickets, s.Tickets, s.Full+s.Retired)
+		claims, pending, evicted := h.claims.Stats()
+		h.meter.Gauge(meter.PendingKeys, float64(pending))
+		h.observe(keys, int64(claims), evicted)
 		bytes, dropped := h.fwd.holder.Stats()
 		h.observe(held, bytes, dropped)
 	}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -15,9 +15,11 @@
 	"github.com/thejerf/suture/v4"
 
 	"snipehub.example/certificate"
+	"snipehub.example/claim"
 	"snipehub.example/clock"
 	"snipehub.example/counter"
 	"snipehub.example/dispatch"
+	"snipehub.example/dispatch/handover"
 	"snipehub.example/event"
 	"snipehub.example/job"
 	"snipehub.example/ledger"
@@ -42,9 +44,11 @@
 	dialer *peer.Dialer
 	peers  *peer.Server
 	place  *dispatch.Dispatcher
+	guests *handover.Receiver
 	owner  *job.Owner
 	fwd    *forwarder
 	desk   *desk
+	claims *claim.Claimer
 	http   *http.Server
 	ln     listeners
 	certs  *certificate.Set
@@ -135,8 +139,16 @@
 		waiting:  make(map[*awaited]struct{}),
 		unheld:   make(map[ticket.Owner]time.Time),
 	}
-	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: noKeys{}, tables: h.tables.State}
+	h.claims = claim.New(claim.Config{
+		Claims:    cfg.Limits.Claims,
+		Pending:   cfg.Limits.PendingKeys,
+		Skew:      cfg.Limits.KeySkew.D(),
+		Patience:  cfg.Platform.Timeout.D(),
+		MarkEvery: markEvery,
+	}, platform, h.clock.Now, h.appendShare, h.owner.Reserve)
+	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: h.claims, tables: h.tables.State}
 	h.handlePeers()
+	h.handOver()
 	h.http = counter.NewServer(cfg.Limits, counter.New(h.log, cfg, callerService{h.desk, h}, h.meter))
 }
 
@@ -168,9 +180,11 @@
 	h.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Limits.StopDeadline.D())
 	defer cancel()
+	h.guests.Stop()
 	_ = h.owner.Stop(ctx)
 	h.fwd.handOver(ctx, append(h.owner.Closed(h.cfg.Limits.HandoffBytes), h.fwd.holder.Closed()...))
 	_ = h.http.Shutdown(ctx)
+	h.guests.Drain(ctx)
 	h.peers.Drain(ctx)
 }
 
@@ -198,6 +212,8 @@
 	if h.ln.operators != nil {
 		root.Add(service("operators", h.serveOperators))
 	}
+	root.Add(service("claim reads", h.claims.ServeReads))
+	root.Add(service("claim appends", h.claims.ServeAppends))
 	return root
 }
 
@@ -242,6 +258,21 @@
 	h.desk.handle(h.peers)
 }
 
+// markEvery is how old the newest claim on the log may get; see claim.Config.
+const markEvery = time.Minute
+
+// appendShare is this process's part of the append rate: all dispatchers that
+// are not gone share it alike.
+func (h *Hub) appendShare() float64 {
+	n := 1
+	for _, k := range h.roster.All(h.clock.Now()) {
+		if k.State != roster.Gone {
+			n++
+		}
+	}
+	return h.cfg.Platform.AppendRate / float64(n)
+}
+
 func (h *Hub) watchForwards(ctx context.Context) error {
 	sub := h.clock.Subscribe(watchEvery)
 	defer sub.Stop()
--- a/meter/table.go
+++ b/meter/table.go
@@ -33,18 +33,20 @@
 	HeldBytes       Name = "held_bytes"
 	ClaimsAppends   Name = "claims_appends"
 	Claims          Name = "claims"
+	PendingKeys     Name = "pending_keys"
 
-	TaskStarts     Name = "task_starts"
-	TaskRefusals   Name = "task_refusals"
-	TaskRetries    Name = "task_retries"
-	TasksDone      Name = "tasks_done"
-	TasksUnknown   Name = "tasks_unknown"
-	QueuedTasks    Name = "queued_tasks"
-	RunningTasks   Name = "running_tasks"
-	OpenResults    Name = "open_results"
-	BatchesRefused Name = "batches_refused"
-	Handovers      Name = "handovers"
-	HandoverTasks  Name = "handover_tasks"
+	TaskStarts    Name = "task_starts"
+	TaskRefusals  Name = "task_refusals"
+	TaskRetries   Name = "task_retries"
+	TasksDone     Name = "tasks_done"
+	TasksUnknown  Name = "tasks_unknown"
+	QueuedTasks   Name = "queued_tasks"
+	RunningTasks  Name = "running_tasks"
+	Handovers     Name = "handovers"
+	HandoverTasks Name = "handover_tasks"
+	TaskReports   Name = "task_reports"
+	JobsRefused   Name = "jobs_refused"
+	HandedTasks   Name = "handed_tasks"
 
 	ServersAside Name = "servers_aside"
 
@@ -112,6 +114,7 @@
 	{409, KeptAnswers, Gauge, "answers", nil, "Answers kept for resubmissions.", "0.1"},
 	{410, RunningJobs, Gauge, "jobs", nil, "Jobs and requests under an identity that run here.", "0.1"},
 	{411, HeldBytes, Gauge, "bytes", nil, "Closed state of dispatchers that have stopped, held for their callers.", "0.1"},
+	{412, PendingKeys, Gauge, "keys", nil, "Callers' own keys whose claim has not yet been read back from the log.", "0.1"},
 	{500, TaskStarts, Counter, "messages", nil, "Attempts sent to backend servers.", "0.1"},
 	{501, TaskRefusals, Counter, "messages", nil, "Attempts that a backend server answered with \"not run\".", "0.1"},
 	{502, TaskRetries, Counter, "messages", nil, "Attempts beyond the first of their task.", "0.1"},
@@ -121,8 +124,9 @@
 	{506, RunningTasks, Gauge, "tasks", nil, "Tasks in flight on backend servers.", "0.1"},
 	{507, Handovers, Counter, "messages", nil, "Batches of tasks handed over to other dispatchers.", "0.1"},
 	{508, HandoverTasks, Counter, "tasks", nil, "Tasks in those batches.", "0.1"},
-	{509, OpenResults, Gauge, "results", nil, "Results of tasks that wait to be taken by their job.", "0.1"},
-	{510, BatchesRefused, Counter, "jobs and requests", nil, "Jobs and requests that were refused before any task started, because of load or routes.", "0.1"},
+	{509, TaskReports, Gauge, "reports", nil, "Outcomes that wait to be told to the owner of their job.", "0.1"},
+	{510, JobsRefused, Counter, "jobs", nil, "Jobs and requests that the guards refused as a whole.", "0.1"},
+	{511, HandedTasks, Gauge, "tasks", nil, "Tasks that other dispatchers run for this one now.", "0.1"},
 	{600, ServersAside, Gauge, "backend servers", nil, "Backend servers that are set aside because they fail.", "0.1"},
 	{700, Requests, Counter, "requests", nil, "Requests of callers, refused ones included.", "0.1"},
 	{701, Refusals, Counter, "answers", byCode, "Refusals given to callers, by code (docs/CALLERS.md).", "0.1"},
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -79,6 +79,8 @@
 	{"limits.open_bytes", "bytes", "Most memory for the bodies of all open requests.", "", between(1, 64*giga)},
 	{"limits.idle_timeout", "", "How long a caller's connection may be without a request.", "", lasting(time.Second, time.Hour)},
 	{"limits.handoff_bytes", "bytes", "Most answers that a process hands over when it stops.", "", between(1, 64*giga)},
+	{"limits.pending_keys", "keys", "Most keys of callers' own that wait for the log.", "", between(1, 100*million)},
+	{"limits.key_skew", "", "By how much the clocks of callers and of the log may differ; the same in all dispatchers.", "", lasting(100*time.Millisecond, time.Hour)},
 	{"limits.held_bytes", "bytes", "Most answers that it holds of others that have stopped.", "", between(1, 64*giga)},
 
 	{"tables.settle", "", "The time in which a change of the tables is in force everywhere.", "", lasting(100*time.Millisecond, 10*time.Minute)},
@@ -91,8 +93,10 @@
 	{"dispatch.task_timeout", "", "Longest time of one attempt, where the route names none.", "", lasting(10*time.Millisecond, time.Hour)},
 	{"dispatch.retry_budget", "share", "Attempts beyond the first, as a share of first attempts.", "", between(0, 1)},
 	{"dispatch.max_wait", "", "Longest expected wait at which new work is still taken.", "", lasting(10*time.Millisecond, time.Hour)},
-	{"dispatch.aside_share", "share", "Largest part of a pool that is set aside as failing.", "", between(0, 1)},
-	{"dispatch.attempts", "attempts", "Most attempts of a task, where those before were not run.", "", between(1, 1000)},
+	{"dispatch.attempts", "attempts", "Most attempts of one task.", "", between(1, 100)},
+	{"dispatch.hand_after", "", "Expected wait beyond which tasks are handed over to other dispatchers.", "", lasting(0, time.Hour)},
+	{"dispatch.hand_least", "tasks", "Fewest tasks that are worth a message to another dispatcher.", "", between(1, 10_000)},
+	{"dispatch.aside_share", "share", "Largest part of a pool that is set aside as failing.", "", between(0, 0.9)},
 
 	{"log.level", "", "The least level of the process's log lines.", "", oneOf("debug", "info", "warn", "error")},
 	{"log.format", "", "The form of the process's log lines.", "", oneOf("text", "json")},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -147,6 +147,11 @@
 	// HeldBytes what it holds of others that have stopped.
 	HandoffBytes int64 `toml:"handoff_bytes"`
 	HeldBytes    int64 `toml:"held_bytes"`
+	// PendingKeys bounds the callers' own keys that wait for the log. KeySkew
+	// is by how much the clocks of callers and of the log may differ; it must
+	// be the same in all dispatchers.
+	PendingKeys int      `toml:"pending_keys"`
+	KeySkew     Duration `toml:"key_skew"`
 }
 
 // Tables sets how the tables are followed.
@@ -162,7 +167,8 @@
 
 // Dispatch sets how tasks are placed.
 type Dispatch struct {
-	Policy      string   `toml:"policy"`
+	Policy string `toml:"policy"`
+	// JobSlots is how many jobs have tasks under way at once; 0 means no limit.
 	JobSlots    int      `toml:"job_slots"`
 	Connections int      `toml:"connections"`
 	TaskTimeout Duration `toml:"task_timeout"`
@@ -173,6 +179,10 @@
 	AsideShare float64 `toml:"aside_share"`
 	// Attempts bounds the attempts of one task.
 	Attempts int `toml:"attempts"`
+	// HandAfter is the expected wait beyond which tasks are handed to peers,
+	// HandLeast the fewest tasks that are worth a message.
+	HandAfter Duration `toml:"hand_after"`
+	HandLeast int      `toml:"hand_least"`
 }
 
 // Log sets the process's own log lines.
@@ -214,6 +224,8 @@
 			IdleTimeout:     Duration(2 * time.Minute),
 			HandoffBytes:    8 << 20,
 			HeldBytes:       32 << 20,
+			PendingKeys:     10000,
+			KeySkew:         Duration(10 * time.Second),
 		},
 		Tables: Tables{
 			Settle:   Duration(8 * time.Second),
@@ -222,13 +234,15 @@
 		},
 		Dispatch: Dispatch{
 			Policy:      "random",
-			JobSlots:    8,
+			JobSlots:    0,
 			Connections: 64,
 			TaskTimeout: Duration(10 * time.Second),
 			RetryBudget: 0.1,
 			MaxWait:     Duration(10 * time.Second),
 			AsideShare:  0.3,
-			Attempts:    4,
+			Attempts:    10,
+			HandAfter:   Duration(50 * time.Millisecond),
+			HandLeast:   8,
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
