--- a/hub/hub.go
+++ b/hub/hub.go
@@ -111,7 +111,7 @@
 
 func (h *Hub) build() {
 	cfg := h.cfg
-	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
+	platform := countedLog{ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext), h.meter}
 	h.tables = h.newTables(platform)
 	h.place = h.placing()
 	h.owner = job.New(h.self, h.place, job.Limits{
--- a/hub/tables.go
+++ b/hub/tables.go
@@ -5,11 +5,10 @@
 	"math/rand/v2"
 	"time"
 
-	"snipehub.example/ledger"
 	"snipehub.example/tables"
 )
 
-func (h *Hub) newTables(platform *ledger.Client) *tables.Follower {
+func (h *Hub) newTables(platform countedLog) *tables.Follower {
 	return tables.New(h.log, platform, tables.Config{
 		Poll:     h.cfg.Tables.Poll.D(),
 		Snapshot: h.cfg.Tables.Snapshot.D(),
