--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -291,12 +291,6 @@
 	case delivery.Ran:
 		r.Done = b.Request
 	}
-	switch {
-	case r.Done:
-		d.m.Count(meter.TasksDone, int64(e.To-e.From))
-	case r.Ran != refusal.RanNo:
-		d.m.Count(meter.TasksUnknown, int64(e.To-e.From))
-	}
 	if r.Done {
 		r.Answer = e.Outcome.Body
 		r.Type = e.Outcome.Type
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -34,3 +34,13 @@
 		t.Errorf("%s differs from the table; run UPDATE_DOCS=1 go test ./event", path)
 	}
 }
+
+// TestNumbersAreInTheirPart holds the numbers inside the hundreds that the
+// table gives to the parts.
+func TestNumbersAreInTheirPart(t *testing.T) {
+	for _, e := range All() {
+		if e.ID < 100 || e.ID > 799 || e.Title == "" || e.Text == "" || e.Since == "" {
+			t.Errorf("event %d: outside the parts, or without title, text or version", e.ID)
+		}
+	}
+}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -53,7 +53,7 @@
 	ln     listeners
 	certs  *certificate.Set
 
-	ledger   *ledger.Client
+	ledger   countedLog
 	platform *platform
 	stopping atomic.Bool
 	// fetching is set while the tables are fetched from a peer.
@@ -118,7 +118,7 @@
 
 func (h *Hub) build() {
 	cfg := h.cfg
-	h.ledger = ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
+	h.ledger = countedLog{ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext), h.meter}
 	h.tables = h.newTables()
 	h.platform = newPlatform(cfg.Peers)
 	h.place = h.placing()
--- a/meter/table.go
+++ b/meter/table.go
@@ -14,7 +14,6 @@
 	TablesVersion Name = "tables_version"
 	TablesAge     Name = "tables_age_seconds"
 	LogReads      Name = "log_reads"
-	EditsRejected Name = "edits_rejected"
 
 	Heartbeats       Name = "heartbeats"
 	HeartbeatsFailed Name = "heartbeats_failed"
@@ -49,8 +48,6 @@
 	JobsRefused   Name = "jobs_refused"
 	HandedTasks   Name = "handed_tasks"
 
-	ServersAside Name = "servers_aside"
-
 	Requests       Name = "requests"
 	Refusals       Name = "refusals"
 	OpenRequests   Name = "open_requests"
@@ -98,7 +95,6 @@
 	{200, TablesVersion, Gauge, "log offset", nil, "The version of the tables in force on this process; -1 before the first.", "0.1"},
 	{201, TablesAge, Gauge, "seconds", nil, "Time since this process last confirmed that its tables are the newest.", "0.1"},
 	{202, LogReads, Counter, "calls", nil, "Reads of the platform's log, all streams.", "0.1"},
-	{203, EditsRejected, Counter, "edits", nil, "Edits on the log that took no effect: lost races, or a broken join of the tables.", "0.1"},
 	{300, Heartbeats, Counter, "calls", nil, "Heartbeats sent to other dispatchers.", "0.1"},
 	{301, HeartbeatsFailed, Counter, "calls", nil, "Heartbeats that got no answer.", "0.1"},
 	{302, MembersLive, Gauge, "processes", nil, "Other dispatchers that this process takes for live.", "0.1"},
@@ -129,7 +125,6 @@
 	{510, JobsRefused, Counter, "jobs", nil, "Jobs and requests that the guards refused as a whole.", "0.1"},
 	{511, HandedTasks, Gauge, "tasks", nil, "Tasks that other dispatchers run for this one now.", "0.1"},
 	{512, HandoverCalls, Counter, "calls", nil, "Calls to other dispatchers about hand-overs: the batches, and the questions for their outcomes.", "0.1"},
-	{600, ServersAside, Gauge, "backend servers", nil, "Backend servers that are set aside because they fail.", "0.1"},
 	{700, Requests, Counter, "requests", nil, "Requests of callers, refused ones included.", "0.1"},
 	{701, Refusals, Counter, "answers", byCode, "Refusals given to callers, by code (docs/CALLERS.md).", "0.1"},
 	{702, OpenRequests, Gauge, "requests", nil, "Requests of callers that wait for their answer.", "0.1"},
