A hung backend server no longer eats the time for handing over

Cause: the planned stop waited for running jobs up to its whole deadline; with a job on a hung server nothing was left for the hand-over.

Ruled out: a deadline beyond the deadline (the operator's setting would not hold).

Change: running jobs get three quarters of limits.stop_deadline. Process test script/hung: the hung job is "owner_gone, unknown" afterwards, never "not run", and the other caller gets its answer.

Conclusion: script/hung, handoff and stop pass with -race.

--- a/hub/hub.go
+++ b/hub/hub.go
@@ -181,13 +181,23 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Limits.StopDeadline.D())
 	defer cancel()
 	h.guests.Stop()
-	_ = h.owner.Stop(ctx)
+	h.finish(ctx)
 	h.fwd.handOver(ctx, append(h.owner.Closed(h.cfg.Limits.HandoffBytes), h.fwd.holder.Closed()...))
 	_ = h.http.Shutdown(ctx)
 	h.guests.Drain(ctx)
 	h.peers.Drain(ctx)
 }
 
+// finish waits for what runs, for at most three quarters of the stop deadline.
+// The rest is for handing over: a job on a hung backend server would else use
+// up the deadline, and every other caller would lose the answers that were not
+// yet fetched.
+func (h *Hub) finish(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.Limits.StopDeadline.D()*3/4)
+	defer cancel()
+	_ = h.owner.Stop(ctx)
+}
+
 func (h *Hub) tree() *suture.Supervisor {
 	root := suture.New("hub", suture.Spec{
 		EventHook: func(e suture.Event) {
