load: refuse a second run of a deployment at the same addresses

Cause: a trial (steady80, teranga, hand) printed "unauthorized 188" and 0.00 cores in stand-ins: another run of the same deployment was up on the machine. The second run's processes could not listen and ended, but the addresses answered from the first run, so the tool went on and measured those.

Ruled out: random ports for the deployments (their files name addresses that operators' examples use).

Change: all addresses are tried before the first process starts (ErrInUse); a process counts as ready only while it lives; a run whose stand-ins have ended gives no report.

Seen red: without the check TestSecondRunIsRefused printed "the second run: <nil>".

--- a/load/deploy.go
+++ b/load/deploy.go
@@ -30,6 +30,10 @@
 	places      []dispatcher
 }
 
+// ErrInUse means that an address of the deployment is taken, by another run most
+// likely.
+var ErrInUse = errors.New("load: address in use")
+
 // readyTimeout bounds the wait for one process.
 const readyTimeout = 30 * time.Second
 
@@ -49,6 +53,9 @@
 }
 
 func (r *Running) up(ctx context.Context) error {
+	if err := r.free(); err != nil {
+		return err
+	}
 	if err := r.startPlatform(ctx); err != nil {
 		return err
 	}
@@ -75,6 +82,27 @@
 	return nil
 }
 
+// free tells whether all addresses are free. Two runs of a deployment at once
+// would else mix: the processes of the second can't listen and end, while the
+// addresses answer from the first, whose load and records it would measure.
+func (r *Running) free() error {
+	all := append([]netip.AddrPort{r.Platform}, r.Controls...)
+	for _, p := range r.places {
+		all = append(all, p.callers, p.peers)
+	}
+	for _, w := range r.Workers {
+		all = append(all, w.Address)
+	}
+	for _, a := range all {
+		ln, err := net.Listen("tcp", a.String())
+		if err != nil {
+			return errors.Wrapf(ErrInUse, "%s: %v", a, err)
+		}
+		_ = ln.Close()
+	}
+	return nil
+}
+
 func (r *Running) startPlatform(ctx context.Context) error {
 	var err error
 	r.platform, err = r.start("platform", "snipestand", "log", "--listen", r.Platform.String())
@@ -166,7 +194,8 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for {
-		if get(ctx, at, path, nil) == nil {
+		answered := get(ctx, at, path, nil) == nil
+		if answered && p.alive() {
 			return nil
 		}
 		if !p.alive() || !sleep(ctx, 20*time.Millisecond) {
--- a/load/run.go
+++ b/load/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Options are the choices of a run beyond scenario and deployment.
@@ -69,6 +71,9 @@
 
 // finish fills in the measures.
 func (r *Report) finish(ctx context.Context, d *drive, s Scenario, before reading) error {
+	if err := d.standing(); err != nil {
+		return err
+	}
 	after := d.read(ctx)
 	r.measure(s, d.Callers, d.outcomes)
 	r.Messages.Repeats += int64(d.resubmissions)
@@ -86,3 +91,14 @@
 	r.Safety = v
 	return nil
 }
+
+// standing tells whether the stand-ins have lived through the run: without them
+// its figures mean nothing.
+func (r *Running) standing() error {
+	for i, p := range append([]*process{r.platform}, r.farms...) {
+		if !p.alive() {
+			return errors.Errorf("load: stand-in %d has ended: %s", i, r.outputs())
+		}
+	}
+	return nil
+}
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"snipehub.example/internal/program"
 	"snipehub.example/settings"
 )
@@ -44,3 +46,24 @@
 		t.Error("nothing was submitted again")
 	}
 }
+
+// Two people run the same deployment on a machine at once. The second run is
+// refused; it would otherwise measure the first one's processes.
+func TestSecondRunIsRefused(t *testing.T) {
+	d, err := demoDeployment(1, 1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := Deploy(t.Context(), d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	second, err := Deploy(t.Context(), d)
+	if !errors.Is(err, ErrInUse) {
+		t.Errorf("the second run: %v", err)
+	}
+	if err == nil {
+		second.Close()
+	}
+}
