--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"snipehub.example/delivery"
 	"snipehub.example/dispatch/plan"
 	"snipehub.example/event"
+	"snipehub.example/meter"
 	"snipehub.example/refusal"
 	"snipehub.example/roster"
 	"snipehub.example/tables"
@@ -83,8 +84,8 @@
 
 // gauges is what the dispatcher tells the metrics.
 type gauges interface {
-	Count(name string, n int64)
-	Gauge(name string, v float64)
+	Count(name meter.Name, n int64)
+	Gauge(name meter.Name, v float64)
 }
 
 // Config sets the bounds of a dispatcher.
@@ -204,11 +205,23 @@
 	}
 }
 
+func (d *Dispatcher) count(k delivery.Kind) {
+	switch k {
+	case delivery.Done, delivery.Ran:
+		d.m.Count(meter.TasksDone, 1)
+	case delivery.NotRun:
+		d.m.Count(meter.TaskRefusals, 1)
+	case delivery.Unknown:
+		d.m.Count(meter.TasksUnknown, 1)
+	}
+}
+
 func (d *Dispatcher) hear(e ending) {
 	if e.peer != "" {
 		d.p.Reported(e.peer, e.free)
 		return
 	}
+	d.count(e.o.Kind)
 	d.p.Ended(d.clock.Now(), e.number, e.o)
 }
 
@@ -216,10 +229,10 @@
 	d.look(now)
 	d.p.Tick(now)
 	d.free.Store(int64(d.p.Free()))
-	d.m.Gauge("dispatch_waiting", float64(d.p.Waiting()))
-	d.m.Gauge("dispatch_busy", float64(d.p.Busy()))
-	d.m.Gauge("dispatch_handed_now", float64(d.p.Handed()))
-	d.m.Gauge("dispatch_reports", float64(d.reports.len()))
+	d.m.Gauge(meter.QueuedTasks, float64(d.p.Waiting()))
+	d.m.Gauge(meter.RunningTasks, float64(d.p.Busy()))
+	d.m.Gauge(meter.TaskReports, float64(d.reports.len()))
+	d.m.Gauge(meter.HandedTasks, float64(d.p.Handed()))
 }
 
 // act asks the planner what to do, and does it.
@@ -262,17 +275,11 @@
 		Type:    b.Type,
 		Expires: s.Expires,
 	}
-	d.m.Count("dispatch_starts", 1)
+	d.m.Count(meter.TaskStarts, 1)
 	if s.Attempt > 0 {
-		d.m.Count("dispatch_retries", 1)
+		d.m.Count(meter.TaskRetries, 1)
 	}
-	go func() {
-		o := d.c.Deliver(ctx, a)
-		if o.Kind == delivery.NotRun {
-			d.m.Count("task_refusals", 1)
-		}
-		d.ended <- ending{number: s.Number, o: o}
-	}()
+	go func() { d.ended <- ending{number: s.Number, o: d.c.Deliver(ctx, a)} }()
 }
 
 func (d *Dispatcher) end(e plan.End) {
--- a/dispatch/hand.go
+++ b/dispatch/hand.go
@@ -6,6 +6,7 @@
 
 	"snipehub.example/delivery"
 	"snipehub.example/dispatch/plan"
+	"snipehub.example/meter"
 	"snipehub.example/roster"
 )
 
@@ -49,7 +50,8 @@
 			continue
 		}
 		guests := d.guests(items)
-		d.m.Count("dispatch_handed", int64(n))
+		d.m.Count(meter.HandoverTasks, int64(n))
+		d.m.Count(meter.Handovers, 1)
 		go func() {
 			defer func() { <-d.sends }()
 			d.sender.Send(ctx, to, guests,
--- a/dispatch/handover/receiver.go
+++ b/dispatch/handover/receiver.go
@@ -13,10 +13,10 @@
 
 const (
 	// wait is how long an ask is held while there are no results.
-	wait = time.Second
+	wait = 2 * time.Second
 	// linger is how long results are kept back for more to come. It delays no
 	// caller: a job whose last task of the batch has ended is told at once.
-	linger = 200 * time.Millisecond
+	linger = time.Second
 	// keep is how long a batch with all results is kept for an owner that does
 	// not come for them.
 	keep = 2 * time.Minute
--- a/event/table.go
+++ b/event/table.go
@@ -10,6 +10,9 @@
 	ProcessStopped  ID = 102
 	ServiceFailed   ID = 103
 	ClockGap        ID = 104
+	MetricsFull     ID = 105
+	KeysChanged     ID = 106
+	KeysUnusable    ID = 107
 
 	TablesInForce    ID = 200
 	EditRejected     ID = 201
@@ -25,16 +28,22 @@
 	ServersHeld      ID = 211
 	HeldEditsDropped ID = 212
 	SnapshotFailed   ID = 213
+	TablesNotFetched ID = 214
 
 	MemberJoined  ID = 300
 	MemberSuspect ID = 301
 	MemberGone    ID = 302
+	RosterFull    ID = 303
+	Disowned      ID = 304
+	VMsUnknown    ID = 305
+	VMsKnown      ID = 306
 
 	JobForwardFailed ID = 400
 	HandoverFailed   ID = 401
 	AnswersEvicted   ID = 402
 	TicketsFull      ID = 403
 	HeldDropped      ID = 404
+	ClaimsEvicted    ID = 405
 
 	QueueFull ID = 500
 
@@ -43,6 +52,10 @@
 	AsideFull   ID = 602
 
 	RequestPanicked ID = 700
+	RequestAnswered ID = 701
+	TokenRefused    ID = 702
+	AnswerCut       ID = 703
+	CounterFull     ID = 704
 )
 
 var table = []Entry{
@@ -51,6 +64,9 @@
 	{ProcessStopped, slog.LevelInfo, "process stopped", "Everything in flight has ended, or the stop deadline has passed.", "0.1"},
 	{ServiceFailed, slog.LevelError, "service failed and is restarted", "A part of the process ended with an error. The supervisor starts it again; look at the error if it repeats.", "0.1"},
 	{ClockGap, slog.LevelWarn, "process was frozen", "The clock service missed ticks: the process or its VM was paused for the time given. Placing resumes after a fresh confirmation of the tables.", "0.1"},
+	{MetricsFull, slog.LevelWarn, "metric series at their limit", "More callers, kinds and codes are in use than limits.metric_series tells apart. Further ones count as \"other\"; nothing else changes.", "0.1"},
+	{KeysChanged, slog.LevelInfo, "certificates in force", "Changed certificate files were read. New connections use them; the time given is when the first expires.", "0.1"},
+	{KeysUnusable, slog.LevelError, "certificate files can't be used", "Changed certificate files could not be read, or a certificate does not fit its key. Those of before stay in force.", "0.1"},
 	{TablesInForce, slog.LevelInfo, "tables in force", "This process now places work by the tables version given.", "0.1"},
 	{EditRejected, slog.LevelWarn, "edit rejected", "An edit on the log named a base other than the current version, or would break the join of the two tables. Every reader rejects it alike.", "0.1"},
 	{TablesUnreadable, slog.LevelError, "tables record unreadable", "A record of the tables stream could not be decoded and was passed over. Find out who writes to the stream.", "0.1"},
@@ -65,17 +81,27 @@
 	{ServersHeld, slog.LevelInfo, "backend servers held back", "Backend servers moved between halves. They get no work from here until tables.settle has passed.", "0.1"},
 	{HeldEditsDropped, slog.LevelWarn, "waiting edits given up", "More edits than are kept arrived before a snapshot. A later snapshot is needed.", "0.1"},
 	{SnapshotFailed, slog.LevelWarn, "snapshot not appended", "The log did not take the snapshot, or its answer was lost. It is tried again after the interval unless another dispatcher was first.", "0.1"},
+	{TablesNotFetched, slog.LevelWarn, "tables not fetched from a peer", "A peer has newer tables and could not pass them on. The next heartbeat tries again.", "0.1"},
 	{MemberJoined, slog.LevelInfo, "dispatcher joined", "A dispatcher was heard for the first time, or with a newer incarnation.", "0.1"},
 	{MemberSuspect, slog.LevelWarn, "dispatcher suspect", "A dispatcher has been silent for the suspicion time. Its jobs are answered as unknown until it is heard again.", "0.1"},
 	{MemberGone, slog.LevelInfo, "dispatcher gone", "A dispatcher incarnation is gone for good: the VM list no longer has its VM, or a newer incarnation has its address.", "0.1"},
+	{RosterFull, slog.LevelWarn, "roster full", "More dispatchers than peers.members were heard of. The one given is not remembered; its jobs are answered as unknown from here.", "0.1"},
+	{Disowned, slog.LevelError, "held to be gone", "Other dispatchers take this process for gone, so its jobs are answered as failed over them. Restart it; look for a VM that uses the same address, or a VM list that lags longer than peers.gone_after.", "0.1"},
+	{VMsUnknown, slog.LevelWarn, "VM list unreachable", "The platform's VM list did not answer. The last one stays in use.", "0.1"},
+	{VMsKnown, slog.LevelInfo, "VM list reachable again", "The platform's VM list answers again.", "0.1"},
 	{JobForwardFailed, slog.LevelWarn, "forward to owner failed", "The owner of a job did not answer. The caller was told that the outcome is unknown.", "0.1"},
 	{HandoverFailed, slog.LevelWarn, "closed state has too few holders", "At a planned stop fewer than two peers took the tickets given. With none, their callers are told that the outcome is unknown. Stop fewer dispatchers of a data centre at once.", "0.1"},
 	{AnswersEvicted, slog.LevelWarn, "answers made room", "Answers were dropped before limits.kept_answer_for was over, because limits.kept_answer_bytes was reached. A caller that comes back for one is told that the outcome is unknown.", "0.1"},
 	{TicketsFull, slog.LevelWarn, "tickets at their limit", "limits.tickets is reached, or a caller has a quarter of it: idle tickets are retired, and while there are none, new ones are refused. Find the caller that takes a ticket for each job.", "0.1"},
 	{HeldDropped, slog.LevelWarn, "held answers dropped", "limits.held_bytes is reached: the oldest closed state of a stopped dispatcher was dropped. Its callers are told that the outcome is unknown.", "0.1"},
+	{ClaimsEvicted, slog.LevelWarn, "claims made room", "limits.claims is reached: the oldest claims of callers' own keys were forgotten here. Keys that are as old are refused as unknown by this process.", "0.1"},
 	{QueueFull, slog.LevelWarn, "work refused for load", "Jobs are refused with a true \"not run\" because the expected wait or the number of waiting tasks is over its limit (dispatch.max_wait, limits.queued_tasks). Logged at most every 10 s; the metric dispatch_refused counts all. If it lasts, the pool needs more backend servers.", "0.1"},
 	{ServerAside, slog.LevelWarn, "backend server set aside", "The server gets no tasks but one now and then, to see whether it is well again, for the reason given.", "0.1"},
 	{ServerBack, slog.LevelInfo, "backend server back in use", "A trial task ended well on a server that was set aside.", "0.1"},
 	{AsideFull, slog.LevelError, "too many backend servers fail", "The server should be set aside, but dispatch.aside_share of its pool already is. Look for a cause that they share, such as a kind of request that fails everywhere.", "0.1"},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "A defect: the handler of a caller's request panicked. The caller got an error with the outcome unknown.", "0.1"},
+	{RequestAnswered, slog.LevelDebug, "request answered", "One line for each request of a caller, with its status and time. Shown with log.level = \"debug\".", "0.1"},
+	{TokenRefused, slog.LevelWarn, "token refused", "A caller came without a token that the settings know. At most one line a second; the counter refusals{code=\"unauthorized\"} has them all.", "0.1"},
+	{AnswerCut, slog.LevelInfo, "answer not taken", "The caller went away or read too slowly while its answer was written. It can ask again with the same id.", "0.1"},
+	{CounterFull, slog.LevelWarn, "too many requests are open", "limits.open_requests or limits.open_bytes is reached; further requests are refused with the code busy. Add entry VMs, or look for a caller that sends slowly.", "0.1"},
 }
--- a/hub/forward.go
+++ b/hub/forward.go
@@ -12,6 +12,7 @@
 
 	"snipehub.example/event"
 	"snipehub.example/job"
+	"snipehub.example/meter"
 	"snipehub.example/peer"
 	"snipehub.example/refusal"
 	"snipehub.example/roster"
@@ -49,6 +50,7 @@
 // in circles.
 type forwarder struct {
 	log     *slog.Logger
+	meter   *meter.Meter
 	self    ticket.Owner
 	address netip.AddrPort
 	seeds   []netip.AddrPort
@@ -59,6 +61,9 @@
 	// stopping tells that this process is stopping.
 	stopping func() bool
 
+	// asking counts the questions to peers whose answers may no longer matter.
+	asking sync.WaitGroup
+
 	mu      sync.Mutex
 	waiting map[*awaited]struct{}
 	unheld  map[ticket.Owner]time.Time
@@ -167,6 +172,7 @@
 	f.mu.Lock()
 	f.waiting[w] = struct{}{}
 	f.mu.Unlock()
+	f.meter.Count(meter.Forwards, 1)
 	err := f.net.Call(ctx, at, q.method, q.params, out)
 	f.mu.Lock()
 	delete(f.waiting, w)
@@ -177,6 +183,7 @@
 	if r := given(err); r != nil {
 		return r
 	}
+	f.meter.Count(meter.ForwardsFailed, 1)
 	event.JobForwardFailed.Log(f.log, "owner", q.id.ID, "error", err)
 	if r := given(context.Cause(ctx)); r != nil {
 		return r
@@ -227,15 +234,17 @@
 	out := make(chan reply[R], len(peers))
 	var wg sync.WaitGroup
 	for _, p := range peers {
-		wg.Go(func() {
+		wg.Add(1)
+		f.asking.Go(func() {
+			defer wg.Done()
 			var r reply[R]
 			r.err = f.net.Call(ctx, p, method, params, &r.value)
 			out <- r
 		})
 	}
-	go func() {
+	f.asking.Go(func() {
 		wg.Wait()
 		close(out)
-	}()
+	})
 	return out
 }
--- a/hub/gauges.go
+++ b/hub/gauges.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"snipehub.example/event"
+	"snipehub.example/meter"
+	"snipehub.example/roster"
 )
 
 const gaugeEvery = time.Second
@@ -12,7 +14,7 @@
 // bound is a limit of memory: a gauge of what is there, and a count of how
 // often the limit was reached, whose growth is logged.
 type bound struct {
-	gauge string
+	gauge meter.Name
 	event event.ID
 	seen  int64
 }
@@ -22,9 +24,10 @@
 func (h *Hub) gauges(ctx context.Context) error {
 	sub := h.clock.Subscribe(gaugeEvery)
 	defer sub.Stop()
-	answers := &bound{gauge: "kept_bytes", event: event.AnswersEvicted}
-	tickets := &bound{gauge: "tickets", event: event.TicketsFull}
-	held := &bound{gauge: "held_bytes", event: event.HeldDropped}
+	answers := &bound{gauge: meter.KeptAnswerBytes, event: event.AnswersEvicted}
+	tickets := &bound{gauge: meter.Tickets, event: event.TicketsFull}
+	held := &bound{gauge: meter.HeldBytes, event: event.HeldDropped}
+	keys := &bound{gauge: meter.Claims, event: event.ClaimsEvicted}
 	for {
 		select {
 		case <-ctx.Done():
@@ -32,15 +35,38 @@
 		case <-sub.C:
 		}
 		s := h.owner.Stats()
-		h.meter.Gauge("running", float64(s.Running))
-		h.meter.Gauge("kept_answers", float64(s.Kept))
+		h.meter.Gauge(meter.RunningJobs, float64(s.Running))
+		h.meter.Gauge(meter.KeptAnswers, float64(s.Kept))
 		h.observe(answers, s.KeptBytes, s.Crowded)
 		h.observe(tickets, s.Tickets, s.Full+s.Retired)
+		claims, pending, evicted := h.claims.Stats()
+		h.meter.Gauge(meter.PendingKeys, float64(pending))
+		h.observe(keys, int64(claims), evicted)
 		bytes, dropped := h.fwd.holder.Stats()
 		h.observe(held, bytes, dropped)
+		h.meter.Gauge(meter.Windows, float64(s.Tickets*int64(h.cfg.Limits.TicketWindow)))
+		h.observeOthers()
 	}
 }
 
+// observeOthers keeps the metrics of the tables and of the other dispatchers.
+func (h *Hub) observeOthers() {
+	now := h.clock.Now()
+	h.meter.Gauge(meter.TablesVersion, float64(h.tables.State().Version))
+	h.meter.Gauge(meter.TablesAge, now.Sub(h.tables.Confirmed()).Seconds())
+	live, suspect := 0, 0
+	for _, k := range h.roster.All(now) {
+		switch k.State {
+		case roster.Live:
+			live++
+		case roster.Suspect:
+			suspect++
+		}
+	}
+	h.meter.Gauge(meter.MembersLive, float64(live))
+	h.meter.Gauge(meter.MembersSuspect, float64(suspect))
+}
+
 func (h *Hub) observe(b *bound, value, reached int64) {
 	h.meter.Gauge(b.gauge, float64(value))
 	if reached > b.seen {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -14,6 +14,8 @@
 	"github.com/go-faster/errors"
 	"github.com/thejerf/suture/v4"
 
+	"snipehub.example/certificate"
+	"snipehub.example/claim"
 	"snipehub.example/clock"
 	"snipehub.example/counter"
 	"snipehub.example/dispatch"
@@ -46,10 +48,19 @@
 	owner  *job.Owner
 	fwd    *forwarder
 	desk   *desk
+	claims *claim.Claimer
 	http   *http.Server
-	ln     net.Listener
+	ln     listeners
+	certs  *certificate.Set
 
+	ledger   countedLog
+	platform *platform
 	stopping atomic.Bool
+	// fetching is set while the tables are fetched from a peer.
+	fetching atomic.Bool
+	// allowed is the last answer to whether work may be placed, cutOffOK
+	// whether it may be although the tables are not confirmed.
+	allowed, cutOffOK atomic.Bool
 }
 
 // Network is the way to listen and to connect. Tests put one in memory in its
@@ -77,22 +88,23 @@
 
 // New binds the addresses of the settings and makes the parts.
 func New(cfg settings.Config, log *slog.Logger, nw Network) (*Hub, error) {
-	ln, err := nw.Listen("tcp", cfg.Listen.Callers.String())
+	certs, err := certificate.Load(cfg.TLS)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen.callers")
+		return nil, err
 	}
-	pln, err := nw.Listen("tcp", cfg.Listen.Peers.String())
+	ln, err := bind(cfg.Listen, nw)
 	if err != nil {
-		_ = ln.Close()
-		return nil, errors.Wrap(err, "listen.peers")
+		return nil, err
 	}
+	ln.secure(certs)
 	h := &Hub{
 		cfg:   cfg,
 		net:   nw,
 		log:   log,
 		ln:    ln,
+		certs: certs,
 		clock: clock.New(),
-		meter: meter.New(),
+		meter: meter.New(cfg.Limits.MetricSeries, func() { event.MetricsFull.Log(log) }),
 		self: ticket.Owner{
 			DataCenter:  cfg.Process.DataCenter,
 			VM:          cfg.Process.VM,
@@ -100,28 +112,30 @@
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
 	}
-	h.build(pln)
+	h.build()
 	return h, nil
 }
 
-func (h *Hub) build(pln net.Listener) {
+func (h *Hub) build() {
 	cfg := h.cfg
-	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
-	h.tables = h.newTables(platform)
+	h.ledger = countedLog{ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext), h.meter}
+	h.tables = h.newTables()
+	h.platform = newPlatform(cfg.Peers)
 	h.place = h.placing()
-	h.owner = job.New(h.self, h.place, job.Limits{
+	h.owner = job.New(h.self, gate{h}, job.Limits{
 		Tickets:    cfg.Limits.Tickets,
 		Range:      cfg.Limits.TicketRange,
 		Window:     cfg.Limits.TicketWindow,
 		KeptBytes:  cfg.Limits.KeptAnswerBytes,
 		KeptFor:    cfg.Limits.KeptAnswerFor.D(),
-		JobTimeout: cfg.Limits.WriteTimeout.D(),
+		JobTimeout: cfg.Limits.JobTimeout.D(),
 	}, h.clock.Now)
-	h.roster = roster.New(h.member(), cfg.Peers.SuspectAfter.D())
-	h.dialer = peer.NewDialer(nil, cfg.Peers.Timeout.D(), h.net.DialContext)
-	h.peers = peer.NewServer(h.log, pln)
+	h.roster = h.newRoster()
+	h.dialer = peer.NewDialer(h.certs.PeerClient(), cfg.Peers.Timeout.D(), h.net.DialContext)
+	h.peers = peer.NewServer(h.log, h.ln.peers)
 	h.fwd = &forwarder{
 		log:      h.log,
+		meter:    h.meter,
 		self:     h.self,
 		address:  cfg.Listen.Peers,
 		seeds:    cfg.Peers.Seeds,
@@ -133,21 +147,22 @@
 		waiting:  make(map[*awaited]struct{}),
 		unheld:   make(map[ticket.Owner]time.Time),
 	}
-	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: noKeys{}, tables: h.tables.State}
+	h.claims = claim.New(claim.Config{
+		Claims:    cfg.Limits.Claims,
+		Pending:   cfg.Limits.PendingKeys,
+		Skew:      cfg.Limits.KeySkew.D(),
+		Patience:  cfg.Platform.Timeout.D(),
+		MarkEvery: markEvery,
+	}, h.ledger, h.clock.Now, h.appendShare, h.owner.Reserve)
+	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: h.claims, tables: h.tables.State}
 	h.handlePeers()
 	h.handOver()
-	h.http = &http.Server{
-		Handler:           counter.New(h.log, cfg, callerService{h.desk, h}, h.meter),
-		ReadHeaderTimeout: cfg.Limits.ReadTimeout.D(),
-		ReadTimeout:       cfg.Limits.ReadTimeout.D(),
-		WriteTimeout:      cfg.Limits.WriteTimeout.D(),
-		MaxHeaderBytes:    cfg.Limits.HeaderBytes,
-	}
+	h.http = counter.NewServer(cfg.Limits, counter.New(h.log, cfg, callerService{h.desk, h}, h.meter))
 }
 
 // Addr returns the address that callers are served at.
 func (h *Hub) Addr() netip.AddrPort {
-	return h.ln.Addr().(*net.TCPAddr).AddrPort()
+	return h.ln.callers.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // Run serves until ctx ends, then stops without cutting what is in flight.
@@ -162,6 +177,7 @@
 	cancel()
 	<-done
 	h.dialer.Close()
+	h.meter.Close()
 	event.ProcessStopped.Log(h.log)
 	return nil
 }
@@ -173,13 +189,23 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Limits.StopDeadline.D())
 	defer cancel()
 	h.guests.Stop()
-	_ = h.owner.Stop(ctx)
+	h.finish(ctx)
 	h.fwd.handOver(ctx, append(h.owner.Closed(h.cfg.Limits.HandoffBytes), h.fwd.holder.Closed()...))
 	_ = h.http.Shutdown(ctx)
 	h.guests.Drain(ctx)
 	h.peers.Drain(ctx)
 }
 
+// finish waits for what runs, for at most three quarters of the stop deadline.
+// The rest is for handing over: a job on a hung backend server would else use
+// up the deadline, and every other caller would lose the answers that were not
+// yet fetched.
+func (h *Hub) finish(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.Limits.StopDeadline.D()*3/4)
+	defer cancel()
+	_ = h.owner.Stop(ctx)
+}
+
 func (h *Hub) tree() *suture.Supervisor {
 	root := suture.New("hub", suture.Spec{
 		EventHook: func(e suture.Event) {
@@ -194,10 +220,20 @@
 	root.Add(h.place)
 	root.Add(h.peers)
 	root.Add(service("snapshots", h.snapshots))
+	root.Add(service("VM list", h.watchVMs))
+	root.Add(service("standing", h.watchStanding))
 	root.Add(service("heartbeat", h.heartbeat))
 	root.Add(service("callers", h.serveHTTP))
 	root.Add(service("forwards", h.watchForwards))
 	root.Add(service("gauges", h.gauges))
+	if !h.certs.Expires().IsZero() {
+		root.Add(service("certificates", h.refreshKeys))
+	}
+	if h.ln.operators != nil {
+		root.Add(service("operators", h.serveOperators))
+	}
+	root.Add(service("claim reads", h.claims.ServeReads))
+	root.Add(service("claim appends", h.claims.ServeAppends))
 	return root
 }
 
@@ -218,7 +254,7 @@
 func (s namedService) String() string { return s.name }
 
 func (h *Hub) serveHTTP(ctx context.Context) error {
-	err := h.http.Serve(h.ln)
+	err := h.http.Serve(h.ln.callers)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return suture.ErrDoNotRestart
@@ -233,12 +269,28 @@
 }
 
 func (h *Hub) handlePeers() {
-	peer.Handle(h.peers, methodBeat, func(_ context.Context, b roster.Beat) (roster.Beat, error) {
-		return h.roster.Answer(h.clock.Now(), b), nil
+	h.handleMembers()
+	peer.Handle(h.peers, methodStatus, func(context.Context, struct{}) (Status, error) {
+		return h.status(), nil
 	})
 	h.desk.handle(h.peers)
 }
 
+// markEvery is how old the newest claim on the log may get; see claim.Config.
+const markEvery = time.Minute
+
+// appendShare is this process's part of the append rate: all dispatchers that
+// are not gone share it alike.
+func (h *Hub) appendShare() float64 {
+	n := 1
+	for _, k := range h.roster.All(h.clock.Now()) {
+		if k.State != roster.Gone {
+			n++
+		}
+	}
+	return h.cfg.Platform.AppendRate / float64(n)
+}
+
 func (h *Hub) watchForwards(ctx context.Context) error {
 	sub := h.clock.Subscribe(watchEvery)
 	defer sub.Stop()
@@ -254,27 +306,5 @@
 
 // Ready tells whether the balancer should send callers here.
 func (h *Hub) Ready() bool {
-	return !h.stopping.Load() && h.tables.State().Version != ledger.None
-}
-
-// Status is what operators see of a dispatcher.
-type Status struct {
-	Self   roster.Member  `json:"self"`
-	Tables tables.Version `json:"tables"`
-	// TablesAgeMS is the time since the tables were last confirmed.
-	TablesAgeMS int64          `json:"tables_age_ms"`
-	Ready       bool           `json:"ready"`
-	Roster      []roster.Known `json:"roster"`
-}
-
-// Status returns the status of this process.
-func (h *Hub) Status() any {
-	now := h.clock.Now()
-	return Status{
-		Self:        h.roster.Self(),
-		Tables:      h.tables.State().Version,
-		TablesAgeMS: now.Sub(h.tables.Confirmed()).Milliseconds(),
-		Ready:       h.Ready(),
-		Roster:      h.roster.All(now),
-	}
+	return !h.stopping.Load() && h.tables.State().Version != ledger.None && h.mayPlace(h.clock.Now())
 }
--- a/hub/refusals_test.go
+++ b/hub/refusals_test.go
@@ -3,17 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"snipehub.example/counter"
 	"snipehub.example/dispatch"
 	"snipehub.example/job"
-	"snipehub.example/meter"
 	"snipehub.example/refusal"
 	"snipehub.example/settings"
 	"snipehub.example/ticket"
@@ -26,6 +28,8 @@
 	id           ticket.JobID
 	// late sends the copy that was long on its way; by default a PUT of id.
 	late func()
+	// tune changes the next request and the settings that it meets.
+	tune func(cfg *settings.Config, req *http.Request)
 }
 
 // front makes a node what stands behind the counter.
@@ -37,6 +41,9 @@
 func (front) Ready() bool { return true }
 func (front) Status() any { return nil }
 
+// StatusAll is for operators and not asked here.
+func (front) StatusAll(context.Context) any { return nil }
+
 // Submit picks the desk's method; the node's is that of the placer.
 func (f front) Submit(ctx context.Context, s job.Submission) (job.Answer, error) {
 	return f.desk.Submit(ctx, s)
@@ -56,10 +63,14 @@
 	cfg := settings.Default()
 	cfg.Limits.BodyBytes = 200
 	cfg.Callers.Tokens = []settings.Token{{Caller: lake.Name, SHA256: tokenHash}}
-	c := counter.New(slog.New(slog.DiscardHandler), cfg, front{n.desk, n}, meter.New())
 	req := httptest.NewRequest(method, path, strings.NewReader(body))
 	req.Header.Set("Authorization", "Bearer "+token)
 	req.Header.Set("Prefer", "respond-async")
+	if r.tune != nil {
+		r.tune(&cfg, req)
+		r.tune = nil
+	}
+	c := counter.New(slog.New(slog.DiscardHandler), cfg, front{n.desk, n}, nil)
 	rec := httptest.NewRecorder()
 	c.ServeHTTP(rec, req)
 	if rec.Code < http.StatusBadRequest {
@@ -100,6 +111,16 @@
 	return given(err)
 }
 
+// key submits the order under a key, now and as the late copy.
+func (r *refusing) key(k string) *refusal.Refusal {
+	r.late = func() {
+		r.logFault = ""
+		_, _ = r.owner.putKey(k, `"order"`)
+	}
+	_, err := r.other.putKey(k, `"order"`)
+	return given(err)
+}
+
 // refusals brings about each code. The order is submitted under r.id; what the
 // refusal says of it is compared with the backend servers' record.
 var refusals = []struct {
@@ -130,6 +151,26 @@
 		r.late = func() { r.request(job.Request{}) }
 		return r.request(job.Request{})
 	}},
+	{refusal.NoPath, func(r *refusing) *refusal.Refusal {
+		r.put(r.owner)
+		return r.http(r.other, http.MethodPut, "/v1/jobs/"+r.id.String()+"/tasks", order, "token-a")
+	}},
+	{refusal.NoMethod, func(r *refusing) *refusal.Refusal {
+		r.put(r.owner)
+		return r.http(r.other, http.MethodPost, "/v1/jobs/"+r.id.String(), order, "token-a")
+	}},
+	{refusal.TooSlow, func(r *refusing) *refusal.Refusal {
+		r.put(r.owner)
+		r.tune = func(_ *settings.Config, req *http.Request) {
+			req.Body = io.NopCloser(iotest.ErrReader(os.ErrDeadlineExceeded))
+		}
+		return r.put(r.other)
+	}},
+	{refusal.Busy, func(r *refusing) *refusal.Refusal {
+		r.put(r.owner)
+		r.tune = func(cfg *settings.Config, _ *http.Request) { cfg.Limits.OpenRequests = 0 }
+		return r.put(r.other)
+	}},
 	{refusal.Burned, func(r *refusing) *refusal.Refusal {
 		placed(refusal.Overloaded)(r)
 		r.pass(r.limits.KeptFor)
@@ -185,7 +226,17 @@
 		return r.put(r.other)
 	}},
 	{refusal.LogDown, func(r *refusing) *refusal.Refusal {
-		return r.request(job.Request{Key: "018f0000-0000-7000-8000-000000000000"})
+		r.logFault = logDown
+		return r.key(keyAt(r.now, 1))
+	}},
+	{refusal.BadKey, func(r *refusing) *refusal.Refusal { return r.key("order-17") }},
+	{refusal.KeyEarly, func(r *refusing) *refusal.Refusal { return r.key(keyAt(r.now.Add(30*time.Second), 1)) }},
+	{refusal.KeysBusy, func(r *refusing) *refusal.Refusal {
+		r.logFault = appendLost
+		for i := range 20 {
+			_, _ = r.other.putKey(keyAt(r.now, 2+i), `"filler"`)
+		}
+		return r.key(keyAt(r.now, 1))
 	}},
 	{refusal.CutOff, placed(refusal.CutOff)},
 	{refusal.Internal, func(r *refusing) *refusal.Refusal {
--- a/hub/script_test.go
+++ b/hub/script_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"maps"
@@ -11,10 +13,12 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"snipehub.example/hub"
@@ -30,6 +34,7 @@
 		"snipectl":   func() { os.Exit(program.Run(operator.Command())) },
 		"snipestand": func() { os.Exit(program.Run(stand.Command())) },
 		"snipeload":  func() { os.Exit(program.Run(load.Command())) },
+		"curl":       func() { os.Exit(curl()) },
 	})
 }
 
@@ -38,11 +43,14 @@
 // and $A3, peers at $A2 and $A4), the log at $A0, a backend server at $A5.
 func TestScript(t *testing.T) {
 	cmds := map[string]func(ts *testscript.TestScript, neg bool, args []string){
-		"call":   call,
-		"await":  await,
-		"subst":  subst,
-		"keep":   keep,
-		"signal": signalProcess,
+		"call":       call,
+		"repeat":     repeat,
+		"await":      await,
+		"subst":      subst,
+		"keep":       keep,
+		"signal":     signalProcess,
+		"documented": documented,
+		"move":       move,
 	}
 	maps.Copy(cmds, faultCmds)
 	testscript.Run(t, testscript.Params{Dir: "testdata/script", Setup: setUp, Cmds: cmds})
@@ -52,6 +60,11 @@
 	if err := freeAddresses(e); err != nil {
 		return err
 	}
+	examples, err := filepath.Abs("../examples")
+	if err != nil {
+		return err
+	}
+	e.Setenv("EXAMPLES", examples)
 	return copyCommon(e)
 }
 
@@ -79,9 +92,22 @@
 	return nil
 }
 
+// scripts counts the scripts of this process.
+var scripts atomic.Int32
+
+// freeAddresses gives each script a loopback address of its own, $HOST. On
+// 127.0.0.1, a port that is free now is soon given to somebody's outgoing
+// connection, and the script fails with "address already in use". It also sets
+// fresh keys of a caller's own, $KEY0 to $KEY2.
 func freeAddresses(e *testscript.Env) error {
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 1+scripts.Add(1)%250)
+	e.Setenv("HOST", host)
+	for i := range 3 {
+		e.Setenv(fmt.Sprintf("KEY%d", i), uuid.Must(uuid.NewV7()).String())
+	}
 	for i := range 12 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", host+":0")
 		if err != nil {
 			return err
 		}
@@ -118,7 +144,11 @@
 		k, v, _ := strings.Cut(h, ":")
 		req.Header.Set(k, v)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	hc, err := httpClient(ts, args[1])
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := hc.Do(req)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -127,6 +157,34 @@
 	return resp.StatusCode, out, err
 }
 
+// httpClient trusts the authority in keys/ca.pem where the URL wants TLS.
+func httpClient(ts *testscript.TestScript, url string) (*http.Client, error) {
+	if !strings.HasPrefix(url, "https:") {
+		return http.DefaultClient, nil
+	}
+	ca, err := os.ReadFile(ts.MkAbs("keys/ca.pem"))
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(ca)
+	tr := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, DisableKeepAlives: true}
+	return &http.Client{Transport: tr}, nil
+}
+
+// repeat METHOD URL STATUS [BODYFILE [HEADER:VALUE...]] makes a request again
+// and again until it has the status.
+func repeat(ts *testscript.TestScript, _ bool, args []string) {
+	for range 200 {
+		status, _, err := request(ts, args)
+		if err == nil && fmt.Sprint(status) == args[2] {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("%s: no status %s after 10 s", args[1], args[2])
+}
+
 // await URL [TEXT] asks until the answer is 200 and contains the text.
 func await(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 1 {
