--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -143,6 +143,8 @@
 type ending struct {
 	number uint64
 	o      delivery.Outcome
+	// handed tells that the attempt was a peer's, who counts it.
+	handed bool
 	peer   string
 	free   int
 }
@@ -221,7 +223,9 @@
 		d.p.Reported(e.peer, e.free)
 		return
 	}
-	d.count(e.o.Kind)
+	if !e.handed {
+		d.count(e.o.Kind)
+	}
 	d.p.Ended(d.clock.Now(), e.number, e.o)
 }
 
--- a/dispatch/hand.go
+++ b/dispatch/hand.go
@@ -55,7 +55,7 @@
 		go func() {
 			defer func() { <-d.sends }()
 			d.sender.Send(ctx, to, guests,
-				func(i int, o delivery.Outcome) { d.ended <- ending{number: items[i].Number, o: o} },
+				func(i int, o delivery.Outcome) { d.ended <- ending{number: items[i].Number, o: o, handed: true} },
 				func(free int) { d.ended <- ending{peer: h.Peer, free: free} })
 		}()
 	}
--- a/dispatch/handover/handover_test.go
+++ b/dispatch/handover/handover_test.go
@@ -28,6 +28,8 @@
 	mu     sync.Mutex
 	starts map[string]int
 	err    error
+	// full is a task for which there is no room.
+	full string
 }
 
 func (p *bench) Free() int { return 7 }
@@ -36,6 +38,9 @@
 	if p.err != nil {
 		return p.err
 	}
+	if b.Job == p.full {
+		return refusal.New(refusal.Overloaded, "")
+	}
 	p.mu.Lock()
 	p.starts[b.Job]++
 	p.mu.Unlock()
@@ -253,3 +258,19 @@
 		send(t, s, delivery.NotRun)
 	})
 }
+
+// A peer has room for all but one task of a batch. The one it turns down goes
+// elsewhere at once; kept back with the results that are still to come, it would
+// make its job wait for a second.
+func TestTurnedDownIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		place := &bench{starts: make(map[string]int), full: "job/1/0"}
+		w := &wire{r: NewReceiver(to, place, time.Now), fault: func(int, Ask) fate { return arrives }}
+		began := time.Now()
+		NewSender(from, w, time.Now).Send(t.Context(), roster.Known{Member: roster.Member{Owner: to}}, tasks(3), func(i int, o delivery.Outcome) {
+			if took := time.Since(began); i == 1 && (o.Kind != delivery.NotRun || took > 0) {
+				t.Errorf("kind %d after %v", o.Kind, took)
+			}
+		}, func(int) {})
+	})
+}
--- a/dispatch/handover/receiver.go
+++ b/dispatch/handover/receiver.go
@@ -283,7 +283,7 @@
 	b.results = append(b.results, r)
 	b.left--
 	b.byJob[job]--
-	now := b.left == 0 || b.byJob[job] == 0
+	now := b.left == 0 || b.byJob[job] == 0 || r.Kind == delivery.NotRun
 	b.mu.Unlock()
 	signal(b.some)
 	if now {
@@ -334,7 +334,8 @@
 }
 
 // after returns the results after the first got, and whether they should be
-// told at once: the batch is at its end, or a job's part of it is.
+// told at once: the batch is at its end, or a job's part of it is, or a task
+// was turned down and waits for another place.
 func (b *received) after(got int) ([]Result, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -345,7 +346,7 @@
 
 func (b *received) complete(news []Result) bool {
 	for _, r := range news {
-		if b.byJob[b.jobs[r.Task]] == 0 {
+		if b.byJob[b.jobs[r.Task]] == 0 || r.Kind == delivery.NotRun {
 			return true
 		}
 	}
--- a/dispatch/plan/guard.go
+++ b/dispatch/plan/guard.go
@@ -115,6 +115,9 @@
 	if p.waiting+j.Tasks > p.cfg.QueuedTasks {
 		return route, refusal.New(refusal.Overloaded, "too many tasks wait").After(p.retryAfter(p.cfg.MaxWait))
 	}
+	if over := p.quotaWait(j); over > p.cfg.MaxWait || now.Add(over).After(j.Expires) {
+		return route, refusal.New(refusal.OverQuota, j.Team).After(p.retryAfter(over))
+	}
 	wait := p.wait(route.Pool, j)
 	switch {
 	case wait > p.cfg.MaxWait:
@@ -173,6 +176,24 @@
 	return time.Duration(behind / rate * float64(time.Second))
 }
 
+// quotaWait returns how long a team's tasks wait for its own quota, as far as
+// service times are known.
+func (p *Planner) quotaWait(j Job) time.Duration {
+	t := p.team(j)
+	defer p.forget(t)
+	u := p.kind(j.Kind)
+	if t.part == 0 || !u.Known() {
+		return 0
+	}
+	own, _ := p.line(p.pool(j)).Backlog(t.name, t.weight)
+	return u.Mean() * time.Duration(own) / time.Duration(t.part)
+}
+
+func (p *Planner) pool(j Job) string {
+	r, _ := p.world.Tables.Route(j.Kind)
+	return r.Pool
+}
+
 // work returns the time that the job's own tasks take at the drain rate, or at
 // the rate of all connections when that is higher, with the doubt that is due to
 // a learned rate. Without the second, a rate that was learned while servers were
--- a/dispatch/plan/guard_test.go
+++ b/dispatch/plan/guard_test.go
@@ -64,6 +64,8 @@
 		{"longest wait", 500, nil, Job{Kind: "price", Tasks: 1}, hour, refusal.Overloaded},
 		{"deadline behind the queue", 200, nil, Job{Kind: "price", Tasks: 1}, 2 * time.Second, refusal.Overloaded},
 		{"another caller's backlog", 500, nil, Job{Kind: "price", Caller: "y", Tasks: 1}, 2 * time.Second, ""},
+		{"quota", 300, func(p *Planner, _ time.Time) { p.teams["x"].part = 2 }, Job{Kind: "price", Tasks: 1}, hour, refusal.OverQuota},
+		{"within the quota", 10, func(p *Planner, _ time.Time) { p.teams["x"].part = 2 }, Job{Kind: "price", Tasks: 1}, hour, ""},
 		{"too many tasks", 10, func(p *Planner, _ time.Time) { p.cfg.QueuedTasks = 20 }, Job{Kind: "price", Tasks: 30}, hour, refusal.Overloaded},
 	}
 	for _, tt := range tests {
