plan: the oracle covers hand-overs and guests; pools of another data centre

Cause: the model never had a peer, so hand-overs were seen by the trial alone.

Change: peers, hand-overs and guests in the model; a test of a pool whose servers all stand in another data centre, and of a guest that is not handed on.

Red with the mechanism out: room not counted down: "3 tasks handed over, room for 0"; a guest tried again: "attempt 1"; handed on: the hands of TestGuestIsNotHandedOn; data centres ignored: the batch goes to "near"; no peer counted as reach: "no_server".

--- a/dispatch/plan/guard_test.go
+++ b/dispatch/plan/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -227,3 +228,48 @@
 		t.Error(err)
 	}
 }
+
+// The servers of a pool all stand in another data centre. A dispatcher does not
+// speak to them, but it has a peer there; without one the job could only wait for
+// its end.
+func TestForeignPool(t *testing.T) {
+	st := state(t, 2, 4)
+	cfg := config("hand")
+	cfg.DataCenter = "dc2"
+	p := planner(cfg, st)
+	j := Job{ID: "j", Kind: "price", Caller: "x", Tasks: 3, Expires: epoch.Add(time.Minute)}
+	var r *refusal.Refusal
+	if err := p.Submit(epoch, j); !errors.As(err, &r) || r.Code != refusal.NoServer {
+		t.Fatalf("without a peer: %v", err)
+	}
+	p.SetPeers([]Peer{{Name: "far", DataCenter: "dc1", Report: 1, Free: 8}, {Name: "near", DataCenter: "dc2", Report: 1, Free: 8}})
+	if err := p.Submit(epoch, j); err != nil {
+		t.Fatal(err)
+	}
+	var a Actions
+	p.Take(epoch, &a)
+	if len(a.Starts) > 0 || len(a.Hands) != 1 || a.Hands[0].Peer != "far" || len(a.Hands[0].Items) != 3 {
+		t.Errorf("starts %v, hands %v", a.Starts, a.Hands)
+	}
+}
+
+// A peer's task is taken, and then the last server leaves. It waits or ends here;
+// handed on, it could go round between dispatchers, each of which believes that
+// another one has it.
+func TestGuestIsNotHandedOn(t *testing.T) {
+	st := state(t, 1, 1)
+	p := planner(config("hand"), st)
+	j := Job{ID: "guest", Kind: "price", Caller: "x", Guest: true, Tasks: 1, Expires: epoch.Add(time.Minute)}
+	if err := p.Submit(epoch, j); err != nil {
+		t.Fatal(err)
+	}
+	w := world(st)
+	w.Usable = func(netip.AddrPort) bool { return false }
+	p.SetWorld(epoch, w)
+	p.SetPeers([]Peer{{Name: "b", DataCenter: "dc1", Report: 1, Free: 8}})
+	var a Actions
+	p.Take(epoch, &a)
+	if len(a.Starts)+len(a.Hands)+len(a.Ends) > 0 {
+		t.Errorf("starts %v, hands %v, ends %v", a.Starts, a.Hands, a.Ends)
+	}
+}
--- a/dispatch/plan/plan_test.go
+++ b/dispatch/plan/plan_test.go
@@ -90,6 +90,9 @@
 	flights map[uint64]Start
 	busy    map[netip.AddrPort]int
 	out     Actions
+	// room is what the peer has told of its free slots, less what it got.
+	room   int
+	report uint64
 }
 
 type modelJob struct {
@@ -108,9 +111,32 @@
 	}
 	for _, s := range m.out.Starts {
 		m.start(t, s)
+		m.onServer(t, s)
 	}
-	if len(m.flights) > m.cfg.Connections {
-		t.Fatalf("%d attempts at once", len(m.flights))
+	for _, h := range m.out.Hands {
+		m.handed(t, h)
+	}
+	running := 0
+	for _, n := range m.busy {
+		running += n
+	}
+	if running > m.cfg.Connections {
+		t.Fatalf("%d attempts at once", running)
+	}
+}
+
+// handed checks a hand-over: each item is an attempt like a start, but on no
+// server of this dispatcher.
+func (m *model) handed(t *rapid.T, h Hand) {
+	if len(h.Items) > m.room {
+		t.Fatalf("%d tasks handed over, room for %d", len(h.Items), m.room)
+	}
+	m.room -= len(h.Items)
+	for _, it := range h.Items {
+		if m.jobs[it.Job].Guest {
+			t.Fatalf("%s was handed on", it.Job)
+		}
+		m.start(t, Start{Number: it.Number, Job: it.Job, Task: it.Task, Attempt: it.Attempt, Expires: it.Expires})
 	}
 }
 
@@ -121,13 +147,18 @@
 		t.Fatalf("%s/%d starts after its end or cancellation", s.Job, s.Task)
 	case j.flying[s.Task] || j.ended[s.Task]:
 		t.Fatalf("%s/%d starts twice", s.Job, s.Task)
-	case s.Attempt >= m.cfg.Attempts:
+	case s.Attempt >= m.cfg.Attempts+handTries || j.Guest && s.Attempt > 0:
 		t.Fatalf("attempt %d", s.Attempt)
 	case !j.Request && s.Attempt != j.notRun[s.Task]:
 		t.Fatalf("%s/%d: attempt %d after %d not run", s.Job, s.Task, s.Attempt, j.notRun[s.Task])
 	case !m.now.Before(s.Expires) || s.Expires.After(j.Expires):
 		t.Fatalf("lease %v outside the job's time", s.Expires)
 	}
+	j.flying[s.Task] = true
+	m.flights[s.Number] = s
+}
+
+func (m *model) onServer(t *rapid.T, s Start) {
 	var row *tables.Server
 	for _, v := range m.st.Servers("quick") {
 		if v.Address == s.Server {
@@ -141,8 +172,6 @@
 	if m.busy[s.Server] > row.Slots {
 		t.Fatalf("%v has %d tasks, %d slots", s.Server, m.busy[s.Server], row.Slots)
 	}
-	j.flying[s.Task] = true
-	m.flights[s.Number] = s
 }
 
 func (m *model) end(t *rapid.T, e End) {
@@ -170,6 +199,7 @@
 		Tasks:  rapid.SampledFrom([]int{1, 1, 2, 5, 40}).Draw(t, "tasks"),
 	}
 	j.Request = j.Tasks == 1 && rapid.Bool().Draw(t, "request")
+	j.Guest = j.Request && rapid.Bool().Draw(t, "guest")
 	j.Expires = m.now.Add(time.Duration(rapid.IntRange(-1, 20000).Draw(t, "ms")) * time.Millisecond)
 	if m.p.Submit(m.now, j) != nil {
 		return
@@ -210,7 +240,9 @@
 
 func (m *model) settle(s Start, o delivery.Outcome) {
 	delete(m.flights, s.Number)
-	m.busy[s.Server]--
+	if s.Server.IsValid() {
+		m.busy[s.Server]--
+	}
 	j := m.jobs[s.Job]
 	j.flying[s.Task] = false
 	switch o.Kind {
@@ -241,6 +273,12 @@
 	m.p.SetWorld(m.now, world(st))
 }
 
+func (m *model) peers(t *rapid.T) {
+	m.room = rapid.IntRange(0, 6).Draw(t, "room")
+	m.report++
+	m.p.SetPeers([]Peer{{Name: "b", DataCenter: "dc1", Report: m.report, Free: m.room}})
+}
+
 // drain ends everything, and nothing may be left.
 func (m *model) drain(t *rapid.T) {
 	for len(m.flights) > 0 {
@@ -286,6 +324,7 @@
 			"finish": m.finish,
 			"tick":   m.tick,
 			"tables": m.tables,
+			"peers":  m.peers,
 			"":       m.check,
 		})
 		m.drain(t)
