program: a command line that can't be understood ends with code 2

Cause: an unknown command of snipectl ended with the library's code 3, which is the code of an edit that lost a race; an unknown flag with 1.

Ruled out: other codes for the lost race (a script should not need the library's).

Change: internal/program makes all commands of all binaries strict.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 )
 
@@ -18,14 +19,16 @@
 func Run(cmd *cli.Command) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	strict(cmd)
 	cmd.ExitErrHandler = func(context.Context, *cli.Command, error) {}
 	err := cmd.Run(ctx, os.Args)
 	if err == nil {
 		return 0
 	}
 	fmt.Fprintln(os.Stderr, cmd.Name+":", err)
-	if e, ok := err.(cli.ExitCoder); ok {
-		return e.ExitCode()
+	var coded cli.ExitCoder
+	if errors.As(err, &coded) {
+		return coded.ExitCode()
 	}
 	return 1
 }
--- a/operator/command.go
+++ b/operator/command.go
@@ -15,13 +15,14 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
+	"snipehub.example/internal/program"
 	"snipehub.example/ledger"
 )
 
 // The exit codes. Zero means done, 1 that the platform or a dispatcher failed.
 const (
 	// ExitUsage is for arguments and files that can't be used.
-	ExitUsage = 2
+	ExitUsage = program.ExitUsage
 	// ExitLost is for an edit that lost a race: it has changed nothing and
 	// never will.
 	ExitLost = 3
