--- a/hub/tables.go
+++ b/hub/tables.go
@@ -8,8 +8,8 @@
 	"snipehub.example/tables"
 )
 
-func (h *Hub) newTables(platform countedLog) *tables.Follower {
-	return tables.New(h.log, platform, tables.Config{
+func (h *Hub) newTables() *tables.Follower {
+	return tables.New(h.log, h.ledger, tables.Config{
 		Poll:     h.cfg.Tables.Poll.D(),
 		Snapshot: h.cfg.Tables.Snapshot.D(),
 		Settle:   h.cfg.Tables.Settle.D(),
