--- a/hub/matrix/edits_test.go
+++ b/hub/matrix/edits_test.go
@@ -1,3 +1,5 @@
+//go:build !race || matrix
+
 package matrix_test
 
 import (
@@ -23,6 +25,20 @@
 	leaving bool
 }
 
+// want notes what the scenario's operator asks for.
+func (w *system) want(c change) change {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.changed = c
+	return c
+}
+
+func (w *system) wanted() change {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
 // rows are tables that send the kind "check" to a pool of the half "north" and
 // "menu" to the one of "south". Both pools of "north" have the same servers.
 func (w *system) rows(c change) tables.Rows {
--- a/hub/matrix/memnet_test.go
+++ b/hub/matrix/memnet_test.go
@@ -1,3 +1,5 @@
+//go:build !race || matrix
+
 package matrix_test
 
 import (
