peer: bounded frames, frozen peers hold nobody up, a sound Drain

Cause: the library's codec takes any length; its send ignores ctx, so that a frozen peer with full buffers blocked every caller on its connection; Drain waited on a WaitGroup that could be added to at 0 and, as calls were counted in their own goroutine, overlooked calls that had been read; two callers who dialled at once leaked a connection; connections were never closed, so heartbeats to random members would have opened one to each.

Ruled out: a deadline on reads (a forwarded job may take minutes to answer; the kernel's keep-alive finds dead peers); UDP for heartbeats (a second transport).

Change: own frame codec with a bound; each write has a deadline, and after a write that failed the connection is closed, since the peer could not make out the next frame. Callers wait for the connection and for the answer by their ctx. A call that was not written whole, or that a stopped server refused, is ErrNotSent; one that was written and not answered is ErrLost. A call on a connection that turns out broken goes out once more. Calls are counted where they are read. One connection to each peer, closed after a minute without calls.

The second try over a new connection is not shown by a test: in the test the broken connection is noticed before the call.

--- /dev/null
+++ b/peer/dialer.go
@@ -0,0 +1,257 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// idleAfter is when a connection that nothing was called on is closed. With
+// heartbeats to random members, a process would else end up with a connection
+// to each of thousands.
+const idleAfter = time.Minute
+
+// Dialer holds a connection to each peer that was called lately.
+type Dialer struct {
+	tls     *tls.Config
+	timeout time.Duration
+	open    Dial
+
+	mu    sync.Mutex
+	links map[netip.AddrPort]*link
+}
+
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// link is the connection to one peer.
+type link struct {
+	// dialing is held while the connection is opened, so that there is one.
+	dialing chan struct{}
+	// writing is held while a call is written. Callers wait for it, and not
+	// for the library's mutex, since that can't be given up.
+	writing chan struct{}
+	// conn, calls and used are guarded by the dialer's mutex.
+	conn  *jsonrpc2.Conn
+	calls int
+	used  time.Time
+}
+
+// NewDialer makes a dialer that opens connections by open; a nil config means
+// plain TCP. The timeout bounds the opening of a connection, and each write.
+func NewDialer(cfg *tls.Config, timeout time.Duration, open Dial) *Dialer {
+	return &Dialer{tls: cfg, timeout: timeout, open: open, links: make(map[netip.AddrPort]*link)}
+}
+
+// Call calls a method of the peer at the address, until ctx ends.
+//
+// The parameters travel as bytes (base64 in JSON): the library decodes a
+// request into maps and encodes it again, which sorts the keys and escapes the
+// text of a caller's bodies. A body would reach the backend server changed, and
+// a resubmission over another dispatcher would no longer match the first.
+func Call[R any](ctx context.Context, d *Dialer, to netip.AddrPort, method string, params any) (R, error) {
+	var out R
+	sealed, err := seal(params)
+	if err != nil {
+		return out, errors.Wrapf(ErrNotSent, "%s: %v", method, err)
+	}
+	answer, err := d.call(ctx, to, method, sealed)
+	if err != nil {
+		return out, err
+	}
+	if err := json.Unmarshal(answer, &out); err != nil {
+		return out, errors.Wrapf(ErrLost, "%s: %s: %v", to, method, err)
+	}
+	return out, nil
+}
+
+// call makes the call, once more on a new connection when the one that was open
+// turns out to be broken: the peer may have started again since, and of a call
+// that was not written whole it has seen nothing.
+func (d *Dialer) call(ctx context.Context, to netip.AddrPort, method string, sealed []byte) (json.RawMessage, error) {
+	for {
+		l, c, fresh, err := d.acquire(ctx, to)
+		if err != nil {
+			return nil, errors.Wrapf(ErrNotSent, "%s: %v", to, err)
+		}
+		r := d.exchange(ctx, l, c, method, sealed)
+		if !r.broken || fresh || ctx.Err() != nil {
+			return r.answer, r.err
+		}
+	}
+}
+
+type reply struct {
+	answer json.RawMessage
+	err    error
+	// broken tells that the connection failed while the call was written.
+	broken bool
+}
+
+// exchange writes the call and waits for its answer. The library does not look
+// at ctx while it writes, so this is done in a goroutine, which ends by the
+// write timeout at the latest.
+func (d *Dialer) exchange(ctx context.Context, l *link, c *jsonrpc2.Conn, method string, sealed []byte) reply {
+	select {
+	case l.writing <- struct{}{}:
+	case <-ctx.Done():
+		d.release(l)
+		return reply{err: errors.Wrapf(ErrNotSent, "%s: %v", method, ctx.Err())}
+	}
+	replies := make(chan reply, 1)
+	go func() {
+		defer d.release(l)
+		w, err := c.DispatchCall(ctx, method, sealed)
+		<-l.writing
+		replies <- await(ctx, c, w, err)
+	}()
+	select {
+	case r := <-replies:
+		return r
+	case <-ctx.Done():
+		return reply{err: errors.Wrapf(ErrLost, "%s: %v", method, ctx.Err())}
+	}
+}
+
+// await waits for the answer to a call, or tells why it was not written.
+func await(ctx context.Context, c *jsonrpc2.Conn, w jsonrpc2.Waiter, err error) reply {
+	switch {
+	case errors.Is(err, errFrame):
+		return reply{err: errors.Wrap(ErrNotSent, err.Error())}
+	case err != nil:
+		// The frame was not written to its end, so the peer can't have read
+		// it; nor could it make out the next one.
+		_ = c.Close()
+		return reply{err: errors.Wrap(ErrNotSent, err.Error()), broken: true}
+	}
+	var r reply
+	r.err = turn(w.Wait(ctx, &r.answer))
+	return r
+}
+
+// turn makes an error of the library one of this layer.
+func turn(err error) error {
+	var e *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return nil
+	case !errors.As(err, &e):
+		return errors.Wrap(ErrLost, err.Error())
+	case e.Code == codeRefused:
+		return errors.Wrap(ErrNotSent, e.Message)
+	}
+	f := &Failure{Message: e.Message}
+	if e.Data != nil {
+		f.Data = *e.Data
+	}
+	return f
+}
+
+// acquire returns the peer's connection, and whether it was opened just now.
+func (d *Dialer) acquire(ctx context.Context, to netip.AddrPort) (*link, *jsonrpc2.Conn, bool, error) {
+	l := d.link(to)
+	select {
+	case l.dialing <- struct{}{}:
+	case <-ctx.Done():
+		d.release(l)
+		return nil, nil, false, ctx.Err()
+	}
+	defer func() { <-l.dialing }()
+	d.mu.Lock()
+	c := l.conn
+	d.mu.Unlock()
+	if c != nil && !closed(c) {
+		return l, c, false, nil
+	}
+	c, err := d.dial(ctx, to)
+	if err != nil {
+		d.release(l)
+		return nil, nil, false, err
+	}
+	d.mu.Lock()
+	l.conn = c
+	d.mu.Unlock()
+	return l, c, true, nil
+}
+
+// link returns the peer's link and counts a call on it. It also drops the links
+// that were idle for long.
+func (d *Dialer) link(to netip.AddrPort) *link {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, ok := d.links[to]
+	if !ok {
+		d.dropIdle(time.Now())
+		l = &link{dialing: make(chan struct{}, 1), writing: make(chan struct{}, 1)}
+		d.links[to] = l
+	}
+	l.calls++
+	return l
+}
+
+func (d *Dialer) dropIdle(now time.Time) {
+	for a, l := range d.links {
+		if l.calls > 0 || now.Sub(l.used) < idleAfter {
+			continue
+		}
+		if l.conn != nil {
+			_ = l.conn.Close()
+		}
+		delete(d.links, a)
+	}
+}
+
+func (d *Dialer) release(l *link) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l.calls--
+	l.used = time.Now()
+}
+
+func closed(c *jsonrpc2.Conn) bool {
+	select {
+	case <-c.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
+func (d *Dialer) dial(ctx context.Context, to netip.AddrPort) (*jsonrpc2.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	defer cancel()
+	nc, err := d.open(ctx, "tcp", to.String())
+	if err != nil {
+		return nil, err
+	}
+	if d.tls != nil {
+		c := tls.Client(nc, d.tls)
+		if err := c.HandshakeContext(ctx); err != nil {
+			_ = nc.Close()
+			return nil, err
+		}
+		nc = c
+	}
+	none := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no calls this way"}
+	})
+	return jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(nc, d.timeout), none), nil
+}
+
+// Close closes all connections.
+func (d *Dialer) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range d.links {
+		if l.conn != nil {
+			_ = l.conn.Close()
+		}
+	}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,157 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	// maxCalls bounds the calls that are worked on at once.
+	maxCalls = 16384
+	// answerTimeout bounds the writing of answers to a slow peer.
+	answerTimeout = 10 * time.Second
+)
+
+type handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Server answers the calls of peers. Its handlers are set before Serve.
+type Server struct {
+	log      *slog.Logger
+	ln       net.Listener
+	handlers map[string]handler
+	calls    calls
+}
+
+// NewServer makes a server on the listener.
+func NewServer(log *slog.Logger, ln net.Listener) *Server {
+	return &Server{log: log, ln: ln, handlers: make(map[string]handler), calls: calls{limit: maxCalls}}
+}
+
+// Handle sets the handler of a method.
+func Handle[P, R any](s *Server, method string, fn func(ctx context.Context, p P) (R, error)) {
+	s.handlers[method] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		var sealed []byte
+		if err := json.Unmarshal(params, &sealed); err != nil {
+			return nil, errors.Wrap(err, "peer: parameters")
+		}
+		var p P
+		if err := json.Unmarshal(sealed, &p); err != nil {
+			return nil, errors.Wrap(err, "peer: parameters")
+		}
+		return fn(ctx, p)
+	}
+}
+
+// Serve accepts connections until ctx ends.
+func (s *Server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.ln.Close() })
+	defer stop()
+	for {
+		c, err := s.ln.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return errors.Wrap(err, "peer: accept")
+		}
+		jsonrpc2.NewConn(ctx, newStream(c, answerTimeout), counted{s})
+	}
+}
+
+// counted answers calls and counts those whose answer is not yet written.
+// Without the count, a planned stop closes the connection between the end of a
+// forwarded job and the writing of its answer: the caller, who waits at another
+// dispatcher, is then told "unknown" although the job is done. A call is counted
+// by the goroutine that reads it, so Drain can't overlook one that was read.
+type counted struct{ s *Server }
+
+// Handle answers one call in a goroutine of its own.
+func (c counted) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if !c.s.calls.begin() {
+		e := &jsonrpc2.Error{Code: codeRefused, Message: "stopped, or too many calls"}
+		_ = conn.ReplyWithError(ctx, req.ID, e)
+		return
+	}
+	go func() {
+		defer c.s.calls.end()
+		jsonrpc2.HandlerWithError(c.s.handle).Handle(ctx, conn, req)
+	}()
+}
+
+// Drain waits until every call that has been read is answered, or ctx ends.
+// Calls that are read later are refused.
+func (s *Server) Drain(ctx context.Context) {
+	select {
+	case <-s.calls.drained():
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	h, ok := s.handlers[req.Method]
+	if !ok || req.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
+	}
+	out, err := h(ctx, *req.Params)
+	if err == nil {
+		return out, nil
+	}
+	e := &jsonrpc2.Error{Code: codeFailed, Message: err.Error()}
+	e.SetError(err)
+	return nil, e
+}
+
+// calls counts calls in flight. A sync.WaitGroup can't do it: a call may begin
+// while Drain waits, which that type forbids when the count is 0.
+type calls struct {
+	limit int
+
+	mu    sync.Mutex
+	n     int
+	empty chan struct{}
+	over  bool
+}
+
+// begin counts a call, or refuses it.
+func (c *calls) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over || c.n >= c.limit {
+		return false
+	}
+	c.n++
+	return true
+}
+
+func (c *calls) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n--
+	c.finish()
+}
+
+// drained returns a channel that is closed when no call is left. Until then
+// calls still begin: peers ask about the jobs that are being finished.
+func (c *calls) drained() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.empty == nil {
+		c.empty = make(chan struct{})
+		c.finish()
+	}
+	return c.empty
+}
+
+func (c *calls) finish() {
+	if c.empty != nil && c.n == 0 && !c.over {
+		c.over = true
+		close(c.empty)
+	}
+}
