An outcome that is reported once more after the end does no harm

Cause: a second report of a task's outcome after its job had ended panicked ("index out of range [1] with length 0"), and one for a request without identity was counted as another request's end ("-1 requests are said to run"), so that a planned stop would not have waited for that one.

Ruled out: relying on the dispatch package to report once (it is a promise, not a guard, and a panic there takes all jobs along).

Change: entry.fill passes over reports after the end; Pass counts once.

--- a/job/entry.go
+++ b/job/entry.go
@@ -97,7 +97,7 @@
 // that comes a second time is passed over: counted twice, it would end the job
 // while another task still runs, and the caller would get a part for the whole.
 func (e *entry) fill(i int, r TaskResult) bool {
-	if e.filled[i] {
+	if e.left == 0 || e.filled[i] {
 		return false
 	}
 	e.filled[i] = true
--- a/job/owner.go
+++ b/job/owner.go
@@ -152,12 +152,12 @@
 	c := make(chan Outcome, 1)
 	b := o.batch(r.Caller, id, r.Kind, r.Time(o.book.limits.JobTimeout))
 	b.Tasks, b.Type, b.Request = [][]byte{r.Body}, r.Type, true
+	var once sync.Once
 	b.Done = func(_ int, res dispatch.Result) {
-		select {
-		case c <- requestOutcome(b.Job, res):
+		once.Do(func() {
+			c <- requestOutcome(b.Job, res)
 			o.passDone()
-		default:
-		}
+		})
 	}
 	if err := o.place.Submit(b); err != nil {
 		o.passDone()
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -221,6 +221,7 @@
 		t.Errorf("%+v, %v while a task runs", a, err)
 	}
 	b.p.batches[0].Done(1, dispatch.Result{Ran: refusal.RanUnknown, Error: "reset"})
+	b.p.batches[0].Done(1, r)
 	a, err := b.put(id, ` 1 `, `2`)
 	if err != nil || a.State != job.Failed || a.Tasks[0].Answer != nil || a.Tasks[1].Ran != refusal.RanUnknown {
 		t.Errorf("%+v, %v", a, err)
