--- a/hub/gauges.go
+++ b/hub/gauges.go
@@ -6,6 +6,7 @@
 
 	"snipehub.example/event"
 	"snipehub.example/meter"
+	"snipehub.example/roster"
 )
 
 const gaugeEvery = time.Second
@@ -43,9 +44,29 @@
 		h.observe(keys, int64(claims), evicted)
 		bytes, dropped := h.fwd.holder.Stats()
 		h.observe(held, bytes, dropped)
+		h.meter.Gauge(meter.Windows, float64(s.Tickets*int64(h.cfg.Limits.TicketWindow)))
+		h.observeOthers()
 	}
 }
 
+// observeOthers keeps the metrics of the tables and of the other dispatchers.
+func (h *Hub) observeOthers() {
+	now := h.clock.Now()
+	h.meter.Gauge(meter.TablesVersion, float64(h.tables.State().Version))
+	h.meter.Gauge(meter.TablesAge, now.Sub(h.tables.Confirmed()).Seconds())
+	live, suspect := 0, 0
+	for _, k := range h.roster.All(now) {
+		switch k.State {
+		case roster.Live:
+			live++
+		case roster.Suspect:
+			suspect++
+		}
+	}
+	h.meter.Gauge(meter.MembersLive, float64(live))
+	h.meter.Gauge(meter.MembersSuspect, float64(suspect))
+}
+
 func (h *Hub) observe(b *bound, value, reached int64) {
 	h.meter.Gauge(b.gauge, float64(value))
 	if reached > b.seen {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -53,7 +53,14 @@
 	ln     listeners
 	certs  *certificate.Set
 
+	ledger   countedLog
+	platform *platform
 	stopping atomic.Bool
+	// fetching is set while the tables are fetched from a peer.
+	fetching atomic.Bool
+	// allowed is the last answer to whether work may be placed, cutOffOK
+	// whether it may be although the tables are not confirmed.
+	allowed, cutOffOK atomic.Bool
 }
 
 // Network is the way to listen and to connect. Tests put one in memory in its
@@ -111,10 +118,11 @@
 
 func (h *Hub) build() {
 	cfg := h.cfg
-	platform := ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext)
-	h.tables = h.newTables(platform)
+	h.ledger = countedLog{ledger.New(cfg.Platform.Log, cfg.Platform.VMs, cfg.Platform.Timeout.D(), h.net.DialContext), h.meter}
+	h.tables = h.newTables()
+	h.platform = newPlatform(cfg.Peers)
 	h.place = h.placing()
-	h.owner = job.New(h.self, h.place, job.Limits{
+	h.owner = job.New(h.self, gate{h}, job.Limits{
 		Tickets:    cfg.Limits.Tickets,
 		Range:      cfg.Limits.TicketRange,
 		Window:     cfg.Limits.TicketWindow,
@@ -122,7 +130,7 @@
 		KeptFor:    cfg.Limits.KeptAnswerFor.D(),
 		JobTimeout: cfg.Limits.JobTimeout.D(),
 	}, h.clock.Now)
-	h.roster = roster.New(h.member(), cfg.Peers.SuspectAfter.D())
+	h.roster = h.newRoster()
 	h.dialer = peer.NewDialer(h.certs.PeerClient(), cfg.Peers.Timeout.D(), h.net.DialContext)
 	h.peers = peer.NewServer(h.log, h.ln.peers)
 	h.fwd = &forwarder{
@@ -145,7 +153,7 @@
 		Skew:      cfg.Limits.KeySkew.D(),
 		Patience:  cfg.Platform.Timeout.D(),
 		MarkEvery: markEvery,
-	}, platform, h.clock.Now, h.appendShare, h.owner.Reserve)
+	}, h.ledger, h.clock.Now, h.appendShare, h.owner.Reserve)
 	h.desk = &desk{self: h.self, owner: h.owner, fwd: h.fwd, keys: h.claims, tables: h.tables.State}
 	h.handlePeers()
 	h.handOver()
@@ -212,6 +220,8 @@
 	root.Add(h.place)
 	root.Add(h.peers)
 	root.Add(service("snapshots", h.snapshots))
+	root.Add(service("VM list", h.watchVMs))
+	root.Add(service("standing", h.watchStanding))
 	root.Add(service("heartbeat", h.heartbeat))
 	root.Add(service("callers", h.serveHTTP))
 	root.Add(service("forwards", h.watchForwards))
@@ -259,9 +269,7 @@
 }
 
 func (h *Hub) handlePeers() {
-	peer.Handle(h.peers, methodBeat, func(_ context.Context, b roster.Beat) (roster.Beat, error) {
-		return h.roster.Answer(h.clock.Now(), b), nil
-	})
+	h.handleMembers()
 	peer.Handle(h.peers, methodStatus, func(context.Context, struct{}) (Status, error) {
 		return h.status(), nil
 	})
@@ -298,5 +306,5 @@
 
 // Ready tells whether the balancer should send callers here.
 func (h *Hub) Ready() bool {
-	return !h.stopping.Load() && h.tables.State().Version != ledger.None
+	return !h.stopping.Load() && h.tables.State().Version != ledger.None && h.mayPlace(h.clock.Now())
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -99,6 +99,20 @@
 	Fanout       int      `toml:"fanout"`
 	SuspectAfter Duration `toml:"suspect_after"`
 	Timeout      Duration `toml:"timeout"`
+	// GoneAfter is how long the VM list must lack a VM before its silent
+	// processes are gone for good; it must exceed the lag of the list.
+	GoneAfter Duration `toml:"gone_after"`
+	// KeepGone is how long gone processes are remembered.
+	KeepGone Duration `toml:"keep_gone"`
+	// Members bounds the dispatchers that are remembered.
+	Members int `toml:"members"`
+	// News is how many other dispatchers one heartbeat tells of.
+	News int `toml:"news"`
+	// VMPoll is how often the VM list is read.
+	VMPoll Duration `toml:"vm_poll"`
+	// VMPrefix begins the names of entry VMs in the VM list; only at these are
+	// the ports tried.
+	VMPrefix string `toml:"vm_prefix"`
 }
 
 // Callers sets who may call.
@@ -201,6 +215,11 @@
 			Fanout:       2,
 			SuspectAfter: Duration(3 * time.Second),
 			Timeout:      Duration(2 * time.Second),
+			GoneAfter:    Duration(time.Minute),
+			KeepGone:     Duration(10 * time.Minute),
+			Members:      4096,
+			News:         16,
+			VMPoll:       Duration(2 * time.Second),
 		},
 		Limits: Limits{
 			BodyBytes:       8 << 20,
