load: tasks that a peer hands back are no messages

Cause: the tool took a dispatcher's `task_refusals` beyond the backend servers' own as attempts that reached no backend server.

Change: attempts that reached no backend server are `task_starts` less the requests that backend servers have seen.

Seen red: TestMessages printed "{Refusals:3 Dials:47 ... Placement:0.54 Total:0.68}, want {Refusals:3 Dials:3 ... Placement:0.1 Total:0.24}".

--- a/load/measure_test.go
+++ b/load/measure_test.go
@@ -166,3 +166,21 @@
 		t.Errorf("%v, want %v", sum, want)
 	}
 }
+
+// A task that a peer hands back is no message: the call that brought it is
+// counted already. An attempt that reached no backend server is one.
+func TestMessages(t *testing.T) {
+	a := reading{metrics: map[string]float64{"heartbeats": 5}, requests: 10}
+	b := reading{
+		metrics: map[string]float64{
+			"heartbeats": 9, "task_starts": 103, "task_refusals": 50, "handover_calls": 4, "forwards": 2,
+		},
+		requests: 110, refused: 3, log: stand.LogCounts{Reads: 6, Appends: 1},
+	}
+	m := Messages{Repeats: 1}
+	m.between(a, b, 100)
+	want := Messages{Refusals: 3, Dials: 3, Handovers: 4, Forwards: 2, Repeats: 1, Heartbeats: 4, Log: 7, Placement: 0.1, Total: 0.24}
+	if m != want {
+		t.Errorf("%+v, want %+v", m, want)
+	}
+}
--- a/load/probe.go
+++ b/load/probe.go
@@ -83,7 +83,7 @@
 func (m *Messages) between(a, b reading, tasks int) {
 	n := func(name meter.Name) int64 { return int64(b.metrics[string(name)] - a.metrics[string(name)]) }
 	m.Refusals = b.refused - a.refused
-	m.Dials = max(n(meter.TaskRefusals)-m.Refusals, 0)
+	m.Dials = max(n(meter.TaskStarts)-(b.requests-a.requests), 0)
 	m.Handovers = n(meter.HandoverCalls)
 	m.Forwards = n(meter.Forwards)
 	m.Heartbeats = n(meter.Heartbeats)
