--- /dev/null
+++ b/operator/command.go
@@ -0,0 +1,106 @@
+// Package operator is the operators' command line, snipectl.
+//
+// It changes the routes and pools tables by edits on the platform's log, and
+// looks at dispatchers over their operators' address. It keeps nothing: an
+// operator killed in mid-edit leaves an edit on the log that is whole, or none.
+package operator
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"snipehub.example/ledger"
+)
+
+// The exit codes. Zero means done, 1 that the platform or a dispatcher failed.
+const (
+	// ExitUsage is for arguments and files that can't be used.
+	ExitUsage = 2
+	// ExitLost is for an edit that lost a race: it has changed nothing and
+	// never will.
+	ExitLost = 3
+	// ExitPending is for a change that not every live dispatcher has said to
+	// be in force, and for a dispatcher that did not answer.
+	ExitPending = 4
+	// ExitOpen is for an edit of which it is not known whether it is on the
+	// log.
+	ExitOpen = 5
+)
+
+func usage(err error) error { return cli.Exit(err.Error(), ExitUsage) }
+
+// The flags that several commands have.
+var (
+	logFlag = &cli.StringFlag{
+		Name: "log", Value: "127.0.0.1:7300", Usage: "address of the platform's log",
+		Sources: cli.EnvVars("SNIPE_LOG"),
+	}
+	dispatcherFlag = &cli.StringFlag{
+		Name: "dispatcher", Value: "127.0.0.1:7600", Usage: "operators' address of any dispatcher",
+		Sources: cli.EnvVars("SNIPE_DISPATCHER"),
+	}
+	caFlag      = &cli.StringFlag{Name: "ca", Usage: "file with the authority of the dispatchers' certificates; calls them with TLS"}
+	jsonFlag    = &cli.BoolFlag{Name: "json", Usage: "print JSON"}
+	timeoutFlag = &cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "how long to try"}
+)
+
+// Command returns the command line of snipectl.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "snipectl",
+		Usage: "look at and change the routes and pools tables",
+		Description: "Exit codes: 0 done; 1 the platform or a dispatcher failed; 2 arguments or files\n" +
+			"can't be used; 3 the edit lost a race and changed nothing; 4 not every live\n" +
+			"dispatcher has said that the change is in force; 5 it is not known whether the\n" +
+			"edit is on the log.",
+		EnableShellCompletion: true,
+		Commands: []*cli.Command{
+			tableCommand(routesTable),
+			tableCommand(poolsTable),
+			applyCommand(bothTables),
+			statusCommand(),
+			watchCommand(),
+			jobsCommand(),
+			keysCommand(),
+		},
+	}
+}
+
+func tableCommand(t table) *cli.Command {
+	return &cli.Command{
+		Name:  t.name,
+		Usage: "the " + t.name + " table: " + t.content,
+		Commands: []*cli.Command{
+			checkCommand(t),
+			diffCommand(t),
+			applyCommand(t),
+			historyCommand(t),
+		},
+	}
+}
+
+// callTimeout bounds one call to the platform.
+const callTimeout = 5 * time.Second
+
+// openLog returns the log of the flags.
+func openLog(c *cli.Command) (*ledger.Client, error) {
+	addr, err := netip.ParseAddrPort(c.String("log"))
+	if err != nil {
+		return nil, usage(errors.Wrap(err, "log"))
+	}
+	return ledger.New(addr, addr, callTimeout, (&net.Dialer{}).DialContext), nil
+}
+
+// author is who stands in the edits of this operator.
+func author() string { return os.Getenv("USER") }
+
+// bounded ends the context after the timeout of the flags.
+func bounded(ctx context.Context, c *cli.Command) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, c.Duration("timeout"))
+}
--- /dev/null
+++ b/operator/tables.go
@@ -0,0 +1,189 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"snipehub.example/ledger"
+	"snipehub.example/tables"
+)
+
+const filesUsage = "FILE..."
+
+func checkCommand(t table) *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check files against the other table as it is in force",
+		ArgsUsage: filesUsage,
+		Flags:     []cli.Flag{logFlag, timeoutFlag},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			_, _, err := compare(ctx, c, t)
+			return err
+		},
+	}
+}
+
+// difference is what a file would change.
+type difference struct {
+	Version tables.Version `json:"version"`
+	Put     tables.Rows    `json:"put"`
+	Drop    tables.Keys    `json:"drop"`
+}
+
+func diffCommand(t table) *cli.Command {
+	return &cli.Command{
+		Name:      "diff",
+		Usage:     "show what applying the files would change",
+		ArgsUsage: filesUsage,
+		Flags:     []cli.Flag{logFlag, jsonFlag, timeoutFlag},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			cur, d, err := compare(ctx, c, t)
+			if err != nil {
+				return err
+			}
+			return out(c, d, func(w io.Writer) {
+				writeDiff(w, cur, d.Put, d.Drop)
+				fmt.Fprintln(w, "version", d.Version)
+			})
+		},
+	}
+}
+
+// compare checks the files against the tables in force.
+func compare(ctx context.Context, c *cli.Command, t table) (*tables.State, difference, error) {
+	ctx, cancel := bounded(ctx, c)
+	defer cancel()
+	var d difference
+	paths := c.Args().Slice()
+	file, err := readRows(t, paths)
+	if err != nil {
+		return nil, d, usage(err)
+	}
+	log, err := openLog(c)
+	if err != nil {
+		return nil, d, err
+	}
+	cur, err := newEditor(log).catchUp(ctx)
+	if err != nil {
+		return nil, d, err
+	}
+	rows := t.put(cur.Rows(), file)
+	if _, err := tables.Build(cur.Version, rows); err != nil {
+		return nil, d, usage(place(paths, err))
+	}
+	d.Version = cur.Version
+	d.Put, d.Drop = tables.Diff(cur.Rows(), rows)
+	return cur, d, nil
+}
+
+func applyCommand(t table) *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "bring the files into force in place of " + t.content,
+		ArgsUsage: filesUsage,
+		Flags: []cli.Flag{
+			logFlag, jsonFlag, timeoutFlag, dispatcherFlag, caFlag,
+			&cli.StringFlag{Name: "author", Value: author(), Usage: "who stands in the history"},
+			&cli.Int64Flag{Name: "base", Value: int64(ledger.None) - 1, DefaultText: "the current one", Usage: "apply only if this version is in force"},
+			&cli.BoolFlag{Name: "wait", Usage: "wait until it is in force on every live dispatcher"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error { return apply(ctx, c, t) },
+	}
+}
+
+func apply(ctx context.Context, c *cli.Command, t table) error {
+	ctx, cancel := bounded(ctx, c)
+	defer cancel()
+	paths := c.Args().Slice()
+	file, err := readRows(t, paths)
+	if err != nil {
+		return usage(err)
+	}
+	log, err := openLog(c)
+	if err != nil {
+		return err
+	}
+	var base *tables.Version
+	if c.IsSet("base") {
+		v := tables.Version(c.Int64("base"))
+		base = &v
+	}
+	want := func(cur tables.Rows) tables.Rows { return t.put(cur, file) }
+	o, err := newEditor(log).change(ctx, want, base, c.String("author"))
+	if err != nil {
+		return explain(c, paths, err)
+	}
+	if c.Bool("wait") {
+		return awaitForce(ctx, c, o)
+	}
+	return out(c, o, func(w io.Writer) {
+		if o.Edit == "" {
+			fmt.Fprintln(w, "nothing to change at version", o.Version)
+			return
+		}
+		fmt.Fprintln(w, "in force from version", o.Version)
+	})
+}
+
+// explain gives an error its exit code, and the loser of a race the difference
+// that is left.
+func explain(c *cli.Command, paths []string, err error) error {
+	var l *Lost
+	var coded cli.ExitCoder
+	switch {
+	case errors.As(err, &l):
+		_ = out(c, l, func(w io.Writer) { writeDiff(w, l.state, l.Put, l.Drop) })
+		return cli.Exit(err.Error(), ExitLost)
+	case errors.Is(err, ErrOpen):
+		return cli.Exit(err.Error()+"; look for it with: snipectl routes history", ExitOpen)
+	case errors.As(err, &coded):
+		return usage(place(paths, err))
+	}
+	return err
+}
+
+// record is one line of the history.
+type record struct {
+	Version tables.Version `json:"version"`
+	At      time.Time      `json:"at"`
+	Author  string         `json:"author,omitempty"`
+	Edit    string         `json:"edit,omitempty"`
+	// What is "in force", "rejected" or "snapshot".
+	What   string      `json:"what"`
+	Reason string      `json:"reason,omitempty"`
+	Put    tables.Rows `json:"put"`
+	Drop   tables.Keys `json:"drop"`
+}
+
+func historyCommand(t table) *cli.Command {
+	return &cli.Command{
+		Name:  "history",
+		Usage: "list the edits that the log still has",
+		Flags: []cli.Flag{logFlag, jsonFlag, timeoutFlag},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ctx, cancel := bounded(ctx, c)
+			defer cancel()
+			return follow(ctx, c, 0, false, func(r record) bool { return touches(t, r) })
+		},
+	}
+}
+
+// touches tells whether an edit belongs in the history of the table.
+func touches(t table, r record) bool {
+	keys := tables.Rows{}
+	if len(r.Drop.Pools)+len(r.Drop.Servers) > 0 {
+		keys.Pools = make([]tables.Pool, 1)
+	}
+	if len(r.Drop.Routes)+len(r.Drop.Teams) > 0 {
+		keys.Routes = make([]tables.Route, 1)
+	}
+	own := t.put(tables.Rows{}, r.Put)
+	put, _ := tables.Diff(tables.Rows{}, own)
+	dropped, _ := tables.Diff(tables.Rows{}, t.put(tables.Rows{}, keys))
+	return !empty(put, tables.Keys{}) || !empty(dropped, tables.Keys{}) || r.What == snapshotWord
+}
