load: a slope that can't be told from none is flat

Cause: heartbeats have a fixed size now, so idle traffic grows with the members only up to some twenty of them; the line through 3 to 48 rose by 280 ± 130 bytes a member and would have been drawn out to thousands of members.

Change: the members' slopes begin at 24 dispatchers and go to 96; a slope whose 95% interval holds 0 counts as flat, and its mean is taken.

--- a/load/capacity.go
+++ b/load/capacity.go
@@ -164,9 +164,10 @@
 	}
 }
 
-// reach is the x at which the line gets to the budget; 0 when it never does.
+// reach is the x at which the line gets to the budget; 0 when it never does, or
+// when it is flat.
 func reach(f Fit, budget float64) float64 {
-	if f.Slope <= 0 {
+	if f.flat() {
 		return 0
 	}
 	return max((budget-f.Intercept)/f.Slope, 0)
@@ -203,7 +204,7 @@
 
 func (n need) broken() string {
 	if n.breaks == 0 {
-		return ""
+		return "-"
 	}
 	return fmt.Sprintf("%.0f %s", n.breaks, n.breaksOf)
 }
--- a/load/fit.go
+++ b/load/fit.go
@@ -14,6 +14,22 @@
 	SlopeError float64 `json:"slope_error"`
 	// R2 is the part of the variance that the line explains.
 	R2 float64 `json:"r2"`
+	// Mean is the mean of Y, which stands for the line where it is flat.
+	Mean float64 `json:"mean"`
+	// Freedom is the number of points beyond the two that a line needs.
+	Freedom int `json:"freedom"`
+}
+
+// student is Student's t for a two-sided 95% by degrees of freedom, from 1.
+var student = []float64{12.71, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306}
+
+// flat tells that the slope can't be told from none with 95%. A line through
+// few scattered points would otherwise be drawn out to any size.
+func (f Fit) flat() bool {
+	if f.Freedom < 1 {
+		return f.Slope <= 0
+	}
+	return f.Slope <= student[min(f.Freedom, len(student))-1]*f.SlopeError
 }
 
 // weight is how much a point counts in a fit.
@@ -42,7 +58,7 @@
 		sxy += w(p) * (p.X - mx) * (p.Y - my)
 		syy += w(p) * (p.Y - my) * (p.Y - my)
 	}
-	f := Fit{Slope: sxy / sxx, R2: 1}
+	f := Fit{Slope: sxy / sxx, R2: 1, Mean: my, Freedom: len(points) - 2}
 	f.Intercept = my - f.Slope*mx
 	rest := max(syy-f.Slope*sxy, 0)
 	if n := float64(len(points)); n > 2 {
@@ -54,8 +70,13 @@
 	return f
 }
 
-// At is the line's value at x.
-func (f Fit) At(x float64) float64 { return f.Intercept + f.Slope*x }
+// At is the line's value at x, and the mean where the line is flat.
+func (f Fit) At(x float64) float64 {
+	if f.flat() {
+		return f.Mean
+	}
+	return f.Intercept + f.Slope*x
+}
 
 // String writes the slope with its error.
 func (f Fit) String() string {
--- a/load/slopes.go
+++ b/load/slopes.go
@@ -165,6 +165,10 @@
 	return []Slope{newSlope(slopeQueue, "waiting tasks", "bytes resident", points, absolute)}, nil
 }
 
+// memberSizes begin where a heartbeat no longer has room for all members: below,
+// the cost grows with each member, and the line would not tell of larger sizes.
+var memberSizes = []int{24, 48, 72, 96}
+
 // memberSlopes measures what an idle dispatcher spends on control by the
 // number of dispatchers.
 func memberSlopes(ctx context.Context) ([]Slope, error) {
@@ -175,7 +179,7 @@
 		{Name: slopeStatus, Y: "bytes"},
 		{Name: slopeLogReads, Y: "reads a second, all"},
 	}
-	for _, n := range []int{3, 6, 12, 24, 48} {
+	for _, n := range memberSizes {
 		d, err := ReadDeployment("lakeshore")
 		if err != nil {
 			return nil, err
