--- a/event/event_test.go
+++ b/event/event_test.go
@@ -5,6 +5,8 @@
 	"os"
 	"strings"
 	"testing"
+
+	"snipehub.example/internal/source"
 )
 
 // TestCatalogue holds docs/EVENTS.md equal to the table. Run it with
@@ -35,6 +37,27 @@
 	}
 }
 
+// An event that stands in the page but is never logged has an operator wait
+// for an alarm that can't come.
+func TestEveryEventIsLogged(t *testing.T) {
+	names, err := source.Constants("table.go", "ID")
+	if err != nil {
+		t.Fatal(err)
+	}
+	used, err := source.Selectors("..", "event")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(names) != len(All()) {
+		t.Errorf("%d numbers, %d entries", len(names), len(All()))
+	}
+	for _, n := range names {
+		if !used[n] {
+			t.Errorf("event.%s is never logged", n)
+		}
+	}
+}
+
 // TestNumbersAreInTheirPart holds the numbers inside the hundreds that the
 // table gives to the parts.
 func TestNumbersAreInTheirPart(t *testing.T) {
