--- a/dispatch/plan/end.go
+++ b/dispatch/plan/end.go
@@ -126,9 +126,6 @@
 	if w.left > 0 {
 		return
 	}
-	if w.q.Opened() {
-		p.open--
-	}
 	p.expiry.remove(w)
 	delete(p.jobs, w.job.ID)
 	w.team.jobs--
@@ -158,6 +155,7 @@
 	again := append(w.retries, w.held...)
 	w.held = nil
 	w.retries = nil
+	p.slot(w, false)
 	from := w.next
 	w.next = w.job.Tasks
 	for _, task := range again {
--- a/dispatch/plan/guard_test.go
+++ b/dispatch/plan/guard_test.go
@@ -167,6 +167,21 @@
 	}
 }
 
+// Two large jobs have the two job slots. Another large one waits for a slot, and
+// a job of one task does not, because it is never partly started.
+func TestJobSlots(t *testing.T) {
+	cfg := config("share")
+	cfg.JobSlots = 2
+	p := planner(cfg, state(t, 1, 1))
+	for i, n := range []int{100, 100, 100, 1} {
+		_ = p.Submit(epoch, Job{ID: string(rune('a' + i)), Kind: "price", Caller: fmt.Sprint(i), Tasks: n, Expires: epoch.Add(time.Hour)})
+	}
+	got := startsOf(p, 50, func(job string) string { return job })
+	if len(got) != 3 || got["d"] != 1 {
+		t.Errorf("starts %v", got)
+	}
+}
+
 // Callers cancel 100,000 waiting jobs at once. None of them starts, all end as
 // not run, and the jobs of others go on.
 func TestCancellationWave(t *testing.T) {
--- a/dispatch/plan/place.go
+++ b/dispatch/plan/place.go
@@ -58,13 +58,20 @@
 	return true
 }
 
-// top returns the work whose task goes next.
+// top returns the work whose task goes next. When all job slots are taken it is
+// one that has a slot, if any of those can go on, or one of a single task: that
+// is never partly started. No connection stands idle for want of a slot.
 func (p *Planner) top(l *line) *work {
 	full := p.cfg.JobSlots > 0 && p.open >= p.cfg.JobSlots
-	j := l.Top(full)
+	j := l.Top(false)
 	if j == nil {
 		return nil
 	}
+	if full && !j.Opened() && j.Waiting() > 1 {
+		if o := l.Top(true); o != nil {
+			j = o
+		}
+	}
 	return j.Owner.(*work)
 }
 
@@ -119,16 +126,25 @@
 	if attempt == 0 {
 		p.budget.first()
 	}
-	if !w.q.Opened() {
-		p.open++
-	}
 	w.line.Take(w.q, p.cost(w))
+	p.slot(w, w.q.Waiting() > 0)
 	p.waiting--
 	p.number++
 	p.flights[p.number] = f
 	return attempt
 }
 
+// slot gives the work a job slot or takes it back.
+func (p *Planner) slot(w *work, has bool) {
+	switch {
+	case has && !w.slot:
+		p.open++
+	case !has && w.slot:
+		p.open--
+	}
+	w.slot = has
+}
+
 // pop takes the task of the work that goes next.
 func (w *work) pop() int {
 	if n := len(w.retries); n > 0 {
--- a/dispatch/plan/plan.go
+++ b/dispatch/plan/plan.go
@@ -31,8 +31,8 @@
 	Policy     policy.Policy
 	// Connections is how many attempts run at once.
 	Connections int
-	// JobSlots is how many jobs have tasks under way at once; 0 means no
-	// limit.
+	// JobSlots is how many jobs are partly started at once: some tasks have
+	// been, others wait. 0 means no limit.
 	JobSlots int
 	// QueuedTasks bounds the waiting tasks.
 	QueuedTasks int
@@ -179,6 +179,8 @@
 	// held is the tasks that wait for the retry budget.
 	held []int
 	left int
+	// slot tells that it has a job slot.
+	slot bool
 	// ended tells that no more tasks are started.
 	ended bool
 	// maybe tells that an attempt of a repeatable request has an unknown
--- a/dispatch/plan/trial_test.go
+++ b/dispatch/plan/trial_test.go
@@ -19,6 +19,8 @@
 		{"random", "random", 0, 0},
 		{"two", "two", 0, 0},
 		{"share", "share", 0, 0},
+		{"share/slots8", "share", -8, 0},
+		{"hand/slots8", "hand", -8, 50 * time.Millisecond},
 		{"hand/after20ms/least1", "hand", 1, 20 * time.Millisecond},
 		{"hand/after20ms/least4", "hand", 4, 20 * time.Millisecond},
 		{"hand/after20ms/least8", "hand", 8, 20 * time.Millisecond},
@@ -32,6 +34,10 @@
 				for range b.N {
 					cfg := config(tt.policy)
 					cfg.HandLeast = tt.least
+					if tt.least < 0 {
+						cfg.JobSlots = -tt.least
+						cfg.HandLeast = 8
+					}
 					cfg.HandAfter = tt.after
 					report(b, trial(b, cfg, load))
 				}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -182,7 +182,7 @@
 // Dispatch sets how tasks are placed.
 type Dispatch struct {
 	Policy string `toml:"policy"`
-	// JobSlots is how many jobs have tasks under way at once; 0 means no limit.
+	// JobSlots is how many jobs are partly started at once; 0 means no limit.
 	JobSlots    int      `toml:"job_slots"`
 	Connections int      `toml:"connections"`
 	TaskTimeout Duration `toml:"task_timeout"`
