plan: jobs of one task really need no slot

Change: a job of one task counts as one that has a slot from its start.

Red: slots not looked at: "starts map[a:17 b:16 c:17]" (three jobs, two slots); without the change: "starts map[a:25 c:25], none of the single task".

--- a/dispatch/plan/guard.go
+++ b/dispatch/plan/guard.go
@@ -82,6 +82,8 @@
 	t := p.team(j)
 	w := &work{job: j, line: p.line(route.Pool), team: t, left: j.Tasks, index: -1}
 	w.q = &queue.Job{Team: t.name, Caller: j.Caller, Weight: t.weight, Arrived: now, Owner: w}
+	// A job of one task is never partly started and needs no slot.
+	w.q.SetOpened(j.Tasks == 1)
 	t.jobs++
 	p.jobs[j.ID] = w
 	p.expiry.add(w)
--- a/dispatch/plan/guard_test.go
+++ b/dispatch/plan/guard_test.go
@@ -173,13 +173,17 @@
 	cfg := config("share")
 	cfg.JobSlots = 2
 	p := planner(cfg, state(t, 1, 1))
-	for i, n := range []int{100, 100, 100, 1} {
-		_ = p.Submit(epoch, Job{ID: string(rune('a' + i)), Kind: "price", Caller: fmt.Sprint(i), Tasks: n, Expires: epoch.Add(time.Hour)})
+	name := func(job string) string { return job }
+	for _, id := range []string{"a", "b", "c"} {
+		_ = p.Submit(epoch, Job{ID: id, Kind: "price", Caller: id, Tasks: 100, Expires: epoch.Add(time.Hour)})
 	}
-	got := startsOf(p, 50, func(job string) string { return job })
-	if len(got) != 3 || got["d"] != 1 {
+	if got := startsOf(p, 50, name); len(got) != 2 {
 		t.Errorf("starts %v", got)
 	}
+	_ = p.Submit(epoch, Job{ID: "d", Kind: "price", Caller: "d", Tasks: 1, Expires: epoch.Add(time.Hour)})
+	if got := startsOf(p, 50, name); got["d"] != 1 {
+		t.Errorf("starts %v, none of the single task", got)
+	}
 }
 
 // Callers cancel 100,000 waiting jobs at once. None of them starts, all end as
--- a/dispatch/plan/place.go
+++ b/dispatch/plan/place.go
@@ -59,19 +59,17 @@
 }
 
 // top returns the work whose task goes next. When all job slots are taken it is
-// one that has a slot, if any of those can go on, or one of a single task: that
-// is never partly started. No connection stands idle for want of a slot.
+// one that has a slot, if any of those can go on; no connection stands idle for
+// want of a slot.
 func (p *Planner) top(l *line) *work {
 	full := p.cfg.JobSlots > 0 && p.open >= p.cfg.JobSlots
-	j := l.Top(false)
+	j := l.Top(full)
+	if j == nil && full {
+		j = l.Top(false)
+	}
 	if j == nil {
 		return nil
 	}
-	if full && !j.Opened() && j.Waiting() > 1 {
-		if o := l.Top(true); o != nil {
-			j = o
-		}
-	}
 	return j.Owner.(*work)
 }
 
