--- a/load/suite.go
+++ b/load/suite.go
@@ -30,8 +30,8 @@
 
 // The marks between which the suite writes its tables into a page.
 const (
-	pageBegin = "<!-- written by snipeload suite: begin -->"
-	pageEnd   = "<!-- written by snipeload suite: end -->"
+	pageBegin = "<!-- written by snipeload: begin -->"
+	pageEnd   = "<!-- written by snipeload: end -->"
 )
 
 func suiteCommand() *cli.Command {
