--- a/dispatch/plan/guard_test.go
+++ b/dispatch/plan/guard_test.go
@@ -64,6 +64,8 @@
 		{"longest wait", 500, nil, Job{Kind: "price", Tasks: 1}, hour, refusal.Overloaded},
 		{"deadline behind the queue", 200, nil, Job{Kind: "price", Tasks: 1}, 2 * time.Second, refusal.Overloaded},
 		{"another caller's backlog", 500, nil, Job{Kind: "price", Caller: "y", Tasks: 1}, 2 * time.Second, ""},
+		{"quota", 300, func(p *Planner, _ time.Time) { p.teams["x"].part = 2 }, Job{Kind: "price", Tasks: 1}, hour, refusal.OverQuota},
+		{"within the quota", 10, func(p *Planner, _ time.Time) { p.teams["x"].part = 2 }, Job{Kind: "price", Tasks: 1}, hour, ""},
 		{"too many tasks", 10, func(p *Planner, _ time.Time) { p.cfg.QueuedTasks = 20 }, Job{Kind: "price", Tasks: 30}, hour, refusal.Overloaded},
 	}
 	for _, tt := range tests {
@@ -202,3 +204,26 @@
 		t.Errorf("starts %v, ends %v", a.Starts, a.Ends)
 	}
 }
+
+// A pool was slow while tasks waited, and is well again. The rate that was
+// learned then must not turn work away: what is refused never waits, and only
+// waiting tasks teach a new rate.
+func TestOldRateIsForgotten(t *testing.T) {
+	p, now := busyPlanner(t, 1)
+	p.line("quick").drain.rate = 0.1
+	var a Actions
+	for len(p.flights) > 0 {
+		for n := range p.flights {
+			p.Ended(now, n, delivery.Outcome{Kind: delivery.Done})
+		}
+		p.Take(now, &a)
+	}
+	for range 20 {
+		now = now.Add(time.Second)
+		p.Tick(now)
+	}
+	j := Job{ID: "new", Kind: "price", Caller: "x", Team: "x", Tasks: 100, Expires: now.Add(20 * time.Second)}
+	if err := p.Submit(now, j); err != nil {
+		t.Error(err)
+	}
+}
