The scripts' addresses can't be taken by outgoing connections

Cause: TestScript/short failed once with "bind: address already in use" for the port of its relay: the port had been asked of the system and given back, and ports given so are those of outgoing connections too.

Ruled out: two scripts with one address (each has its own). Change: fixed ports below that range on the script's own address.

--- a/hub/script_test.go
+++ b/hub/script_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -57,9 +56,7 @@
 }
 
 func setUp(e *testscript.Env) error {
-	if err := freeAddresses(e); err != nil {
-		return err
-	}
+	freeAddresses(e)
 	examples, err := filepath.Abs("../examples")
 	if err != nil {
 		return err
@@ -95,26 +92,28 @@
 // scripts counts the scripts of this process.
 var scripts atomic.Int32
 
-// freeAddresses gives each script a loopback address of its own, $HOST. On
-// 127.0.0.1, a port that is free now is soon given to somebody's outgoing
-// connection, and the script fails with "address already in use". It also sets
-// fresh keys of a caller's own, $KEY0 to $KEY2.
-func freeAddresses(e *testscript.Env) error {
+const (
+	addresses = 12
+	// firstPort lies below the ports that the system gives to outgoing
+	// connections.
+	firstPort = 21000
+)
+
+// freeAddresses gives each script a loopback address of its own, $HOST, and
+// ports there. A port that was asked of the system, and given back for the
+// script to use, may by then be somebody's outgoing connection: the script fails
+// with "address already in use". It also sets fresh keys of a caller's own,
+// $KEY0 to $KEY2.
+func freeAddresses(e *testscript.Env) {
 	pid := os.Getpid()
 	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 1+scripts.Add(1)%250)
 	e.Setenv("HOST", host)
 	for i := range 3 {
 		e.Setenv(fmt.Sprintf("KEY%d", i), uuid.Must(uuid.NewV7()).String())
 	}
-	for i := range 12 {
-		ln, err := net.Listen("tcp", host+":0")
-		if err != nil {
-			return err
-		}
-		defer func() { _ = ln.Close() }()
-		e.Setenv(fmt.Sprintf("A%d", i), ln.Addr().String())
+	for i := range addresses {
+		e.Setenv(fmt.Sprintf("A%d", i), fmt.Sprintf("%s:%d", host, firstPort+i))
 	}
-	return nil
 }
 
 // call METHOD URL STATUS [BODYFILE [HEADER:VALUE...]] makes a request and
