--- a/clock/clock.go
+++ b/clock/clock.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// Resolution is the finest period that can be subscribed to.
-	Resolution = 10 * time.Millisecond
+	// Resolution is the finest period that can be subscribed to. An idle process
+	// spends half of its time on these ticks: at 10 ms it took 1.4% of a core,
+	// above the 1.2% that control may take.
+	Resolution = 50 * time.Millisecond
 	// GapAfter is the silence between two ticks that counts as a freeze.
 	GapAfter = 500 * time.Millisecond
 )
@@ -103,7 +105,9 @@
 		}
 	}
 	for sub := range s.subs {
-		if now.Before(sub.next) {
+		// A period that is a multiple of the resolution must not miss its tick,
+		// and wait for the next one, because this one came a little early.
+		if now.Before(sub.next.Add(-Resolution / 2)) {
 			continue
 		}
 		sub.next = now.Add(sub.every)
