--- a/clock/clock.go
+++ b/clock/clock.go
@@ -97,7 +97,7 @@
 func (s *Service) tick(last, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(last) >= GapAfter {
+	if silence(last, now) >= GapAfter {
 		for c := range s.gaps {
 			offer(c, Gap{From: last, To: now})
 		}
@@ -111,6 +111,14 @@
 	}
 }
 
+// silence returns the time between two ticks, by whichever clock shows more. The
+// monotonic clock stands still while a VM is suspended, and only the wall clock
+// tells of it afterwards. A wall clock that is set forward looks the same; that
+// costs one more confirmation of the tables.
+func silence(last, now time.Time) time.Duration {
+	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+}
+
 func offer[T any](c chan T, v T) {
 	select {
 	case c <- v:
