--- a/event/event_test.go
+++ b/event/event_test.go
@@ -5,6 +5,8 @@
 	"os"
 	"strings"
 	"testing"
+
+	"snipehub.example/internal/source"
 )
 
 // TestCatalogue holds docs/EVENTS.md equal to the table. Run it with
@@ -34,3 +36,34 @@
 		t.Errorf("%s differs from the table; run UPDATE_DOCS=1 go test ./event", path)
 	}
 }
+
+// An event that stands in the page but is never logged has an operator wait
+// for an alarm that can't come.
+func TestEveryEventIsLogged(t *testing.T) {
+	names, err := source.Constants("table.go", "ID")
+	if err != nil {
+		t.Fatal(err)
+	}
+	used, err := source.Selectors("..", "event")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(names) != len(All()) {
+		t.Errorf("%d numbers, %d entries", len(names), len(All()))
+	}
+	for _, n := range names {
+		if !used[n] {
+			t.Errorf("event.%s is never logged", n)
+		}
+	}
+}
+
+// TestNumbersAreInTheirPart holds the numbers inside the hundreds that the
+// table gives to the parts.
+func TestNumbersAreInTheirPart(t *testing.T) {
+	for _, e := range All() {
+		if e.ID < 100 || e.ID > 799 || e.Title == "" || e.Text == "" || e.Since == "" {
+			t.Errorf("event %d: outside the parts, or without title, text or version", e.ID)
+		}
+	}
+}
--- a/hub/handoff.go
+++ b/hub/handoff.go
@@ -158,20 +158,33 @@
 // fetched is lost at each planned stop, and the caller is told "outcome
 // unknown" of orders that were done.
 func (f *forwarder) handOver(ctx context.Context, parts []job.Closed) {
+	short := make(map[ticket.Owner]int)
+	silent := make(map[netip.AddrPort]bool)
 	for _, p := range parts {
-		kept := 0
-		for _, at := range f.near(p.Owner, searchWidth) {
-			if f.give(ctx, at, p) {
-				kept++
-			}
-			if kept == holderCount {
-				break
-			}
+		if f.handPart(ctx, p, silent) < holderCount {
+			short[p.Owner] += len(p.Tickets)
 		}
-		if kept < holderCount {
-			event.HandoverFailed.Log(f.log, "owner", ticket.ID{Owner: p.Owner}, "tickets", len(p.Tickets), "holders", kept)
+	}
+	for o, n := range short {
+		event.HandoverFailed.Log(f.log, "owner", ticket.ID{Owner: o}, "tickets", n)
+	}
+}
+
+// handPart gives one part to peers until enough of them hold it, and returns
+// how many do. A peer that fails once is not tried with the next part: a frozen
+// one would else use up the time that the stop has.
+func (f *forwarder) handPart(ctx context.Context, p job.Closed, silent map[netip.AddrPort]bool) int {
+	n := 0
+	for _, at := range f.near(p.Owner, searchWidth) {
+		switch {
+		case n == holderCount || silent[at]:
+		case f.give(ctx, at, p):
+			n++
+		default:
+			silent[at] = true
 		}
 	}
+	return n
 }
 
 const giveTimeout = 2 * time.Second
--- /dev/null
+++ b/hub/log.go
@@ -0,0 +1,30 @@
+package hub
+
+import (
+	"context"
+	"time"
+
+	"snipehub.example/claim"
+	"snipehub.example/ledger"
+	"snipehub.example/meter"
+)
+
+// countedLog counts the calls to the platform's log.
+type countedLog struct {
+	*ledger.Client
+	m *meter.Meter
+}
+
+// Read counts the read and makes it.
+func (l countedLog) Read(ctx context.Context, stream string, from ledger.Offset, wait time.Duration) (ledger.Page, error) {
+	l.m.Count(meter.LogReads, 1)
+	return l.Client.Read(ctx, stream, from, wait)
+}
+
+// Append counts the append if it is of claims, and makes it.
+func (l countedLog) Append(ctx context.Context, stream string, data []byte) (ledger.Offset, error) {
+	if stream == claim.Stream {
+		l.m.Count(meter.ClaimsAppends, 1)
+	}
+	return l.Client.Append(ctx, stream, data)
+}
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"snipehub.example/internal/source"
 )
 
 // TestPage holds docs/METRICS.md equal to the table. Run it with UPDATE_DOCS=1
@@ -94,3 +96,22 @@
 		}
 	})
 }
+
+// A metric that stands in the page but is never counted shows nothing, and an
+// operator takes that for zero.
+func TestEveryMetricIsCounted(t *testing.T) {
+	names, err := source.Constants("table.go", "Name")
+	if err != nil {
+		t.Fatal(err)
+	}
+	used, err := source.Selectors("..", "meter")
+	if err != nil {
+		t.Fatal(err)
+	}
+	used["MetricSeries"] = true // by this package itself
+	for _, n := range names {
+		if !used[n] {
+			t.Errorf("meter.%s is never counted", n)
+		}
+	}
+}
