One function holds pages to their tables, one sleeps

Cause: logic that stood several times: four tests had the same lines to compare a page of the docs with its table, and six packages their own sleep that ends with a context.

Change: internal/page.Hold and clock.Sleep. No change of behaviour; the tests of the packages pass.

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"snipehub.example/clock"
 	"snipehub.example/ledger"
 	"snipehub.example/refusal"
 	"snipehub.example/ticket"
@@ -102,7 +103,7 @@
 			c.mu.Lock()
 			c.core.Down()
 			c.mu.Unlock()
-			sleep(ctx, jitter(pause))
+			clock.Sleep(ctx, jitter(pause))
 			pause = min(2*pause, pauseMax)
 			continue
 		}
@@ -152,7 +153,7 @@
 		c.mu.Lock()
 		c.core.Lost(batch)
 		c.mu.Unlock()
-		sleep(ctx, jitter(pauseFirst))
+		clock.Sleep(ctx, jitter(pauseFirst))
 		return false
 	}
 	return true
@@ -168,12 +169,3 @@
 
 // jitter spreads the repetitions of processes that failed together.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/client/client.go
+++ b/client/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipehub.example/clock"
 	"snipehub.example/job"
 	"snipehub.example/refusal"
 	"snipehub.example/ticket"
@@ -138,14 +139,7 @@
 // and with jitter, so that callers who were refused together don't come back
 // together.
 func wait(ctx context.Context, pause time.Duration, err error) bool {
-	t := time.NewTimer(retryAfter(err) + pause/2 + rand.N(pause))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return clock.Sleep(ctx, retryAfter(err)+pause/2+rand.N(pause))
 }
 
 func retryAfter(err error) time.Duration {
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -129,3 +129,15 @@
 	default:
 	}
 }
+
+// Sleep waits for d, or until ctx ends; it tells whether it waited to the end.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/dispatch/handover/receiver.go
+++ b/dispatch/handover/receiver.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"snipehub.example/clock"
 	"snipehub.example/delivery"
 	"snipehub.example/dispatch"
 	"snipehub.example/refusal"
@@ -84,7 +85,7 @@
 // ends. It is for a planned stop, which must not cut a peer's tasks.
 func (r *Receiver) Drain(ctx context.Context) {
 	for r.busy() && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		clock.Sleep(ctx, drainPoll)
 	}
 }
 
--- a/dispatch/handover/sender.go
+++ b/dispatch/handover/sender.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipehub.example/clock"
 	"snipehub.example/delivery"
 	"snipehub.example/dispatch"
 	"snipehub.example/roster"
@@ -80,7 +81,7 @@
 			b.give(o, done)
 			return
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 		pause = min(2*pause, lastPause)
 	}
 }
@@ -198,12 +199,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -2,17 +2,16 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
+	"snipehub.example/internal/page"
 	"snipehub.example/internal/source"
 )
 
 // TestCatalogue holds docs/EVENTS.md equal to the table. Run it with
 // UPDATE_DOCS=1 to write the page.
 func TestCatalogue(t *testing.T) {
-	const path = "../docs/EVENTS.md"
 	var b strings.Builder
 	b.WriteString("# Events\n\nEvery log line of a process carries the number of its event as `event`.\nThis page follows the table in `event/table.go`.\n")
 	last := ID(0)
@@ -23,18 +22,7 @@
 		last = e.ID
 		fmt.Fprintf(&b, "\n## %d %s\n\n%s, since %s. %s\n", e.ID, e.Title, e.Level, e.Since, e.Text)
 	}
-	if os.Getenv("UPDATE_DOCS") != "" {
-		if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	have, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if string(have) != b.String() {
-		t.Errorf("%s differs from the table; run UPDATE_DOCS=1 go test ./event", path)
-	}
+	page.Hold(t, "../docs/EVENTS.md", b.String())
 }
 
 // An event that stands in the page but is never logged has an operator wait
--- a/load/act.go
+++ b/load/act.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipehub.example/clock"
 	"snipehub.example/job"
 	"snipehub.example/stand"
 )
@@ -82,7 +83,7 @@
 			p.kill()
 		}
 	}
-	sleep(ctx, listLag)
+	clock.Sleep(ctx, listLag)
 	return d.putVMs(ctx, d.VMs[:left])
 }
 
--- a/load/call.go
+++ b/load/call.go
@@ -78,16 +78,4 @@
 	return put(ctx, r.Platform, "/stand/vms", in)
 }
 
-// sleep waits for d; false means that ctx has ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func itoa(n int) string { return strconv.Itoa(n) }
--- a/load/claimslopes.go
+++ b/load/claimslopes.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"snipehub.example/clock"
 	"snipehub.example/job"
 	"snipehub.example/stand"
 )
@@ -71,7 +72,7 @@
 	}
 	for {
 		err := b.keyed(ctx, http.DefaultClient, body)
-		if err == nil || !sleep(ctx, 200*time.Millisecond) {
+		if err == nil || !clock.Sleep(ctx, 200*time.Millisecond) {
 			return err
 		}
 	}
--- a/load/deploy.go
+++ b/load/deploy.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipehub.example/clock"
 	"snipehub.example/ledger"
 	"snipehub.example/operator"
 	"snipehub.example/settings"
@@ -198,7 +199,7 @@
 		if answered && p.alive() {
 			return nil
 		}
-		if !p.alive() || !sleep(ctx, 20*time.Millisecond) {
+		if !p.alive() || !clock.Sleep(ctx, 20*time.Millisecond) {
 			return errors.Errorf("%s%s does not get ready: %s", at, path, r.outputs())
 		}
 	}
--- a/load/drive.go
+++ b/load/drive.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"snipehub.example/client"
+	"snipehub.example/clock"
 )
 
 // drive is one run of a scenario on a deployment.
@@ -42,14 +43,14 @@
 	d.began = time.Now()
 	for _, a := range actions {
 		d.waves.Go(func() {
-			if sleep(ctx, time.Until(d.began.Add(a.At.D()))) {
+			if clock.Sleep(ctx, time.Until(d.began.Add(a.At.D()))) {
 				d.act(ctx, a)
 			}
 		})
 	}
 	var jobs sync.WaitGroup
 	for _, a := range arrivals {
-		if !sleep(ctx, time.Until(d.began.Add(a.at))) {
+		if !clock.Sleep(ctx, time.Until(d.began.Add(a.at))) {
 			break
 		}
 		jobs.Go(func() {
--- a/load/run.go
+++ b/load/run.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"snipehub.example/clock"
 )
 
 // Options are the choices of a run beyond scenario and deployment.
@@ -33,10 +35,10 @@
 	defer up.Close()
 	dr := newDrive(up)
 	// The metrics of a dispatcher can be a second behind.
-	sleep(ctx, settle)
+	clock.Sleep(ctx, settle)
 	before := up.read(ctx)
 	dr.run(ctx, arrivals, s.Actions)
-	sleep(ctx, settle)
+	clock.Sleep(ctx, settle)
 	return r, r.finish(ctx, dr, s, before)
 }
 
--- a/load/slopes.go
+++ b/load/slopes.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipehub.example/clock"
 	"snipehub.example/stand"
 )
 
@@ -156,7 +157,7 @@
 		for n := range step {
 			wg.Go(func() { b.once(ctx, b.clients[n%len(b.clients)], b.job(perJob, benchService)) })
 		}
-		if !sleep(ctx, 1500*time.Millisecond) {
+		if !clock.Sleep(ctx, 1500*time.Millisecond) {
 			return nil, ctx.Err()
 		}
 		_, mem := b.usage()
@@ -212,9 +213,9 @@
 		return nil, err
 	}
 	defer up.Close()
-	sleep(ctx, idleSettle)
+	clock.Sleep(ctx, idleSettle)
 	a, bytesA := up.read(ctx), up.traffic()
-	if !sleep(ctx, idleFor) {
+	if !clock.Sleep(ctx, idleFor) {
 		return nil, ctx.Err()
 	}
 	b, bytesB := up.read(ctx), up.traffic()
--- a/load/submit.go
+++ b/load/submit.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"snipehub.example/client"
+	"snipehub.example/clock"
 	"snipehub.example/job"
 	"snipehub.example/refusal"
 	"snipehub.example/ticket"
@@ -80,7 +81,7 @@
 	n := a.dispatcher
 	for {
 		id, err := d.clients[a.caller][n].Next(ctx)
-		if err == nil || !errors.Is(err, client.ErrTransport) || !sleep(ctx, pause/10) {
+		if err == nil || !errors.Is(err, client.ErrTransport) || !clock.Sleep(ctx, pause/10) {
 			return id, d.places[n].callers, err
 		}
 		n = rand.IntN(len(d.places))
@@ -107,7 +108,7 @@
 			}
 			wait = max(wait, time.Duration(r.RetryAfterMS)*time.Millisecond)
 		}
-		if !sleep(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return errors.Wrap(client.ErrGaveUp, o.id)
 		}
 		o.repeats++
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -3,19 +3,18 @@
 import (
 	"fmt"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"snipehub.example/internal/page"
 	"snipehub.example/internal/source"
 )
 
 // TestPage holds docs/METRICS.md equal to the table. Run it with UPDATE_DOCS=1
 // to write the page.
 func TestPage(t *testing.T) {
-	const path = "../docs/METRICS.md"
 	var b strings.Builder
 	b.WriteString("# Metrics\n\nWhat `GET /metrics` shows, in the Prometheus text format, up to a second late.\nEach name stands there with the prefix `snipehub_`. The _sum of a histogram is an\nupper bound: each sample counts with the upper bound of its bucket.\nThis page follows the table in `meter/table.go`.\n\n| number | name | type | unit | labels | meaning | since |\n| --- | --- | --- | --- | --- | --- | --- |\n")
 	last, names := 0, make(map[Name]bool)
@@ -26,18 +25,7 @@
 		last, names[e.Name] = e.Number, true
 		fmt.Fprintf(&b, "| %d | %s | %s | %s | %s | %s | %s |\n", e.Number, e.Name, e.Kind, e.Unit, strings.Join(e.Labels, ", "), e.Text, e.Since)
 	}
-	if os.Getenv("UPDATE_DOCS") != "" {
-		if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	have, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if string(have) != b.String() {
-		t.Errorf("%s differs from the table; run UPDATE_DOCS=1 go test ./meter", path)
-	}
+	page.Hold(t, "../docs/METRICS.md", b.String())
 }
 
 func TestExposition(t *testing.T) {
--- a/operator/editor.go
+++ b/operator/editor.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"snipehub.example/clock"
 	"snipehub.example/ledger"
 	"snipehub.example/tables"
 )
@@ -132,7 +133,7 @@
 		if !errors.Is(err, ledger.ErrRate) {
 			return nil
 		}
-		if pause(ctx, rateRetry) != nil {
+		if !clock.Sleep(ctx, rateRetry) {
 			return err
 		}
 	}
@@ -147,7 +148,7 @@
 	for {
 		p, err := e.log.Read(ctx, tables.Stream, e.replay.Next(), settleWait)
 		if err != nil {
-			if pause(ctx, settleWait) != nil {
+			if !clock.Sleep(ctx, settleWait) {
 				return Outcome{Edit: edit.ID}, errors.Wrapf(ErrOpen, "edit %s: %v", edit.ID, err)
 			}
 			continue
@@ -176,14 +177,3 @@
 	return len(put.Routes)+len(put.Teams)+len(put.Pools)+len(put.Servers)+
 		len(drop.Routes)+len(drop.Teams)+len(drop.Pools)+len(drop.Servers) == 0
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/operator/editor_test.go
+++ b/operator/editor_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipehub.example/clock"
 	"snipehub.example/ledger"
 	"snipehub.example/tables"
 )
@@ -45,7 +46,7 @@
 		}
 	}
 	if int(from) >= len(l.records) {
-		_ = pause(ctx, wait)
+		_ = clock.Sleep(ctx, wait)
 	}
 	rest := l.records[min(int(from), len(l.records)):]
 	return ledger.Page{Next: max(from, ledger.Offset(len(l.records))), Records: rest}, nil
--- a/operator/status.go
+++ b/operator/status.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
+	"snipehub.example/clock"
 	"snipehub.example/roster"
 	"snipehub.example/tables"
 	"snipehub.example/ticket"
@@ -156,7 +157,7 @@
 		if err == nil && len(f.Pending) == 0 {
 			return out(c, f, f.write)
 		}
-		if pause(ctx, awaitEvery) == nil {
+		if clock.Sleep(ctx, awaitEvery) {
 			continue
 		}
 		if len(f.InForce)+len(f.Pending) == 0 {
--- a/refusal/refusal_test.go
+++ b/refusal/refusal_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
+	"snipehub.example/internal/page"
 	"snipehub.example/refusal"
 )
 
@@ -24,7 +24,6 @@
 // TestCatalogue holds docs/REFUSALS.md equal to the table. Run it with
 // UPDATE_DOCS=1 to write the page.
 func TestCatalogue(t *testing.T) {
-	const path = "../docs/REFUSALS.md"
 	var b strings.Builder
 	b.WriteString(head)
 	last := 0
@@ -35,18 +34,7 @@
 		last = e.Number
 		fmt.Fprintf(&b, "| %d | `%s` | %d | %s | %s | %s. %s |\n", e.Number, e.Code, e.Status, e.Ran, e.Again, e.Title, e.Text)
 	}
-	if os.Getenv("UPDATE_DOCS") != "" {
-		if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	have, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if string(have) != b.String() {
-		t.Errorf("%s differs from the table; run UPDATE_DOCS=1 go test ./refusal", path)
-	}
+	page.Hold(t, "../docs/REFUSALS.md", b.String())
 }
 
 // Whoever says "not run" must also say which identity comes next, and an open
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -8,6 +8,8 @@
 	"regexp"
 	"strings"
 	"testing"
+
+	"snipehub.example/internal/page"
 )
 
 // least is the shortest file that can be used.
@@ -137,15 +139,7 @@
 // TestPage holds docs/SETTINGS.md equal to the table. Run it with UPDATE_DOCS=1
 // to write the page.
 func TestPage(t *testing.T) {
-	const path = "../docs/SETTINGS.md"
-	if os.Getenv("UPDATE_DOCS") != "" {
-		if err := os.WriteFile(path, Page(), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if have, err := os.ReadFile(path); err != nil || !bytes.Equal(have, Page()) {
-		t.Errorf("%s differs from the table (%v); run UPDATE_DOCS=1 go test ./settings", path, err)
-	}
+	page.Hold(t, "../docs/SETTINGS.md", string(Page()))
 }
 
 // TestExamples holds the files that people start from usable.
--- a/tables/follow.go
+++ b/tables/follow.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"snipehub.example/clock"
 	"snipehub.example/event"
 	"snipehub.example/ledger"
 )
@@ -93,7 +94,7 @@
 func (f *Follower) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !f.step(ctx) {
-			sleep(ctx, retryAfter)
+			clock.Sleep(ctx, retryAfter)
 		}
 	}
 	return ctx.Err()
@@ -346,12 +347,3 @@
 	event.SnapshotAppended.Log(f.log, "version", st.Version, "offset", off, "bytes", len(b))
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/tables/follow_test.go
+++ b/tables/follow_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipehub.example/clock"
 	"snipehub.example/ledger"
 )
 
@@ -32,7 +33,7 @@
 
 func (l *fakeLog) Read(ctx context.Context, _ string, from ledger.Offset, wait time.Duration) (ledger.Page, error) {
 	if int(from) >= len(l.records) {
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 	}
 	if l.down || ctx.Err() != nil {
 		return ledger.Page{}, errors.New("down")
