dispatch: a process that is ready takes work at once

Ready looks at the tables' confirmation itself; the planner learned of it with its next event or tick, up to 50 ms later, and refused until then. The other way round it took work for as long after the process had lost the right to place any.

Ruled out: a late heartbeat (readyz does not ask for one); the gate before the queue (it looks for each submission).

Change: the planner is told before each admission. The test failed first: "cut_off (ran: no): this process is cut off" and "taken while nothing may be placed"; it passes now, with -race.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,11 +23,15 @@
 )
 
 // world is one backend server with two slots, and nobody else.
-type world struct{ st *tables.State }
+type world struct {
+	st *tables.State
+	// barred tells that nothing may be placed.
+	barred *atomic.Bool
+}
 
 func (w world) State() *tables.State                  { return w.st }
 func (w world) Usable(time.Time, netip.AddrPort) bool { return true }
-func (w world) MayPlace(time.Time) bool               { return true }
+func (w world) MayPlace(time.Time) bool               { return !w.barred.Load() }
 func (w world) Members(time.Time) []roster.Known      { return nil }
 
 // hands does each task in a second and counts the starts.
@@ -65,7 +70,7 @@
 	ticks := clock.New()
 	m := meter.New(100, func() {})
 	t.Cleanup(m.Close)
-	return New(cfg, h, world{st}, ticks, slog.New(slog.DiscardHandler), m), h, ticks
+	return New(cfg, h, world{st, new(atomic.Bool)}, ticks, slog.New(slog.DiscardHandler), m), h, ticks
 }
 
 // serve runs the dispatcher and its clock until the test's end.
@@ -117,6 +122,29 @@
 	})
 }
 
+// A process has just confirmed its tables, and tells the balancer that it is
+// ready. A caller who comes in the same moment must not be told that the process
+// is cut off, because the planner last looked before.
+func TestReadyAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, _, ticks := newDispatcher(t)
+		barred := d.dir.(world).barred
+		barred.Store(true)
+		serve(t, d, ticks)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		barred.Store(false)
+		if err := d.Submit(batch1("first", 1, func(int, Result) {})); err != nil {
+			t.Error(err)
+		}
+		barred.Store(true)
+		if d.Submit(batch1("second", 1, func(int, Result) {})) == nil {
+			t.Error("taken while nothing may be placed")
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
 // The planner does not run for a while, as after a freeze. The submitter gets a
 // "not run" after a bounded time, and the submission that is still in the ring
 // must not be taken when the planner runs again: the caller may have submitted
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -87,6 +87,7 @@
 
 func (d *Dispatcher) admit(b *Batch) error {
 	now := d.clock.Now()
+	d.p.Allow(d.dir.MayPlace(now))
 	if d.reports.len() > d.cfg.QueuedTasks {
 		return refusal.New(refusal.Overloaded, "results wait to be taken").After(time.Second)
 	}
