peer: the TLS handshake of a connection is bounded in time

Ruled out: a deadline on all reads (a forwarded job may take minutes to answer, and idle connections are legitimate).

Change: the handshake is done in a goroutine of its own with 10 s; what fails is closed and logged as event 307. Red without the bound: "the silent connection is still open"; green with it, with -race.

--- a/event/table.go
+++ b/event/table.go
@@ -37,6 +37,7 @@
 	Disowned      ID = 304
 	VMsUnknown    ID = 305
 	VMsKnown      ID = 306
+	PeerRefused   ID = 307
 
 	JobForwardFailed ID = 400
 	HandoverFailed   ID = 401
@@ -89,6 +90,7 @@
 	{Disowned, slog.LevelError, "held to be gone", "Other dispatchers take this process for gone, so its jobs are answered as failed over them. Restart it; look for a VM that uses the same address, or a VM list that lags longer than peers.gone_after.", "0.1"},
 	{VMsUnknown, slog.LevelWarn, "VM list unreachable", "The platform's VM list did not answer. The last one stays in use.", "0.1"},
 	{VMsKnown, slog.LevelInfo, "VM list reachable again", "The platform's VM list answers again.", "0.1"},
+	{PeerRefused, slog.LevelWarn, "connection of no peer", "A connection to the peers' address was closed: it showed no certificate of a dispatcher, or none within 10 s. Look at who connects from the address, and at the certificates' dates.", "0.1"},
 	{JobForwardFailed, slog.LevelWarn, "forward to owner failed", "The owner of a job did not answer. The caller was told that the outcome is unknown.", "0.1"},
 	{HandoverFailed, slog.LevelWarn, "closed state has too few holders", "At a planned stop fewer than two peers took the tickets given. With none, their callers are told that the outcome is unknown. Stop fewer dispatchers of a data centre at once.", "0.1"},
 	{AnswersEvicted, slog.LevelWarn, "answers made room", "Answers were dropped before limits.kept_answer_for was over, because limits.kept_answer_bytes was reached. A caller that comes back for one is told that the outcome is unknown.", "0.1"},
--- /dev/null
+++ b/peer/handshake_test.go
@@ -0,0 +1,43 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+)
+
+// Somebody connects to the port of dispatchers and says nothing. The connection
+// must not be held for ever: the process would run out of descriptors, and
+// callers who come over other dispatchers would be told "unknown".
+func TestSilentConnectionIsClosed(t *testing.T) {
+	ln, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return nil, io.EOF },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(slog.New(slog.DiscardHandler), ln)
+	s.handshake = 50 * time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = s.Serve(ctx)
+	}()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The bound of the test, reached only if the server holds the connection.
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.ReadAll(c); err != nil {
+		t.Errorf("the silent connection is still open: %v", err)
+	}
+	_ = c.Close()
+	cancel()
+	<-served
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"log/slog"
 	"net"
@@ -10,6 +11,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"snipehub.example/event"
 )
 
 const (
@@ -17,6 +20,8 @@
 	maxCalls = 16384
 	// answerTimeout bounds the writing of answers to a slow peer.
 	answerTimeout = 10 * time.Second
+	// handshakeTimeout bounds the TLS handshake of a connection.
+	handshakeTimeout = 10 * time.Second
 )
 
 type handler func(ctx context.Context, params json.RawMessage) (any, error)
@@ -27,11 +32,13 @@
 	ln       net.Listener
 	handlers map[string]handler
 	calls    calls
+	// handshake is handshakeTimeout, shorter in tests.
+	handshake time.Duration
 }
 
 // NewServer makes a server on the listener.
 func NewServer(log *slog.Logger, ln net.Listener) *Server {
-	return &Server{log: log, ln: ln, handlers: make(map[string]handler), calls: calls{limit: maxCalls}}
+	return &Server{log: log, ln: ln, handlers: make(map[string]handler), calls: calls{limit: maxCalls}, handshake: handshakeTimeout}
 }
 
 // Handle sets the handler of a method.
@@ -61,8 +68,26 @@
 		if err != nil {
 			return errors.Wrap(err, "peer: accept")
 		}
-		jsonrpc2.NewConn(ctx, newStream(c, answerTimeout), counted{s})
+		go s.admit(ctx, c)
+	}
+}
+
+// admit answers the calls of a connection once its handshake is done. Without a
+// bound, whoever reaches the port could hold connections and their goroutines
+// without showing a certificate, until the process has no descriptors left. A
+// connection that is admitted may be silent; its dialer closes it when idle.
+func (s *Server) admit(ctx context.Context, c net.Conn) {
+	if t, ok := c.(*tls.Conn); ok {
+		bounded, cancel := context.WithTimeout(ctx, s.handshake)
+		err := t.HandshakeContext(bounded)
+		cancel()
+		if err != nil {
+			event.PeerRefused.Log(s.log, "address", c.RemoteAddr(), "error", err)
+			_ = c.Close()
+			return
+		}
 	}
+	jsonrpc2.NewConn(ctx, newStream(c, answerTimeout), counted{s})
 }
 
 // counted answers calls and counts those whose answer is not yet written.
