client: HTTPS, and single requests that must not be repeated

Cause: callers had a library for jobs over plain HTTP only; the interface has TLS and POST /v1/requests.

Change: Config.TLS; Request takes identities of its own and comes back by the same loop as Do. A backend server's own error is the answer, not a refusal: only a code of the table with its status is one. The test holds that an open outcome is sent again under the same identity and a backend server's 409 is not.

--- a/client/client.go
+++ b/client/client.go
@@ -5,11 +5,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -37,6 +39,8 @@
 	// Backoff is the first pause before a repetition; it doubles up to
 	// MaxBackoff, with jitter.
 	Backoff, MaxBackoff time.Duration
+	// TLS, when set, is how entries are reached over HTTPS.
+	TLS *tls.Config
 	// Transport carries the requests; nil takes one of its own.
 	Transport http.RoundTripper
 }
@@ -61,7 +65,7 @@
 		cfg.MaxBackoff = 2 * time.Second
 	}
 	if cfg.Transport == nil {
-		cfg.Transport = &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 256}
+		cfg.Transport = &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 256, TLSClientConfig: cfg.TLS}
 	}
 	return &Client{cfg: cfg, hc: &http.Client{Transport: cfg.Transport}}
 }
@@ -71,18 +75,70 @@
 // same identity as long as the outcome is open, and takes a new one only when
 // the old one is certain never to run.
 func (c *Client) Do(ctx context.Context, s job.Spec) (job.Answer, error) {
+	var a job.Answer
+	err := c.repeat(ctx, func(id ticket.JobID) error {
+		var err error
+		a, err = c.Put(ctx, c.entry(), id, s)
+		return err
+	})
+	return a, err
+}
+
+// Request passes one request through to a backend server, under identities of
+// its own as Do does, and returns the backend server's whole answer.
+func (c *Client) Request(ctx context.Context, kind, contentType string, body []byte) (job.Reply, error) {
+	var out job.Reply
+	err := c.repeat(ctx, func(id ticket.JobID) error {
+		h := http.Header{headerJob: {id.String()}}
+		if contentType != "" {
+			h.Set("Content-Type", contentType)
+		}
+		resp, b, err := c.send(ctx, http.MethodPost, c.entry(), "/v1/requests/"+url.PathEscape(kind), h, body)
+		if err != nil {
+			return err
+		}
+		if r := refused(resp, b); r != nil {
+			return r
+		}
+		out = job.Reply{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: b}
+		return nil
+	})
+	return out, err
+}
+
+// headerJob carries the identity of a request.
+const headerJob = "Snipe-Job"
+
+// refused tells a refusal of the system from a backend server's own answer with
+// an error status. Both may be JSON; only a refusal has a code of the table.
+func refused(resp *http.Response, b []byte) error {
+	if resp.StatusCode < http.StatusBadRequest {
+		return nil
+	}
+	var r refusal.Refusal
+	if json.Unmarshal(b, &r) != nil {
+		return nil
+	}
+	if e, ok := refusal.Find(r.Code); !ok || e.Status != resp.StatusCode {
+		return nil
+	}
+	return &r
+}
+
+// repeat calls submit until it succeeds, is refused for good, or ctx ends.
+func (c *Client) repeat(ctx context.Context, submit func(id ticket.JobID) error) error {
 	var id ticket.JobID
 	fresh := true
 	pause := c.cfg.Backoff
 	for {
-		a, err := c.try(ctx, &id, fresh, s)
+		err := c.try(ctx, &id, fresh, submit)
 		if err == nil {
-			return a, nil
+			return nil
 		}
 		var r *refusal.Refusal
 		if errors.As(err, &r) {
 			if final(r) {
-				return job.Answer{}, err
+				return err
 			}
 			fresh = fresh && id == (ticket.JobID{}) || r.Again == refusal.AgainNew
 			c.drop(id.ID, r)
@@ -90,23 +146,23 @@
 			fresh = false
 		}
 		if !wait(ctx, pause, err) {
-			return job.Answer{}, errors.Wrapf(ErrGaveUp, "last: %v", err)
+			return errors.Wrapf(ErrGaveUp, "last: %v", err)
 		}
 		pause = min(pause*2, c.cfg.MaxBackoff)
 	}
 }
 
-// try submits the job once, under a new identity when fresh.
-func (c *Client) try(ctx context.Context, id *ticket.JobID, fresh bool, s job.Spec) (job.Answer, error) {
+// try submits once, under a new identity when fresh.
+func (c *Client) try(ctx context.Context, id *ticket.JobID, fresh bool, submit func(id ticket.JobID) error) error {
 	if fresh {
 		next, err := c.Next(ctx)
 		if err != nil {
 			*id = ticket.JobID{}
-			return job.Answer{}, err
+			return err
 		}
 		*id = next
 	}
-	return c.Put(ctx, c.entry(), *id, s)
+	return submit(*id)
 }
 
 // final tells whether coming back can't change anything: by the refusal's own
@@ -231,41 +287,57 @@
 	return c.cfg.Entries[rand.IntN(len(c.cfg.Entries))]
 }
 
+// call exchanges JSON with an entry.
 func (c *Client) call(ctx context.Context, method string, entry netip.AddrPort, path string, in, out any) error {
-	var body io.Reader
+	var body []byte
 	if in != nil {
-		b, err := json.Marshal(in)
-		if err != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
 			return errors.Wrap(err, "client")
 		}
-		body = bytes.NewReader(b)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+entry.String()+path, body)
+	resp, b, err := c.send(ctx, method, entry, path, http.Header{}, body)
 	if err != nil {
-		return errors.Wrap(err, "client")
+		return err
+	}
+	if resp.StatusCode < 300 {
+		if err := json.Unmarshal(b, out); err != nil {
+			return errors.Wrap(ErrTransport, err.Error())
+		}
+		return nil
+	}
+	if r := refused(resp, b); r != nil {
+		return r
 	}
+	seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+	return &busyError{resp.StatusCode, time.Duration(max(seconds, 0)) * time.Second}
+}
+
+// send makes one HTTP request and reads the whole answer.
+func (c *Client) send(ctx context.Context, method string, entry netip.AddrPort, path string, h http.Header, body []byte) (*http.Response, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.scheme()+entry.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "client")
+	}
+	req.Header = h
 	if c.cfg.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.cfg.Token)
 	}
 	resp, err := c.hc.Do(req)
 	if err != nil {
-		return errors.Wrap(ErrTransport, err.Error())
+		return nil, nil, errors.Wrap(ErrTransport, err.Error())
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return errors.Wrap(ErrTransport, err.Error())
+		return nil, nil, errors.Wrap(ErrTransport, err.Error())
 	}
-	if resp.StatusCode < 300 {
-		if err := json.Unmarshal(b, out); err != nil {
-			return errors.Wrap(ErrTransport, err.Error())
-		}
-		return nil
-	}
-	var r refusal.Refusal
-	if err := json.Unmarshal(b, &r); err != nil || r.Code == "" {
-		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
-		return &busyError{resp.StatusCode, time.Duration(max(seconds, 0)) * time.Second}
+	return resp, b, nil
+}
+
+func (c *Client) scheme() string {
+	if c.cfg.TLS != nil {
+		return "https://"
 	}
-	return &r
+	return "http://"
 }
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -105,3 +105,37 @@
 		}
 	})
 }
+
+// A charge is sent under an identity of its own; when its outcome is open it is
+// sent again under the same one, and an error of the backend server is its answer
+// and no reason to come back.
+func TestRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var jobs []string
+		answers := []*http.Response{
+			respond(http.StatusServiceUnavailable, refusal.New(refusal.OwnerUnreachable, "")),
+			respond(http.StatusConflict, map[string]string{"code": "sold_out"}),
+		}
+		carry := roundTrip(func(r *http.Request) (*http.Response, error) {
+			if r.URL.Path == "/v1/tickets" {
+				return respond(http.StatusCreated, job.Grant{Ticket: "dc1.vm0.hub.1.1", Limit: 100}), nil
+			}
+			jobs = append(jobs, r.Header.Get("Snipe-Job"))
+			a := answers[0]
+			answers = answers[1:]
+			return a, nil
+		})
+		c := client.New(client.Config{Entries: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, Transport: carry})
+		out, err := c.Request(context.Background(), "charge", "application/json", []byte("1"))
+		if err != nil || out.Status != http.StatusConflict {
+			t.Errorf("%+v %v", out, err)
+		}
+		if len(jobs) != 2 || jobs[0] == "" || jobs[0] != jobs[1] {
+			t.Errorf("sent as %q", jobs)
+		}
+	})
+}
+
+type roundTrip func(r *http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
