dispatch: the members are looked at twice a second, not twenty times

Cause: on a quiet machine the slopes showed idle processor time growing with the members: 8,307 µs a second with 24 dispatchers and 13,458 with 96, 74 ± 6 µs for each member (R² 0.99). The planner's shell copied and sorted the list of members with each of its 20 periods a second. Ruled out: heartbeats, whose traffic does not grow (19.5 to 18.6 KB a second).

Change: the list is looked at every 500 ms, and as before when the tables change.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -98,6 +98,11 @@
 const (
 	// period is how often time works on the planner.
 	period = 50 * time.Millisecond
+	// lookEvery is how often the members are looked at. Their list is copied and
+	// sorted, so looking with each period cost an idle process 74 µs a second for
+	// each member: a third of a core at the 4,600 members of the letter's size.
+	// Heartbeats bring news of a member once a second at the most.
+	lookEvery = 500 * time.Millisecond
 	// ring is how many submissions and cancellations wait for the planner.
 	ring = 1024
 	// submitTimeout is how long a submission waits for the planner.
@@ -123,8 +128,10 @@
 	reports  reports
 	free     atomic.Int64
 
-	p        *plan.Planner
-	world    plan.World
+	p     *plan.Planner
+	world plan.World
+	// looked is when the members were last looked at.
+	looked   time.Time
 	batches  map[string]*batch
 	sender   sender
 	sends    chan struct{}
@@ -230,7 +237,9 @@
 }
 
 func (d *Dispatcher) tick(now time.Time) {
-	d.look(now)
+	if now.Sub(d.looked) >= lookEvery {
+		d.look(now)
+	}
 	d.p.Tick(now)
 	d.free.Store(int64(d.p.Free()))
 	d.m.Gauge(meter.QueuedTasks, float64(d.p.Waiting()))
--- a/dispatch/world.go
+++ b/dispatch/world.go
@@ -13,6 +13,7 @@
 // look brings the tables and members into force that the directory has now, if
 // they have changed: applying them costs a look at every backend server.
 func (d *Dispatcher) look(now time.Time) {
+	d.looked = now
 	known := d.dir.Members(now)
 	m, live := d.members(known)
 	d.canReceive(known)
