--- a/operator/command.go
+++ b/operator/command.go
@@ -9,7 +9,7 @@
 	"context"
 	"net"
 	"net/netip"
-	"os"
+	"os/user"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -99,7 +99,13 @@
 }
 
 // author is who stands in the edits of this operator.
-func author() string { return os.Getenv("USER") }
+func author() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
 
 // bounded ends the context after the timeout of the flags.
 func bounded(ctx context.Context, c *cli.Command) (context.Context, context.CancelFunc) {
