One loop for what is done each period, one place that serves a request

Cause: read once more: hub had the loop over a subscription's ticks twice, and the planner's shell had the two cases of a request written out again behind its loop.

No change of behaviour: as before, at most ring requests are taken besides the first.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -64,24 +64,25 @@
 // take works on a request and on all that wait behind it, so that a wave of
 // cancellations ends before the next task of one of them is placed.
 func (d *Dispatcher) take(r request) {
+	d.serve(r)
 	for range ring {
-		if r.b == nil {
-			d.p.Cancel(r.job)
-		} else if r.claim.CompareAndSwap(false, true) {
-			r.answer <- d.admit(r.b)
-		}
 		select {
 		case r = <-d.requests:
+			d.serve(r)
 		default:
 			return
 		}
 	}
-	if r.b != nil && r.claim.CompareAndSwap(false, true) {
-		r.answer <- d.admit(r.b)
-		return
-	}
-	if r.b == nil {
+}
+
+// serve works on one request. A submission whose submitter has given up is left
+// alone.
+func (d *Dispatcher) serve(r request) {
+	switch {
+	case r.b == nil:
 		d.p.Cancel(r.job)
+	case r.claim.CompareAndSwap(false, true):
+		r.answer <- d.admit(r.b)
 	}
 }
 
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -292,14 +292,24 @@
 }
 
 func (h *Hub) watchForwards(ctx context.Context) error {
-	sub := h.clock.Subscribe(watchEvery)
+	return h.each(ctx, watchEvery, func(now time.Time) error {
+		h.fwd.watch(now)
+		return nil
+	})
+}
+
+// each calls do once a period, until it fails or ctx ends.
+func (h *Hub) each(ctx context.Context, period time.Duration, do func(now time.Time) error) error {
+	sub := h.clock.Subscribe(period)
 	defer sub.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-sub.C:
-			h.fwd.watch(now)
+			if err := do(now); err != nil {
+				return err
+			}
 		}
 	}
 }
--- a/hub/tables.go
+++ b/hub/tables.go
@@ -22,16 +22,7 @@
 
 // snapshots puts snapshots of the tables on the log when they are due.
 func (h *Hub) snapshots(ctx context.Context) error {
-	sub := h.clock.Subscribe(snapshotCheck)
-	defer sub.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-sub.C:
-			if err := h.tables.PutSnapshot(ctx, now); err != nil {
-				return err
-			}
-		}
-	}
+	return h.each(ctx, snapshotCheck, func(now time.Time) error {
+		return h.tables.PutSnapshot(ctx, now)
+	})
 }
