A late announcement of a former holder can't make a task run twice

The announcement of a holder that had been replaced reached an entry late; asked for a run that its successor had started, it answered from an older list that the run was lost, and the task was placed again. A holder that raised its fence to void an unanswered order could also jump over its successor's fence.

Change: announcements, grants and claims carry the fence, older ones are ignored; fences have a term, bits of the holder and a round, and a round never reaches the next term; a planner gives workers to holders only while it sees more than half of the recorded processes. A holder that lets go tells the owners of runs.

Ruled out: the worker's own refusals (both starts carried a valid fence).

--- a/cell/duty.go
+++ b/cell/duty.go
@@ -14,9 +14,10 @@
 
 const (
 	// settleFor is how long a new planner waits for the members' reports before
-	// it gives workers to holders: they are told at once who plans, and answer
-	// in a few milliseconds.
-	settleFor = 300 * time.Millisecond
+	// it gives workers to holders. Those of the planner before are reported
+	// within milliseconds; processes that start together find each other within
+	// about 400 ms.
+	settleFor = 500 * time.Millisecond
 	// tellAgain is when a duty is repeated that no report confirms.
 	tellAgain = 500 * time.Millisecond
 	// restFor is how long a worker stays with its holder before it is moved to
@@ -52,18 +53,11 @@
 	}
 }
 
-// settled tells whether the members' reports are in.
-func (b *Book) settled(now time.Time) bool {
-	if now.Sub(b.began) >= settleFor {
-		return true
-	}
-	for _, m := range b.members {
-		if !m.reported {
-			return false
-		}
-	}
-	return len(b.members) > 1
-}
+// settled tells whether the members' reports are in, and whether this planner sees
+// enough of the cell to give workers to holders. One that doesn't, because it was
+// cut off or the others have just started, would take the workers of those whom it
+// does not see.
+func (b *Book) settled(now time.Time) bool { return b.may && now.Sub(b.began) >= settleFor }
 
 func (b *Book) sortedWorkers() []*worker {
 	out := make([]*worker, 0, len(b.workers))
@@ -74,16 +68,11 @@
 	return out
 }
 
-// give chooses the holder of a worker. While it is not certain that the former
-// one is gone, nobody gets it: two that both believe to be its holder would take
-// it from each other in turns.
+// give chooses the holder of a worker.
 func (b *Book) give(now time.Time, w *worker) {
 	if !w.listed || w.draining && len(w.runs) == 0 {
 		return
 	}
-	if w.former != (mesh.ID{}) && b.members[w.former] == nil && !b.may {
-		return
-	}
 	m := b.choose(now, w)
 	if m == nil {
 		return
--- a/cell/message.go
+++ b/cell/message.go
@@ -48,6 +48,8 @@
 	lease.Run
 	Worker string  `json:"worker"`
 	Holder mesh.ID `json:"holder"`
+	// Fence is the holder's.
+	Fence lease.Fence `json:"fence"`
 }
 
 // Refusal tells that a job gets no workers.
--- a/cell/place.go
+++ b/cell/place.go
@@ -166,7 +166,7 @@
 		}
 		s.left = s.left.Minus(w.Room)
 		s.runs[r] = held{room: w.Room, began: now, estimate: w.Estimate, granted: true, job: w.job}
-		g.Items = append(g.Items, Granted{Run: r, Worker: s.ID, Holder: s.holder})
+		g.Items = append(g.Items, Granted{Run: r, Worker: s.ID, Holder: s.holder, Fence: s.fence})
 		event.TaskGranted.Log(b.log, "job", w.job, "task", r.Task, "run", r.Number, "worker", s.ID, "holder", s.holder,
 			"factor", s.factor, "waited_ms", now.Sub(w.arrived).Milliseconds(), "left_cpu", s.left.CPU)
 	}
--- a/entry/book.go
+++ b/entry/book.go
@@ -43,6 +43,8 @@
 	// worker and holder are where it is placed.
 	worker string
 	holder mesh.ID
+	// fence is the holder's.
+	fence lease.Fence
 	// avoid is the worker that did not start the last run.
 	avoid string
 	// adrift is since when the holder is out of sight, zero while it isn't.
@@ -330,7 +332,7 @@
 }
 
 func (b *Book) place(j *job, t *task, it cell.Granted) {
-	t.state, t.worker, t.holder, t.adrift = placed, it.Worker, it.Holder, time.Time{}
+	t.state, t.worker, t.holder, t.fence, t.adrift = placed, it.Worker, it.Holder, it.Fence, time.Time{}
 	b.runs[it.Run] = placedTask{j, t}
 }
 
@@ -542,12 +544,14 @@
 	}
 }
 
-// Held claims the runs on a worker at its new holder.
-func (b *Book) Held(h mesh.ID, worker string) {
+// Held claims the runs on a worker at its new holder. The announcement of one that
+// was replaced since can arrive late; it knows nothing of what was started under
+// its successor and would tell that it does not run.
+func (b *Book) Held(h mesh.ID, worker string, fence lease.Fence) {
 	var found []placedTask
 	for _, p := range b.runs {
-		if p.t.worker == worker {
-			p.t.holder, p.t.adrift = h, time.Time{}
+		if p.t.worker == worker && p.t.fence.Base() <= fence.Base() {
+			p.t.holder, p.t.fence, p.t.adrift = h, fence, time.Time{}
 			found = append(found, p)
 		}
 	}
@@ -556,11 +560,21 @@
 	}
 }
 
+// Unheld takes note that a process does not hold a worker any more. Its next holder
+// announces itself.
+func (b *Book) Unheld(now time.Time, h mesh.ID, worker string) {
+	for _, p := range b.runs {
+		if p.t.worker == worker && p.t.holder == h && p.t.adrift.IsZero() {
+			p.t.adrift = now
+		}
+	}
+}
+
 func (b *Book) claim(h mesh.ID, worker string, found []placedTask) {
 	c := &Claim{Worker: worker}
 	for _, p := range found {
 		s := p.j.Steps[p.t.step]
-		c.Runs = append(c.Runs, Claimed{Run: p.j.name(p.t), Room: s.Room, Estimate: s.Estimate})
+		c.Runs = append(c.Runs, Claimed{Run: p.j.name(p.t), Room: s.Room, Estimate: s.Estimate, Fence: p.t.fence})
 	}
 	slices.SortFunc(c.Runs, func(x, y Claimed) int { return compareRuns(x.Run, y.Run) })
 	b.act(Action{To: h, Claim: c})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"time"
 
 	"snipehub.example/catalog"
@@ -70,6 +71,9 @@
 // String names the status.
 func (s Status) String() string { return statusNames[s] }
 
+// LogValue shows the name in logs.
+func (s Status) LogValue() slog.Value { return slog.StringValue(s.String()) }
+
 // Answer is what the caller is told.
 type Answer struct {
 	Status Status
--- a/entry/message.go
+++ b/entry/message.go
@@ -38,6 +38,8 @@
 	lease.Run
 	Room     lease.Room    `json:"room"`
 	Estimate time.Duration `json:"estimate"`
+	// Fence is that of the holder under which the run was placed.
+	Fence lease.Fence `json:"fence"`
 }
 
 // Ended tells the owner of runs how they ended.
@@ -48,6 +50,13 @@
 
 // Held tells that a process holds a worker from now on.
 type Held struct {
+	Worker string      `json:"worker"`
+	Fence  lease.Fence `json:"fence"`
+}
+
+// Unheld tells that a process does not hold a worker at which the receiver has
+// runs.
+type Unheld struct {
 	Worker string `json:"worker"`
 }
 
--- a/lease/book.go
+++ b/lease/book.go
@@ -22,7 +22,7 @@
 	slack = 50 * time.Millisecond
 	// fenceTries bounds the search for a fence that the worker accepts, doubling
 	// the step each time.
-	fenceTries = 24
+	fenceTries = 20
 	// retryHold is the pause between hold calls that fail.
 	retryHold = 60 * time.Millisecond
 	// stopAgain is when a stop without effect is repeated.
@@ -241,7 +241,14 @@
 	if e.state == starting {
 		e.state = doubtful
 	}
-	b.fence = b.fence.Next(1)
+	next, ok := b.fence.Next()
+	if !ok {
+		// All rounds are used. Letting go is safe, and the planner gives the
+		// worker to a holder with a new term.
+		b.close(now)
+		return
+	}
+	b.fence = next
 	b.sound = false
 	b.dirty = true
 	b.nextHold = now
@@ -277,17 +284,18 @@
 }
 
 // Claim tells the owner of runs that were found, or that are still its own in a
-// new session. Runs that aren't there are told as such.
+// new session. Runs that aren't there are told as such. It must not be called for
+// runs that were placed under a later holder: this one's list is from before them.
 func (b *Book) Claim(now time.Time, owner Owner, orders []Order) {
 	for _, o := range orders {
-		b.claim(now, owner, o)
+		b.claim(owner, o)
 	}
 	if b.phase == claiming && !b.orphans() {
 		b.unlock(now)
 	}
 }
 
-func (b *Book) claim(_ time.Time, owner Owner, o Order) {
+func (b *Book) claim(owner Owner, o Order) {
 	if e, ok := b.runs[o.Run]; ok {
 		e.owner, e.orphan = owner, false
 		e.Room, e.Estimate, e.Spec = o.Room, o.Estimate, o.Spec
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -70,8 +70,9 @@
 		b.failures++
 		b.nextHold = now.Add(retryHold)
 	case c.Fence < b.fence:
+		// A call from before the last round.
 	case b.phase == looking && b.tries < fenceTries:
-		b.fence = b.fence.Next(1 << b.tries)
+		b.fence = b.fence.Raise(1 << b.tries)
 		b.tries++
 		b.nextHold = now
 	default:
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -20,6 +20,7 @@
 package lease
 
 import (
+	"log/slog"
 	"net/netip"
 	"time"
 
@@ -59,25 +60,56 @@
 
 // Fence is a fencing token: higher for each holder of a worker than for the one
 // before, and never the same for two.
+//
+// From the highest bit down it has a term, which each holder sets above that of
+// the one before; bits that tell holders apart that choose the same term; and a
+// round, which a holder raises to void its own orders that got no answer. A round
+// never reaches the next term. If it did, a holder that has been replaced and
+// voids an old order would take the worker back unknowingly: the new holder would
+// tell the owners of runs that these don't run, while the old one starts them.
 type Fence uint64
 
-// fenceBits is how many low bits of a fence tell holders apart; the bits above
-// count. Two processes have the same low bits if 2^20 others have started in
-// between.
-const fenceBits = 20
+const (
+	roundBits = 8
+	// holderBits tell holders apart. Two processes have the same bits if 2^20
+	// others have started in between.
+	holderBits = 20
+	termShift  = roundBits + holderBits
+	maxRound   = 1<<roundBits - 1
+)
+
+// NewFence makes the first fence of a holder with a number that no other has.
+func NewFence(number uint64) Fence {
+	return Fence(number<<termShift | number&(1<<holderBits-1)<<roundBits)
+}
 
-// NewFence makes the first fence of a holder whose number is n.
-func NewFence(n uint64) Fence { return Fence(n<<fenceBits | n&(1<<fenceBits-1)) }
+// Term returns the term.
+func (f Fence) Term() uint64 { return uint64(f >> termShift) }
 
-// Next returns a higher fence of the same holder, higher by steps counts.
-func (f Fence) Next(steps uint64) Fence { return f + Fence(steps<<fenceBits) }
+// Base returns the fence without its round: what tells one holding of a worker
+// from another.
+func (f Fence) Base() Fence { return f &^ maxRound }
 
-// Above returns the lowest fence of this holder that is higher than o.
+// Raise returns the fence of the same holder in a higher term.
+func (f Fence) Raise(terms uint64) Fence {
+	return f.Base() + Fence(terms<<termShift)
+}
+
+// Above returns the fence of this holder in the first term after o's, or its own
+// if that is higher already.
 func (f Fence) Above(o Fence) Fence {
-	if f > o {
+	if f.Term() > o.Term() {
 		return f
 	}
-	return f.Next(uint64(o-f)>>fenceBits + 1)
+	return f.Raise(o.Term() - f.Term() + 1)
+}
+
+// Next returns the fence in the next round, false if there is none in the term.
+func (f Fence) Next() (Fence, bool) {
+	if f&maxRound == maxRound {
+		return f, false
+	}
+	return f + 1, true
 }
 
 // Run is one run of a task.
@@ -120,6 +152,9 @@
 // String names the way.
 func (h How) String() string { return howNames[h] }
 
+// LogValue shows the name in logs.
+func (h How) LogValue() slog.Value { return slog.StringValue(h.String()) }
+
 // Reason tells why a run was not started.
 type Reason string
 
--- a/lease/state.go
+++ b/lease/state.go
@@ -1,6 +1,9 @@
 package lease
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // State is what a holder tells the planner of a worker.
 type State struct {
@@ -78,3 +81,14 @@
 	b.nextHold = now
 	b.Tick(now)
 }
+
+// Owners returns the processes that have runs on the worker.
+func (b *Book) Owners() []Owner {
+	var out []Owner
+	for _, e := range b.sorted() {
+		if !e.orphan && !slices.Contains(out, e.owner) {
+			out = append(out, e.owner)
+		}
+	}
+	return out
+}
--- a/node/core.go
+++ b/node/core.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"log/slog"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -28,6 +29,7 @@
 	Claim    *entry.Claim     `json:"claim,omitempty"`
 	Ended    *entry.Ended     `json:"ended,omitempty"`
 	Held     *entry.Held      `json:"held,omitempty"`
+	Unheld   *entry.Unheld    `json:"unheld,omitempty"`
 }
 
 // Output is what a core asks its shell to do. One of the pointers is set.
@@ -60,7 +62,7 @@
 	log     *slog.Logger
 	self    mesh.Member
 	members map[mesh.ID]peerState
-	known   map[mesh.ID]struct{}
+	known   map[netip.AddrPort]struct{}
 	planner mesh.ID
 	entry   *entry.Book
 	cell    *cell.Book
@@ -83,7 +85,7 @@
 		log:     log,
 		self:    self,
 		members: make(map[mesh.ID]peerState),
-		known:   make(map[mesh.ID]struct{}),
+		known:   make(map[netip.AddrPort]struct{}),
 		entry:   entry.New(log),
 		cell:    cell.New(log, self.ID),
 		held:    make(map[string]*lease.Book),
@@ -174,7 +176,7 @@
 	case a.Held:
 		event.WorkerHeld.Log(c.log, "worker", w.ID, "fence", uint64(b.Fence()))
 		for _, m := range c.up() {
-			c.send(now, m.ID, Mail{Held: &entry.Held{Worker: w.ID}})
+			c.send(now, m.ID, Mail{Held: &entry.Held{Worker: w.ID, Fence: b.Fence()}})
 		}
 	}
 }
@@ -226,7 +228,9 @@
 	case m.Ended != nil:
 		c.entry.Ended(now, *m.Ended)
 	case m.Held != nil:
-		c.entry.Held(from, m.Held.Worker)
+		c.entry.Held(from, m.Held.Worker, m.Held.Fence)
+	case m.Unheld != nil:
+		c.entry.Unheld(now, from, m.Unheld.Worker)
 	case m.Duty != nil:
 		c.take(now, *m.Duty)
 	case m.Relief != nil:
@@ -281,10 +285,14 @@
 func (c *Core) claim(now time.Time, from mesh.ID, cl entry.Claim) {
 	b := c.held[cl.Worker]
 	if b == nil {
+		c.send(now, from, Mail{Unheld: &entry.Unheld{Worker: cl.Worker}})
 		return
 	}
 	orders := make([]lease.Order, 0, len(cl.Runs))
 	for _, r := range cl.Runs {
+		if r.Fence.Base() > b.Fence().Base() {
+			continue
+		}
 		orders = append(orders, lease.Order{Run: r.Run, Room: r.Room, Estimate: r.Estimate})
 	}
 	b.Claim(now, from, orders)
@@ -308,6 +316,9 @@
 		if b.Closed() {
 			event.DutyLeft.Log(c.log, "worker", id)
 			delete(c.held, id)
+			for _, o := range b.Owners() {
+				c.send(now, o, Mail{Unheld: &entry.Unheld{Worker: id}})
+			}
 		}
 	}
 	if r.Whole {
@@ -427,10 +438,10 @@
 }
 
 // Known sets the processes that the platform's store lists.
-func (c *Core) Known(now time.Time, ids []mesh.ID) {
-	c.known = make(map[mesh.ID]struct{}, len(ids))
-	for _, id := range ids {
-		c.known[id] = struct{}{}
+func (c *Core) Known(now time.Time, addrs []netip.AddrPort) {
+	c.known = make(map[netip.AddrPort]struct{}, len(addrs))
+	for _, a := range addrs {
+		c.known[a] = struct{}{}
 	}
 	c.elect(now)
 }
@@ -489,8 +500,8 @@
 // all others from them.
 func (c *Core) mayTakeOver(up []mesh.Member) bool {
 	seen := 0
-	for _, m := range up {
-		if _, ok := c.known[m.ID]; ok {
+	for a := range c.known {
+		if slices.ContainsFunc(up, func(m mesh.Member) bool { return m.ID.Address == a }) {
 			seen++
 		}
 	}
--- a/node/store.go
+++ b/node/store.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"snipehub.example/cell"
@@ -107,14 +109,9 @@
 		for _, r := range news.Records {
 			n.member(known, r)
 		}
-		ids := make([]mesh.ID, 0, len(known))
-		addrs := make([]netip.AddrPort, 0, len(known))
-		for a, id := range known {
-			ids = append(ids, id)
-			addrs = append(addrs, a)
-		}
+		addrs := slices.Collect(maps.Keys(known))
 		n.mesh.Learn(addrs...)
-		n.do(ctx, func(now time.Time, c *Core) { c.Known(now, ids) })
+		n.do(ctx, func(now time.Time, c *Core) { c.Known(now, addrs) })
 	})
 }
 
