A new planner starts nothing on workers that drain; the list is read by whoever reaches the store

Ruled out: the follower of the list (a run with a line for each read showed it reading); its lines were missing because one write of the log was larger than a pipe takes in one piece.

Change: the planner tells the holder that a worker drains, the holder refuses starts and reports it, so the next planner knows it with the first report. The list is read by the best member that reaches the store, and a newer catalog is fetched from a member. Duties are repeated only until they are confirmed. Log writes are at most 4 KB.

--- a/cell/book.go
+++ b/cell/book.go
@@ -41,7 +41,9 @@
 	// holder is who holds it; zero for nobody. since is from when on.
 	holder mesh.ID
 	since  time.Time
-	// told is when the holder was last told to hold it, relieved to pass it on.
+	// confirmed tells that the holder has reported it. told is when the holder
+	// was last told to hold it, relieved to pass it on.
+	confirmed      bool
 	told, relieved time.Time
 	// former is the holder before.
 	former mesh.ID
@@ -96,6 +98,7 @@
 	Refusal *Refusal
 	Duty    *Duty
 	Relief  *Relief
+	Drain   *Drain
 }
 
 // Book is the planner's state. It is a pure value.
@@ -195,31 +198,31 @@
 
 // unhold takes note that nobody holds the worker.
 func (b *Book) unhold(w *worker) {
-	w.former, w.holder, w.open = w.holder, mesh.ID{}, false
+	w.former, w.holder, w.open, w.confirmed = w.holder, mesh.ID{}, false, false
 	w.told, w.relieved = time.Time{}, time.Time{}
 }
 
 // Listed is a worker as the platform lists it.
 type Listed struct {
 	lease.Worker
-	Draining bool
+	Draining bool `json:"draining,omitempty"`
 }
 
 // Workers takes the platform's list, or changes of it.
-func (b *Book) Workers(now time.Time, whole bool, listed []Listed, dropped []string) {
+func (b *Book) Workers(now time.Time, l Listing) {
 	if !b.active {
 		return
 	}
-	if whole {
+	if l.Whole {
 		for _, w := range b.workers {
 			w.listed = false
 		}
 		b.listedOnce = true
 	}
-	for _, l := range listed {
-		b.listed(l)
+	for _, w := range l.Listed {
+		b.listed(w)
 	}
-	for _, id := range dropped {
+	for _, id := range l.Dropped {
 		if w := b.workers[id]; w != nil {
 			w.listed = false
 		}
@@ -235,10 +238,21 @@
 		b.workers[l.ID] = w
 		event.WorkerListed.Log(b.log, "worker", l.ID, "address", l.Address, "pool", l.Pool, "data_center", l.DataCenter, "kind", l.Kind, "rack", l.Rack, "cpu", l.Room.CPU, "memory", l.Room.Memory)
 	}
+	w.Worker, w.listed = l.Worker, true
 	if l.Draining && !w.draining {
+		w.draining = true
 		event.WorkerDraining.Log(b.log, "worker", l.ID)
+		b.tellDraining(w)
+	}
+}
+
+// tellDraining has the holder refuse starts on a worker that drains: grants are
+// still on the way, and the next planner learns it from the holder before it has
+// read the platform's list.
+func (b *Book) tellDraining(w *worker) {
+	if w.holder != (mesh.ID{}) {
+		b.act(Action{To: w.holder, Drain: &Drain{Worker: w.ID}})
 	}
-	w.Worker, w.listed, w.draining = l.Worker, true, l.Draining
 }
 
 // Report takes what a holder tells of its workers.
@@ -261,7 +275,7 @@
 // whole takes note of workers that a member no longer holds.
 func (b *Book) whole(from mesh.ID, r Report) {
 	for _, w := range b.workers {
-		if w.holder != from || w.told.After(w.since) {
+		if w.holder != from || !w.confirmed {
 			continue
 		}
 		if !slices.ContainsFunc(r.States, func(s lease.State) bool { return s.Worker.ID == w.ID }) {
@@ -292,7 +306,11 @@
 		b.unhold(w)
 		return
 	}
-	w.open = s.Open
+	w.open, w.confirmed = s.Open, true
+	if w.draining && !s.Draining {
+		b.tellDraining(w)
+	}
+	w.draining = w.draining || s.Draining
 	w.fence, w.speed = s.Fence, s.Speed
 	if s.Failures > 0 && w.failures == 0 {
 		w.badSince = now
--- a/cell/duty.go
+++ b/cell/duty.go
@@ -45,8 +45,8 @@
 		switch {
 		case w.holder == (mesh.ID{}):
 			b.give(now, w)
-		case w.told.After(w.since) && now.Sub(w.told) > tellAgain:
-			b.tell(now, w)
+		case !w.confirmed && now.Sub(w.told) > tellAgain:
+			b.give(now, w)
 		case b.members[w.holder].Leaving:
 			b.relieve(now, w)
 		}
@@ -77,12 +77,12 @@
 	if m == nil {
 		return
 	}
-	w.holder, w.since = m.ID, now
+	w.holder, w.since, w.confirmed = m.ID, now, false
 	b.tell(now, w)
 }
 
 func (b *Book) tell(now time.Time, w *worker) {
-	w.told = now.Add(1)
+	w.told = now
 	event.DutyGiven.Log(b.log, "worker", w.ID, "member", w.holder, "former", w.former, "floor", w.fence)
 	b.act(Action{To: w.holder, Duty: &Duty{Worker: w.Worker, Floor: w.fence}})
 }
--- a/cell/message.go
+++ b/cell/message.go
@@ -79,6 +79,19 @@
 	Worker string `json:"worker"`
 }
 
+// Drain tells a holder that a worker takes no new tasks.
+type Drain struct {
+	Worker string `json:"worker"`
+}
+
+// Listing is what the platform lists, passed on by the member that reads it.
+type Listing struct {
+	// Whole tells that these are all workers; else they are changes.
+	Whole   bool     `json:"whole,omitempty"`
+	Listed  []Listed `json:"listed,omitempty"`
+	Dropped []string `json:"dropped,omitempty"`
+}
+
 // Report is what a holder tells of its workers.
 type Report struct {
 	// Whole tells that these are all that it holds.
--- a/event/sink.go
+++ b/event/sink.go
@@ -16,6 +16,9 @@
 	// sinkEvery is how long lines wait, so that one write takes many of them. A
 	// write for each line costs more processor time than the line.
 	sinkEvery = 100 * time.Millisecond
+	// writeBytes bounds one write. A pipe takes up to this many bytes as one
+	// piece; of larger ones, parts can be mixed with those of others.
+	writeBytes = 4096
 )
 
 // Sink writes log lines in a goroutine of its own. Whoever logs never waits: a
@@ -65,9 +68,28 @@
 	dropped := s.dropped
 	s.dropped = 0
 	s.mu.Unlock()
-	// An error here has nowhere to be logged to.
-	_, _ = s.out.Write(lines)
+	for len(lines) > 0 {
+		n := whole(lines)
+		// An error here has nowhere to be logged to.
+		_, _ = s.out.Write(lines[:n])
+		lines = lines[n:]
+	}
 	if dropped > 0 {
 		LogLinesDropped.Log(slog.New(slog.NewJSONHandler(s.out, nil)), "lines", dropped)
 	}
 }
+
+// whole returns the length of the first lines that fit into one write; a line that
+// doesn't fit goes alone.
+func whole(lines []byte) int {
+	if len(lines) <= writeBytes {
+		return len(lines)
+	}
+	if n := bytes.LastIndexByte(lines[:writeBytes], '\n'); n >= 0 {
+		return n + 1
+	}
+	if n := bytes.IndexByte(lines, '\n'); n >= 0 {
+		return n + 1
+	}
+	return len(lines)
+}
--- a/lease/book.go
+++ b/lease/book.go
@@ -102,6 +102,9 @@
 	failures   int
 	nextHold   time.Time
 
+	// draining tells that the worker takes no new tasks.
+	draining bool
+
 	speed Speed
 	dirty bool
 	gone  []Run
@@ -170,6 +173,8 @@
 	switch {
 	case b.phase != open:
 		return NotHeld
+	case b.draining:
+		return Draining
 	case !b.sound:
 		return Unsound
 	case !b.used().Plus(o.Room).Fits(b.worker.Room):
@@ -338,6 +343,12 @@
 	b.Tick(now)
 }
 
+// Drain has all further starts refused.
+func (b *Book) Drain() {
+	b.dirty = b.dirty || !b.draining
+	b.draining = true
+}
+
 // Release passes the worker on: nothing is started any more, and the book
 // closes when no start is without an answer.
 func (b *Book) Release(now time.Time) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -163,6 +163,7 @@
 	NoRoom     Reason = "room"
 	NotHeld    Reason = "not_held"
 	Unsound    Reason = "unsound"
+	Draining   Reason = "draining"
 	Unhealthy  Reason = "unhealthy"
 	Late       Reason = "late"
 	Old        Reason = "old"
--- a/lease/state.go
+++ b/lease/state.go
@@ -13,6 +13,8 @@
 	Open bool `json:"open,omitempty"`
 	// Gone tells that this process does not hold the worker any more.
 	Gone bool `json:"gone,omitempty"`
+	// Draining tells that the worker takes no new tasks.
+	Draining bool `json:"draining,omitempty"`
 	// Failures counts the hold calls without an answer since the last answer.
 	Failures int       `json:"failures,omitempty"`
 	Runs     []Holding `json:"runs,omitempty"`
@@ -53,6 +55,7 @@
 		Fence:    b.fence,
 		Open:     b.phase == open && b.sound,
 		Gone:     b.phase == closed,
+		Draining: b.draining,
 		Failures: b.failures,
 		Ended:    b.gone,
 		Speed:    b.speed,
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -70,6 +70,8 @@
 	Number uint64 `json:"number"`
 	// Leaving tells that it takes no new duties and is about to end.
 	Leaving bool `json:"leaving,omitempty"`
+	// Blind tells that it does not reach the platform's store.
+	Blind bool `json:"blind,omitempty"`
 	// Catalog is the version of the routes and pools in force there.
 	Catalog catalog.Version `json:"catalog"`
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -127,12 +127,12 @@
 	}
 }
 
-// Say changes what this process says of itself; the members learn it with the
-// next message or heartbeat.
-func (m *Mesh[M]) Say(change func(*Member)) {
+// Say sets what this process says of itself; the members learn it with the next
+// message.
+func (m *Mesh[M]) Say(self Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	change(&m.self)
+	m.self = self
 	for _, s := range m.sessions {
 		s.news()
 	}
--- a/node/core.go
+++ b/node/core.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"snipehub.example/catalog"
 	"snipehub.example/cell"
 	"snipehub.example/entry"
 	"snipehub.example/event"
@@ -24,6 +25,10 @@
 	Duty     *cell.Duty       `json:"duty,omitempty"`
 	Relief   *cell.Relief     `json:"relief,omitempty"`
 	Report   *cell.Report     `json:"report,omitempty"`
+	Drain    *cell.Drain      `json:"drain,omitempty"`
+	Listing  *cell.Listing    `json:"listing,omitempty"`
+	Want     *Want            `json:"want,omitempty"`
+	Catalog  *catalog.Catalog `json:"catalog,omitempty"`
 	Start    *entry.Start     `json:"start,omitempty"`
 	Stop     *entry.Stop      `json:"stop,omitempty"`
 	Claim    *entry.Claim     `json:"claim,omitempty"`
@@ -32,12 +37,19 @@
 	Unheld   *entry.Unheld    `json:"unheld,omitempty"`
 }
 
+// Want asks a member for its catalog, of the version given or newer.
+type Want struct {
+	Version catalog.Version `json:"version"`
+}
+
 // Output is what a core asks its shell to do. One of the pointers is set.
 type Output struct {
 	// To is who Mail goes to.
 	To     mesh.ID
 	Mail   *Mail
 	Answer *entry.Answered
+	// Say is what the members are told of this process.
+	Say *mesh.Member
 	// Worker is whom Hold, Start or Stop goes to.
 	Worker lease.Worker
 	Hold   *lease.HoldCall
@@ -61,12 +73,15 @@
 type Core struct {
 	log     *slog.Logger
 	self    mesh.Member
+	shelf   *catalog.Shelf
 	members map[mesh.ID]peerState
 	known   map[netip.AddrPort]struct{}
 	planner mesh.ID
-	entry   *entry.Book
-	cell    *cell.Book
-	held    map[string]*lease.Book
+	// reader is who reads the platform's list of workers for the planner.
+	reader mesh.ID
+	entry  *entry.Book
+	cell   *cell.Book
+	held   map[string]*lease.Book
 	// lost are the entry processes out of sight and when they were last heard.
 	lost     map[mesh.ID]time.Time
 	reported time.Time
@@ -80,10 +95,11 @@
 }
 
 // NewCore makes the core of a process.
-func NewCore(log *slog.Logger, self mesh.Member) *Core {
+func NewCore(log *slog.Logger, self mesh.Member, shelf *catalog.Shelf) *Core {
 	return &Core{
 		log:     log,
 		self:    self,
+		shelf:   shelf,
 		members: make(map[mesh.ID]peerState),
 		known:   make(map[netip.AddrPort]struct{}),
 		entry:   entry.New(log),
@@ -159,7 +175,7 @@
 }
 
 func (c *Core) fromCell(now time.Time, a cell.Action) {
-	c.send(now, a.To, Mail{Grant: a.Grant, Refusal: a.Refusal, Duty: a.Duty, Relief: a.Relief})
+	c.send(now, a.To, Mail{Grant: a.Grant, Refusal: a.Refusal, Duty: a.Duty, Relief: a.Relief, Drain: a.Drain})
 }
 
 func (c *Core) fromLease(now time.Time, b *lease.Book, a lease.Action) {
@@ -233,6 +249,18 @@
 		c.entry.Unheld(now, from, m.Unheld.Worker)
 	case m.Duty != nil:
 		c.take(now, *m.Duty)
+	case m.Drain != nil:
+		if b := c.held[m.Drain.Worker]; b != nil {
+			b.Drain()
+		}
+	case m.Listing != nil:
+		c.cell.Workers(now, *m.Listing)
+	case m.Want != nil:
+		if have := c.shelf.Current(); have.Version != 0 {
+			c.send(now, from, Mail{Catalog: have})
+		}
+	case m.Catalog != nil:
+		c.Catalog(now, m.Catalog, "member")
 	case m.Relief != nil:
 		c.release(now, m.Relief.Worker)
 	case m.Start != nil:
@@ -358,9 +386,25 @@
 	}
 }
 
-// Workers takes the platform's list of workers, or changes of it.
-func (c *Core) Workers(now time.Time, whole bool, listed []cell.Listed, dropped []string) {
-	c.cell.Workers(now, whole, listed, dropped)
+// Workers takes what the platform lists, as this process has read it, for the
+// planner.
+func (c *Core) Workers(now time.Time, l cell.Listing) { c.send(now, c.planner, Mail{Listing: &l}) }
+
+// Catalog brings a catalog into force if it is newer, and tells the others.
+func (c *Core) Catalog(now time.Time, cat *catalog.Catalog, source string) {
+	if !c.shelf.Put(cat) {
+		return
+	}
+	event.CatalogInForce.Log(c.log, "version", uint64(cat.Version), "queues", len(cat.Queues), "pools", len(cat.Pools), "source", source)
+	c.Say(now, func(m *mesh.Member) { m.Catalog = cat.Version })
+}
+
+// wants asks a member for its catalog if that is newer: the store may turn this
+// process away while it serves the others.
+func (c *Core) wants(now time.Time, m mesh.Member) {
+	if m.Catalog > c.shelf.Current().Version {
+		c.send(now, m.ID, Mail{Want: &Want{Version: m.Catalog}})
+	}
 }
 
 // Tick does what is due.
@@ -391,6 +435,7 @@
 	c.elect(now)
 	delete(c.lost, m.ID)
 	c.entry.HolderUp(m.ID)
+	c.wants(now, m)
 	if m.ID == c.planner {
 		c.greet(now)
 	}
@@ -427,14 +472,19 @@
 	if p, ok := c.members[m.ID]; ok {
 		p.Member = m
 		c.members[m.ID] = p
+		c.wants(now, m)
 		c.elect(now)
 	}
 }
 
 // Say changes what this process says of itself.
 func (c *Core) Say(now time.Time, change func(*mesh.Member)) {
+	before := c.self
 	change(&c.self)
-	c.elect(now)
+	if c.self != before {
+		c.out = append(c.out, Output{Say: &c.self})
+		c.elect(now)
+	}
 }
 
 // Known sets the processes that the platform's store lists.
@@ -451,19 +501,13 @@
 // agree: two planners for a moment cost starts without room.
 func (c *Core) elect(now time.Time) {
 	up := c.up()
-	best := slices.MinFunc(up, func(x, y mesh.Member) int {
-		return cmp.Or(
-			-compareBool(eligible(x), eligible(y)),
-			-cmp.Compare(size(x), size(y)),
-			cmp.Compare(x.Number, y.Number),
-			x.ID.Compare(y.ID),
-		)
-	})
+	best := slices.MinFunc(up, c.rank)
 	if best.ID != c.planner {
 		event.PlannerChosen.Log(c.log, "planner", best.ID, "vm", best.VM, "number", best.Number, "members", len(up), "before", c.planner)
 		c.planner = best.ID
 		c.greet(now)
 	}
+	c.reader = c.electReader(up, best)
 	if best.ID == c.self.ID {
 		c.cell.Begin(now)
 	} else {
@@ -472,6 +516,24 @@
 	c.cell.Members(now, up, c.mayTakeOver(up))
 }
 
+// electReader finds who reads the platform's list of workers: the planner, or the
+// best other member while the store turns the planner away. Without that, tasks
+// would be started on workers that have long said that they leave.
+func (c *Core) electReader(up []mesh.Member, planner mesh.Member) mesh.ID {
+	if !planner.Blind {
+		return planner.ID
+	}
+	best := slices.MinFunc(up, func(x, y mesh.Member) int {
+		return cmp.Or(compareBool(x.Blind, y.Blind), c.rank(x, y))
+	})
+	return best.ID
+}
+
+// Reads tells whether this process reads the list of workers, and for whom.
+func (c *Core) Reads() (planner mesh.ID, ok bool) {
+	return c.planner, c.reader == c.self.ID
+}
+
 // greet tells a new planner everything: all workers held, all tasks that wait.
 func (c *Core) greet(now time.Time) {
 	c.reported = time.Time{}
@@ -479,6 +541,16 @@
 	c.entry.Planner(now, c.planner)
 }
 
+// rank orders members by who plans.
+func (c *Core) rank(x, y mesh.Member) int {
+	return cmp.Or(
+		-compareBool(eligible(x), eligible(y)),
+		-cmp.Compare(size(x), size(y)),
+		cmp.Compare(x.Number, y.Number),
+		x.ID.Compare(y.ID),
+	)
+}
+
 func eligible(m mesh.Member) bool { return !m.Leaving && m.Number != 0 }
 
 // size is the size of a VM in steps that small differences don't reach.
--- a/node/node.go
+++ b/node/node.go
@@ -103,8 +103,9 @@
 	root context.Context
 
 	stopping atomic.Bool
-	plans    atomic.Bool
-	planner  atomic.Pointer[mesh.ID]
+	// reads tells that this process reads the list of workers for the planner.
+	reads   atomic.Bool
+	planner atomic.Pointer[mesh.ID]
 
 	mu      sync.Mutex
 	waiters map[entry.Waiter]chan entry.Answer
@@ -130,14 +131,15 @@
 		DataCenter: cfg.DataCenter,
 		Share:      cfg.Share,
 	}
+	shelf := &catalog.Shelf{}
 	n := &Node{
 		cfg:      cfg,
 		platform: p,
 		log:      log,
 		ln:       ln,
 		clock:    clock.New(),
-		shelf:    &catalog.Shelf{},
-		core:     NewCore(log, self),
+		shelf:    shelf,
+		core:     NewCore(log, self, shelf),
 		work:     make(chan work, ring),
 		waiters:  make(map[entry.Waiter]chan entry.Answer),
 		topics:   make(map[string]*registry.Follower),
@@ -207,6 +209,7 @@
 	tree.Add(service{"workers' topic", n.followWorkers().Serve})
 	tree.Add(service{"members' topic", n.followMembers().Serve})
 	tree.Add(service{"own record", n.keepRecord})
+	tree.Add(service{"store watch", n.watchStore})
 	tree.Add(service{"callers", n.serveCallers})
 	tree.Add(service{"readiness", n.serveReady})
 	if n.ln.operators != nil {
@@ -302,9 +305,9 @@
 
 // publish shows other goroutines what they need of the core.
 func (n *Node) publish() {
-	n.plans.Store(n.core.Plans())
-	p := n.core.Planner()
+	p, reads := n.core.Reads()
 	n.planner.Store(&p)
+	n.reads.Store(reads)
 }
 
 // perform carries out what the core asks for.
@@ -316,6 +319,8 @@
 			mail[o.To] = append(mail[o.To], *o.Mail)
 		case o.Answer != nil:
 			n.answer(*o.Answer)
+		case o.Say != nil:
+			n.mesh.Say(*o.Say)
 		case o.Hold != nil:
 			n.calls.Go(func() { n.hold(o.Worker, *o.Hold) })
 		case o.Start != nil:
--- a/node/store.go
+++ b/node/store.go
@@ -34,16 +34,23 @@
 	workersPause = 400 * time.Millisecond
 )
 
-func (n *Node) follower(cfg registry.Config, s registry.Source, active func() bool, emit func(context.Context, registry.News)) *registry.Follower {
+// The topics, as the logs name them.
+const (
+	topicOperator = "operator"
+	topicWorkers  = "workers"
+	topicMembers  = "members"
+)
+
+func (n *Node) follower(cfg registry.Config, s registry.Source, turn func() string, emit func(context.Context, registry.News)) *registry.Follower {
 	cfg.Timeout = storeTimeout
-	f := registry.New(cfg, n.log, s, active, emit)
+	f := registry.New(cfg, n.log, s, turn, emit)
 	n.topics[cfg.Name] = f
 	return f
 }
 
 // followOperator brings the operator's configuration into force.
 func (n *Node) followOperator() *registry.Follower {
-	return n.follower(registry.Config{Name: "operator", Wait: operatorWait}, n.platform.Operator, nil, func(ctx context.Context, news registry.News) {
+	return n.follower(registry.Config{Name: topicOperator, Wait: operatorWait}, n.platform.Operator, nil, func(ctx context.Context, news registry.News) {
 		for _, r := range news.Records {
 			if n.platform.IsCatalog(r) {
 				n.putCatalog(ctx, r)
@@ -55,25 +62,47 @@
 func (n *Node) putCatalog(ctx context.Context, r registry.Record) {
 	c, err := n.platform.Catalog(r)
 	if err != nil {
-		event.RecordUnreadable.Log(n.log, "topic", "operator", "offset", uint64(r.Offset), "error", err)
+		event.RecordUnreadable.Log(n.log, "topic", topicOperator, "offset", uint64(r.Offset), "error", err)
 		return
 	}
-	if !n.shelf.Put(c) {
-		return
-	}
-	event.CatalogInForce.Log(n.log, "version", uint64(c.Version), "queues", len(c.Queues), "pools", len(c.Pools), "offset", uint64(r.Offset))
-	n.say(ctx, func(m *mesh.Member) { m.Catalog = max(m.Catalog, c.Version) })
+	n.do(ctx, func(now time.Time, core *Core) { core.Catalog(now, c, "store") })
 }
 
 // say changes what this process says of itself.
 func (n *Node) say(ctx context.Context, change func(*mesh.Member)) {
 	n.do(ctx, func(now time.Time, c *Core) { c.Say(now, change) })
-	n.mesh.Say(change)
 }
 
-// followWorkers reads the workers' records while this process plans.
+// readsFor returns the planner that this process reads the list of workers for, ""
+// for none. A new planner needs the whole list.
+func (n *Node) readsFor() string {
+	if p := n.planner.Load(); p != nil && n.reads.Load() {
+		return p.String()
+	}
+	return ""
+}
+
+// watchStore tells the others when this process does not reach the store.
+func (n *Node) watchStore(ctx context.Context) error {
+	sub := n.clock.Subscribe(blindEvery)
+	defer sub.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-sub.C:
+			blind := n.topics[topicOperator].Down() || n.topics[topicMembers].Down()
+			n.say(ctx, func(m *mesh.Member) { m.Blind = blind })
+		}
+	}
+}
+
+// blindEvery is how often it is looked whether the store is in reach.
+const blindEvery = 200 * time.Millisecond
+
+// followWorkers reads the workers' records while it is this process's turn.
 func (n *Node) followWorkers() *registry.Follower {
-	return n.follower(registry.Config{Name: "workers", Pause: workersPause}, n.platform.WorkerList, n.plans.Load, func(ctx context.Context, news registry.News) {
+	return n.follower(registry.Config{Name: topicWorkers, Pause: workersPause}, n.platform.WorkerList, n.readsFor, func(ctx context.Context, news registry.News) {
 		var listed []cell.Listed
 		var dropped []string
 		for _, r := range news.Records {
@@ -83,12 +112,13 @@
 			}
 			l, err := n.platform.Worker(r)
 			if err != nil {
-				event.RecordUnreadable.Log(n.log, "topic", "workers", "key", r.Key, "offset", uint64(r.Offset), "error", err)
+				event.RecordUnreadable.Log(n.log, "topic", topicWorkers, "key", r.Key, "offset", uint64(r.Offset), "error", err)
 				continue
 			}
 			listed = append(listed, l)
 		}
-		n.do(ctx, func(now time.Time, c *Core) { c.Workers(now, news.Whole, listed, dropped) })
+		l := cell.Listing{Whole: news.Whole, Listed: listed, Dropped: dropped}
+		n.do(ctx, func(now time.Time, c *Core) { c.Workers(now, l) })
 	})
 }
 
@@ -102,7 +132,7 @@
 // followMembers learns which processes there are.
 func (n *Node) followMembers() *registry.Follower {
 	known := make(map[netip.AddrPort]mesh.ID)
-	return n.follower(registry.Config{Name: "members", Wait: membersWait}, n.platform.Members, nil, func(ctx context.Context, news registry.News) {
+	return n.follower(registry.Config{Name: topicMembers, Wait: membersWait}, n.platform.Members, nil, func(ctx context.Context, news registry.News) {
 		if news.Whole {
 			clear(known)
 		}
@@ -118,7 +148,7 @@
 func (n *Node) member(known map[netip.AddrPort]mesh.ID, r registry.Record) {
 	a, err := netip.ParseAddrPort(r.Key)
 	if err != nil {
-		event.RecordUnreadable.Log(n.log, "topic", "members", "key", r.Key, "error", err)
+		event.RecordUnreadable.Log(n.log, "topic", topicMembers, "key", r.Key, "error", err)
 		return
 	}
 	if r.Dropped {
@@ -127,7 +157,7 @@
 	}
 	var m memberRecord
 	if err := json.Unmarshal(r.Value, &m); err != nil {
-		event.RecordUnreadable.Log(n.log, "topic", "members", "key", r.Key, "error", err)
+		event.RecordUnreadable.Log(n.log, "topic", topicMembers, "key", r.Key, "error", err)
 		return
 	}
 	known[a] = mesh.ID{Address: a, Boot: m.Boot}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -91,21 +91,27 @@
 	log    *slog.Logger
 	source Source
 	emit   func(ctx context.Context, n News)
-	active func() bool
+	turn   func() string
 
 	mu sync.Mutex
-	// confirmed is when the last successful read began, since when the store
-	// answers without a failure in between.
-	confirmed, since time.Time
-	down             bool
+	// confirmed is when the last successful read began.
+	confirmed time.Time
+	down      bool
 }
 
-// New makes a follower that passes news to emit. Where active is not nil, it
-// reads only while active returns true, and starts afresh after a break.
-func New(cfg Config, log *slog.Logger, source Source, active func() bool, emit func(context.Context, News)) *Follower {
-	return &Follower{cfg: cfg, log: log, source: source, emit: emit, active: active}
+// New makes a follower that passes news to emit. Where turn is not nil, it reads
+// only while turn does not return "", and starts afresh when what turn returns has
+// changed: what was emitted before has gone to somebody else.
+func New(cfg Config, log *slog.Logger, source Source, turn func() string, emit func(context.Context, News)) *Follower {
+	if turn == nil {
+		turn = func() string { return always }
+	}
+	return &Follower{cfg: cfg, log: log, source: source, emit: emit, turn: turn}
 }
 
+// always is the turn of a follower that always reads.
+const always = "always"
+
 // Confirmed returns when the last successful read began; zero before the first.
 func (f *Follower) Confirmed() time.Time {
 	f.mu.Lock()
@@ -113,21 +119,23 @@
 	return f.confirmed
 }
 
-// Since returns since when the store has answered without a failure, and false
-// while it doesn't.
-func (f *Follower) Since() (time.Time, bool) {
+// Down tells that the last call failed.
+func (f *Follower) Down() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.since, !f.down && !f.since.IsZero()
+	return f.down
 }
 
 // Serve follows until ctx ends.
 func (f *Follower) Serve(ctx context.Context) error {
 	retry := retryLeast
 	next, whole := Offset(0), true
+	last := ""
 	for ctx.Err() == nil {
-		if f.active != nil && !f.active() {
-			whole = true
+		turn := f.turn()
+		whole = whole || turn != last
+		last = turn
+		if turn == "" {
 			clock.Sleep(ctx, idlePause)
 			continue
 		}
@@ -184,11 +192,8 @@
 
 func (f *Follower) succeeded(at time.Time) {
 	f.mu.Lock()
-	again := f.down || f.since.IsZero()
+	again := f.down || f.confirmed.IsZero()
 	f.confirmed, f.down = at, false
-	if again {
-		f.since = time.Now()
-	}
 	f.mu.Unlock()
 	if again {
 		event.StoreReached.Log(f.log, "topic", f.cfg.Name)
