Runs that a new holder finds are neither declared lost too early nor left without a lease

A new holder took only its own renewals for the worker's lease; when its next calls were lost it told the owner after 0.5 s that the run was lost, while the lease of the holder before kept it running. And its first poll, made before it might renew, held up the first renewal for 300 ms, so that runs were killed.

Ruled out: the worker's refusals, the fences (both starts were valid).

Change: the first list sets the lease to a whole one from there; no poll while runs are claimed.

--- a/lease/book.go
+++ b/lease/book.go
@@ -402,34 +402,6 @@
 	}
 }
 
-// NextTick returns when Tick has something to do, zero for nothing.
-func (b *Book) NextTick() time.Time {
-	var t time.Time
-	add := func(u time.Time) {
-		if t.IsZero() || u.Before(t) {
-			t = u
-		}
-	}
-	if b.phase == closed {
-		return t
-	}
-	if b.phase == claiming {
-		add(b.claimBy)
-	}
-	if b.poll == 0 || !b.sound && b.look == 0 {
-		add(b.nextHold)
-	}
-	for _, e := range b.runs {
-		if e.state == stopping {
-			add(e.stopSent.Add(stopAgain))
-		}
-	}
-	if !b.sound && len(b.runs) > 0 && b.clock != 0 {
-		add(b.Lapse())
-	}
-	return t
-}
-
 func (b *Book) act(a Action) { b.acts = append(b.acts, a) }
 
 func (b *Book) tell(o Owner, e End) { b.act(Action{Tell: &Told{Owner: o, End: e}}) }
--- /dev/null
+++ b/lease/book_test.go
@@ -0,0 +1,391 @@
+package lease
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"snipehub.example/mesh"
+)
+
+var (
+	epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	alice = mesh.ID{Address: netip.MustParseAddrPort("10.0.0.1:1"), Boot: 1}
+	bob   = mesh.ID{Address: netip.MustParseAddrPort("10.0.0.2:1"), Boot: 1}
+)
+
+func ms(n int) time.Time { return epoch.Add(time.Duration(n) * time.Millisecond) }
+
+func testWorker() Worker {
+	return Worker{ID: "w", Pool: "p", Room: Room{CPU: 64000, Memory: 1000}}
+}
+
+func order(task string, n int) Order {
+	return Order{Run: Run{task, n}, Room: Room{CPU: 27000, Memory: 10}, Estimate: 100 * time.Millisecond}
+}
+
+// listed is the answer to a hold call: the worker's clock runs like ours, from 5 s.
+func listed(now time.Time, running []Run, ended ...ListedEnd) Result {
+	r := Result{Verdict: OK, Clock: 5000 + now.Sub(epoch).Milliseconds(), Born: 7, Ended: ended}
+	for _, k := range running {
+		r.Running = append(r.Running, Listed{Run: k})
+	}
+	return r
+}
+
+// took is the actions of a book, by kind.
+type took struct {
+	holds  []HoldCall
+	starts []StartCall
+	stops  []StopCall
+	tells  []Told
+	held   bool
+}
+
+func take(b *Book) took {
+	var out took
+	for _, a := range b.Take() {
+		switch {
+		case a.Hold != nil:
+			out.holds = append(out.holds, *a.Hold)
+		case a.Start != nil:
+			out.starts = append(out.starts, *a.Start)
+		case a.Stop != nil:
+			out.stops = append(out.stops, *a.Stop)
+		case a.Tell != nil:
+			out.tells = append(out.tells, *a.Tell)
+		case a.Held:
+			out.held = true
+		}
+	}
+	return out
+}
+
+// opened is a book that holds an idle worker at 0 ms, with its first poll.
+func opened(t *testing.T) (*Book, HoldCall) {
+	t.Helper()
+	b := NewBook(ms(0), testWorker(), NewFence(9), 0)
+	first := take(b).holds
+	if len(first) != 1 || first[0].Until != 0 || first[0].Wait != 0 {
+		t.Fatalf("the first call %+v is no look", first)
+	}
+	b.Answered(ms(0), first[0], listed(ms(0), nil))
+	polls := take(b)
+	if !polls.held || len(polls.holds) != 1 || polls.holds[0].Until == 0 {
+		t.Fatalf("no renewal after the first answer: %+v", polls)
+	}
+	return b, polls.holds[0]
+}
+
+// runningBook is a book with one run, started at 10 ms.
+func runningBook(t *testing.T) (*Book, HoldCall, StartCall) {
+	t.Helper()
+	b, poll := opened(t)
+	b.Start(ms(10), alice, order("a", 1))
+	s := take(b).starts
+	if len(s) != 1 {
+		t.Fatalf("%d starts", len(s))
+	}
+	b.Started(ms(11), s[0], Result{Verdict: OK, Clock: 5011})
+	return b, poll, s[0]
+}
+
+func wantEnd(t *testing.T, tells []Told, owner Owner, how How, why Reason) {
+	t.Helper()
+	if len(tells) != 1 || tells[0].Owner != owner || tells[0].End.How != how || tells[0].End.Why != why {
+		t.Errorf("told %+v, want %v to %v because of %q", tells, how, owner, why)
+	}
+}
+
+// A worker that has room for two tasks is asked for a third while one of the two is
+// being stopped, and while the start of another got no answer. Both may still run:
+// the third would be refused by a worker that guards its room, and overload one that
+// doesn't.
+func TestRoomOfRunsInDoubt(t *testing.T) {
+	b, _, first := runningBook(t)
+	b.Start(ms(12), alice, order("b", 1))
+	second := take(b).starts[0]
+	b.Stop(ms(13), first.Run)
+	b.Start(ms(14), alice, order("c", 1))
+	wantEnd(t, take(b).tells, alice, Never, NoRoom)
+
+	b.Started(ms(100), second, Result{Verdict: NoAnswer})
+	look := take(b).holds[0]
+	b.Answered(ms(101), look, listed(ms(101), []Run{second.Run}, ListedEnd{1, first.Run, Stopped}))
+	take(b)
+	b.Start(ms(102), alice, order("c", 1))
+	if s := take(b).starts; len(s) != 1 {
+		t.Error("no start although the stop has ended")
+	}
+}
+
+// A start gets no answer. It may have been carried out, or may be in seconds. If its
+// task is placed elsewhere while it can still begin, it runs twice; if it is given up
+// for seconds, its caller waits.
+func TestStartWithoutAnswer(t *testing.T) {
+	tests := []struct {
+		name    string
+		running bool
+		want    How
+	}{
+		{"it runs", true, 0},
+		{"it does not run", false, Never},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b, _ := opened(t)
+			b.Start(ms(10), alice, order("a", 1))
+			s := take(b).starts[0]
+			b.Started(ms(90), s, Result{Verdict: NoAnswer})
+			got := take(b)
+			if len(got.holds) != 1 || got.holds[0].Fence <= s.Fence || got.holds[0].Wait != 0 {
+				t.Fatalf("%+v is no call that voids the start", got.holds)
+			}
+			if len(got.tells) != 0 {
+				t.Fatalf("told %+v before it is known", got.tells)
+			}
+			var runs []Run
+			if tt.running {
+				runs = append(runs, s.Run)
+			}
+			b.Answered(ms(91), got.holds[0], listed(ms(91), runs))
+			tells := take(b).tells
+			if tt.want != 0 {
+				wantEnd(t, tells, alice, tt.want, Unanswered)
+			} else if len(tells) != 0 {
+				t.Errorf("told %+v of a run that goes on", tells)
+			}
+		})
+	}
+}
+
+// A holder renews a worker's lease and is replaced at once; the first call of the new
+// holder is answered, the next ones are lost. The runs go on under the old lease for
+// almost a second. Told too early that they are lost, their owner starts them again
+// elsewhere while they run.
+func TestLeaseOfTheHolderBefore(t *testing.T) {
+	b := NewBook(ms(0), testWorker(), NewFence(9), 0)
+	look := take(b).holds[0]
+	b.Answered(ms(0), look, listed(ms(0), []Run{{"a", 1}}))
+	take(b)
+	b.Claim(ms(1), alice, []Order{order("a", 1)})
+	for at := 1; at < 990; at += 50 {
+		b.Tick(ms(at))
+		got := take(b)
+		if len(got.tells) != 0 {
+			t.Fatalf("at %d ms told %+v", at, got.tells)
+		}
+		for _, h := range got.holds {
+			b.Answered(ms(at), h, Result{Verdict: NoAnswer})
+		}
+	}
+	for at := 1000; at < 2300; at += 50 {
+		b.Tick(ms(at))
+		got := take(b)
+		for _, h := range got.holds {
+			b.Answered(ms(at), h, Result{Verdict: NoAnswer})
+		}
+		if len(got.tells) > 0 {
+			wantEnd(t, got.tells, alice, Lost, "")
+			return
+		}
+	}
+	t.Error("never told that the run is lost")
+}
+
+// A new holder finds runs and waits for their owners. A call that waits for ends
+// without renewing would keep it from renewing for its whole wait, and what runs
+// would be killed in the middle.
+func TestClaimedRunsAreRenewedAtOnce(t *testing.T) {
+	b := NewBook(ms(0), testWorker(), NewFence(9), 0)
+	b.Answered(ms(0), take(b).holds[0], listed(ms(0), []Run{{"a", 1}}))
+	if h := take(b).holds; len(h) != 0 {
+		t.Fatalf("calls %+v while runs are claimed", h)
+	}
+	b.Claim(ms(5), alice, []Order{order("a", 1)})
+	if h := take(b).holds; len(h) != 1 || h[0].Until == 0 {
+		t.Errorf("calls %+v, want one that renews", h)
+	}
+}
+
+// The process that had taken in a job has died, and so has the holder of its worker.
+// The new holder finds a run that nobody claims. Renewed, it would run on beside the
+// copy that the caller has sent to another process.
+func TestRunOfNobody(t *testing.T) {
+	b := NewBook(ms(0), testWorker(), NewFence(9), 0)
+	b.Answered(ms(0), take(b).holds[0], listed(ms(0), []Run{{"a", 1}, {"b", 1}}))
+	take(b)
+	b.Claim(ms(2), alice, []Order{order("a", 1)})
+	b.Tick(ms(100))
+	if got := take(b); len(got.stops) != 0 || len(got.holds) != 0 {
+		t.Fatalf("%+v before the owners had time to claim", got)
+	}
+	b.Tick(ms(200))
+	got := take(b)
+	if len(got.stops) != 1 || got.stops[0].Run != (Run{"b", 1}) {
+		t.Errorf("stops %+v, want only that of b", got.stops)
+	}
+}
+
+// A new holder is asked for runs that ended before it came, that go on, and that it
+// has never heard of.
+func TestClaims(t *testing.T) {
+	b := NewBook(ms(0), testWorker(), NewFence(9), 0)
+	b.Answered(ms(0), take(b).holds[0], listed(ms(0), []Run{{"a", 1}}, ListedEnd{4, Run{"b", 1}, Done}, ListedEnd{5, Run{"c", 1}, Failed}))
+	take(b)
+	b.Claim(ms(2), bob, []Order{order("a", 1), order("b", 1), order("c", 1), order("d", 1)})
+	var got []How
+	for _, e := range take(b).tells {
+		if e.Owner != bob {
+			t.Errorf("told %v", e.Owner)
+		}
+		got = append(got, e.End.How)
+	}
+	if want := []How{Done, Failed, Lost}; !slices.Equal(got, want) {
+		t.Errorf("told %v, want %v", got, want)
+	}
+}
+
+// A holder freezes, another one takes over, the first wakes up: the worker refuses
+// its token. It must let go and tell nothing of runs that are not its own any more.
+func TestReplacedHolder(t *testing.T) {
+	b, poll, s := runningBook(t)
+	b.Answered(ms(20), poll, Result{Verdict: Refused, Reason: Fenced})
+	if got := take(b); !b.Closed() || len(got.tells) != 0 || len(got.stops) != 0 {
+		t.Errorf("closed %v, %+v", b.Closed(), got)
+	}
+	b.Start(ms(21), alice, order("z", 1))
+	wantEnd(t, take(b).tells, alice, Never, NotHeld)
+	if o := b.Owners(); len(o) != 1 || o[0] != alice {
+		t.Errorf("owners %v of %v", o, s.Run)
+	}
+}
+
+// A worker starts again under its old id: what ran there is gone, its clock and the
+// numbers of its ends begin anew.
+func TestRebornWorker(t *testing.T) {
+	b, poll, _ := runningBook(t)
+	r := Result{Verdict: OK, Clock: 3, Born: 8}
+	b.Answered(ms(300), poll, r)
+	got := take(b)
+	wantEnd(t, got.tells, alice, Lost, "")
+	if len(got.holds) != 1 || got.holds[0].Seen != 0 || got.holds[0].Until > 3+2000 {
+		t.Errorf("calls %+v go by the clock of before", got.holds)
+	}
+	b.Start(ms(301), alice, order("a", 2))
+	if len(take(b).starts) != 1 {
+		t.Error("no start on the new life")
+	}
+}
+
+// Answers on two connections overtake each other: the list of an older call arrives
+// after a run was started, and does not name it.
+func TestOldList(t *testing.T) {
+	b, poll, _ := runningBook(t)
+	b.Answered(ms(20), poll, listed(ms(5), nil))
+	if got := take(b).tells; len(got) != 0 {
+		t.Errorf("told %+v by a list from before the start", got)
+	}
+	b.Answered(ms(30), HoldCall{}, listed(ms(30), nil))
+	wantEnd(t, take(b).tells, alice, Lost, "")
+}
+
+// A worker can't be reached and may run on. Its runs are lost only when every lease
+// that was asked for has run out, also on a clock that is slow.
+func TestLapse(t *testing.T) {
+	b, poll, _ := runningBook(t)
+	b.Answered(ms(500), poll, Result{Verdict: NoAnswer})
+	for at := 500; at < 2000; at += 10 {
+		b.Tick(ms(at))
+		got := take(b)
+		for _, h := range got.holds {
+			if h.Until != 0 {
+				t.Fatalf("%+v renews although the worker does not answer", h)
+			}
+			b.Answered(ms(at), h, Result{Verdict: NoAnswer})
+		}
+		if len(got.tells) == 0 {
+			continue
+		}
+		// The poll of 0 ms asked for 1,000 ms, which a clock 2% slow reaches
+		// after 1,020.
+		if at < 1020 {
+			t.Errorf("told %+v at %d ms", got.tells, at)
+		}
+		return
+	}
+	t.Error("never told that the run is lost")
+}
+
+// A holder that is passed on starts nothing more and ends when no start is open.
+func TestRelease(t *testing.T) {
+	b, _ := opened(t)
+	b.Start(ms(10), alice, order("a", 1))
+	s := take(b).starts[0]
+	b.Release(ms(11))
+	b.Start(ms(12), alice, order("b", 1))
+	wantEnd(t, take(b).tells, alice, Never, NotHeld)
+	if b.Closed() {
+		t.Error("closed with a start open")
+	}
+	b.Started(ms(13), s, Result{Verdict: OK, Clock: 5013})
+	b.Tick(ms(14))
+	if !b.Closed() {
+		t.Error("not closed")
+	}
+}
+
+// The order to drain a worker overtakes starts that were granted before.
+func TestDrainingWorker(t *testing.T) {
+	b, _ := opened(t)
+	b.Drain()
+	b.Start(ms(10), alice, order("a", 1))
+	wantEnd(t, take(b).tells, alice, Never, Draining)
+	if s := b.State(ms(11)); !s.Draining {
+		t.Error("the state does not tell that the worker drains")
+	}
+}
+
+// A start is refused as fenced because this holder has raised its own round since:
+// it is given out again and not told as refused.
+func TestOwnRound(t *testing.T) {
+	b, _ := opened(t)
+	b.Start(ms(10), alice, order("a", 1))
+	b.Start(ms(10), alice, order("b", 1))
+	starts := take(b).starts
+	b.Started(ms(90), starts[0], Result{Verdict: NoAnswer})
+	take(b)
+	b.Started(ms(91), starts[1], Result{Verdict: Refused, Reason: Fenced, Clock: 5091})
+	got := take(b)
+	if len(got.tells) != 0 || len(got.starts) != 1 || got.starts[0].Fence <= starts[1].Fence {
+		t.Errorf("%+v, want the start again with a higher round", got)
+	}
+}
+
+func TestFence(t *testing.T) {
+	a, b := NewFence(3), NewFence(5)
+	if a >= b {
+		t.Error("a later number has no higher fence")
+	}
+	if f := a.Above(b); f <= b || f.Term() != b.Term()+1 {
+		t.Errorf("%x is not in the term after %x", f, b)
+	}
+	if b.Above(a) != b {
+		t.Error("a fence that is high enough was raised")
+	}
+	f := a
+	for {
+		n, ok := f.Next()
+		if !ok {
+			break
+		}
+		if n <= f || n.Base() != a || n >= a.Raise(1) {
+			t.Fatalf("round %x after %x of %x", n, f, a)
+		}
+		f = n
+	}
+	if a.Above(b) == NewFence(4).Above(b) {
+		t.Error("two holders with one fence")
+	}
+}
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -4,12 +4,14 @@
 
 // hold gives out hold calls: one that waits for ends, and a second one that does
 // not wait while the first is without answer and something has to be known now.
+// None waits while runs are being claimed: it would renew nothing and keep the
+// call that renews from being made.
 func (b *Book) hold(now time.Time) {
 	if b.phase == closed || now.Before(b.nextHold) {
 		return
 	}
 	switch {
-	case b.poll == 0 && b.sound && b.phase != looking:
+	case b.poll == 0 && b.sound && b.phase != looking && b.phase != claiming:
 		b.poll = b.call(now, pollFor)
 	case !b.sound && b.look == 0:
 		b.look = b.call(now, 0)
@@ -103,6 +105,9 @@
 	}
 	b.dirty = true
 	if b.phase == looking {
+		// The holder before may have renewed until just now. From here on it
+		// can't, but what it renewed keeps its runs for a whole lease.
+		b.lease = max(b.lease, r.Clock+leaseFor.Milliseconds())
 		b.found(now)
 	}
 }
--- /dev/null
+++ b/model/faults_test.go
@@ -0,0 +1,66 @@
+package model
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var (
+	days  = flag.Int("days", 12, "how many days with drawn faults are played")
+	first = flag.Uint64("first", 1, "the seed of the first day")
+)
+
+// draw returns the faults of a day: a few of every kind, at any time, together or
+// twice.
+func draw(seed uint64, length time.Duration) []Fault {
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	at := func() time.Duration { return time.Duration(rnd.Int64N(int64(length))) }
+	span := func() time.Duration { return 300*time.Millisecond + time.Duration(rnd.Int64N(int64(5*time.Second))) }
+	vm, wk := func() int { return rnd.IntN(64) }, func() int { return rnd.IntN(64) }
+	kinds := []func() func(*World){
+		func() func(*World) { return Kill(vm(), span()) },
+		func() func(*World) { return PowerOff(vm(), span()) },
+		func() func(*World) { return Freeze(vm(), span()) },
+		func() func(*World) { return Cut(vm(), span()) },
+		func() func(*World) { return Reset(vm()) },
+		func() func(*World) { return StoreDown(span()) },
+		func() func(*World) { return Crash(wk(), 1+rnd.IntN(8), span()) },
+		func() func(*World) { return CutWorkers(wk(), 1+rnd.IntN(8), span()) },
+		func() func(*World) { return Fail(wk(), 1+rnd.IntN(5), span()) },
+		func() func(*World) { return Hang(wk(), 1+rnd.IntN(5), span()) },
+		func() func(*World) { return Shed(wk(), 1+rnd.IntN(5), span()) },
+		func() func(*World) { return Slow(wk(), 1+rnd.IntN(8), 2+4*rnd.Float64(), span()) },
+		func() func(*World) { return Lose(0.1*rnd.Float64(), span()) },
+		func() func(*World) { return PowerOffAll(span()) },
+	}
+	var out []Fault
+	for range 3 + rnd.IntN(10) {
+		out = append(out, Fault{At: at(), Do: kinds[rnd.IntN(len(kinds))]()})
+	}
+	return out
+}
+
+// Processes and workers die, freeze, are cut off, answer late or not at all, several
+// at a time. A caller may get no answer in time, but no task runs twice at once, and
+// what was refused never starts.
+func TestDrawnFaults(t *testing.T) {
+	for i := range *days {
+		seed := *first + uint64(i)
+		cfg := Lakeshore()
+		switch seed % 3 {
+		case 0:
+			cfg = Teranga()
+		case 1:
+			cfg = long(seed)
+		}
+		cfg.Seed, cfg.Length, cfg.Tail = seed, 12*time.Second, 6*time.Second
+		if cfg.Load == 0 {
+			cfg.Load = 0.4
+		}
+		cfg.Faults = draw(seed, cfg.Length)
+		r := play(t, cfg)
+		t.Logf("seed %d: worth %.3f worst %.3f waste %.1f s", seed, r.Worth, r.Worst, r.Waste.Seconds())
+	}
+}
--- /dev/null
+++ b/model/score.go
@@ -0,0 +1,159 @@
+package model
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"snipehub.example/entry"
+	"snipehub.example/lease"
+)
+
+// Result is what came of a day.
+type Result struct {
+	Classes []Tally
+	// Worth is the part of all worth that was earned, Worst that of the two
+	// worst windows of two seconds.
+	Worth, Worst float64
+	// Rejected counts starts for which a worker had no room, Waste the time of
+	// runs that did not end as done.
+	Rejected int
+	Waste    time.Duration
+	Messages int
+	// Broken are the promises that were broken, at most brokenMost of them.
+	Broken []string
+}
+
+// Tally is what came of a class of requests.
+type Tally struct {
+	Name                                          string
+	Asked, InAim, Late, Refused, Failed, Unserved int
+	Earned, Owed                                  float64
+}
+
+// Share is the part of the worth that was earned.
+func (t Tally) Share() float64 { return t.Earned / max(t.Owed, 1e-9) }
+
+// String shows a result in a few lines.
+func (r Result) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "worth %.3f worst %.3f rejected %d waste %.1fs messages %d broken %d\n", r.Worth, r.Worst, r.Rejected, r.Waste.Seconds(), r.Messages, len(r.Broken))
+	for _, t := range r.Classes {
+		fmt.Fprintf(&b, "  %-14s asked %5d in aim %5d late %4d refused %4d failed %3d unserved %3d worth %.3f\n", t.Name, t.Asked, t.InAim, t.Late, t.Refused, t.Failed, t.Unserved, t.Share())
+	}
+	return b.String()
+}
+
+const (
+	brokenMost = 20
+	// window is the length of the windows of which the worst count.
+	window = 2 * time.Second
+)
+
+func (w *World) broken(format string, args ...any) {
+	if len(w.result.Broken) < brokenMost {
+		at := fmt.Sprintf("%.3f s: ", w.now.Sub(w.start).Seconds())
+		w.result.Broken = append(w.result.Broken, at+fmt.Sprintf(format, args...))
+	}
+}
+
+// began checks that no other run of the task is under way.
+func (w *World) began(x *worker, r lease.Run) *span {
+	j := w.byJob[r.Task[:16]]
+	if j != nil {
+		j.started = true
+		if j.over && j.answer == entry.Refused {
+			w.broken("REFUSED: %s starts on %s after its refusal", r.Task, x.ID)
+		}
+	}
+	for _, s := range w.runs[r.Task] {
+		if s.end.IsZero() {
+			w.broken("TWICE: %s run %d starts on %s while run %d is on %s since %.3f", r.Task, r.Number, x.ID, s.run, s.worker, s.begin.Sub(w.start).Seconds())
+		}
+	}
+	s := &span{worker: x.ID, run: r.Number, begin: w.now}
+	w.runs[r.Task] = append(w.runs[r.Task], s)
+	return s
+}
+
+func (w *World) ended(s *span, how lease.How) {
+	s.end, s.how = w.now, how
+	if how != lease.Done {
+		w.result.Waste += s.end.Sub(s.begin)
+	}
+}
+
+// finish counts what came of the day.
+func (w *World) finish() {
+	r := &w.result
+	r.Classes = make([]Tally, len(w.cfg.Classes))
+	earned := make(map[int]float64)
+	owed := make(map[int]float64)
+	for _, j := range w.jobs {
+		t := &r.Classes[j.class]
+		e, o := w.count(t, j)
+		k := int(j.sent.Sub(w.start) / window)
+		earned[k] += e
+		owed[k] += o
+	}
+	sumE, sumO := 0.0, 0.0
+	for i := range r.Classes {
+		r.Classes[i].Name = w.cfg.Classes[i].Name
+		sumE += r.Classes[i].Earned
+		sumO += r.Classes[i].Owed
+	}
+	r.Worth = sumE / max(sumO, 1e-9)
+	r.Worst = worst(earned, owed)
+}
+
+func (w *World) count(t *Tally, j *job) (earned, owed float64) {
+	cl := w.cfg.Classes[j.class]
+	t.Asked++
+	if !j.leaves.IsZero() && !j.over {
+		return 0, 0
+	}
+	total := time.Duration(0)
+	for _, d := range j.work {
+		total += d
+	}
+	mean := float64(cl.Work) * float64(cl.Width) * float64(cl.CPU)
+	weight := min(0.3+0.7*float64(total)*float64(j.cpu)/mean, 4)
+	owed = cl.Worth * weight
+	switch {
+	case !j.over:
+		t.Unserved++
+	case j.answer == entry.Refused:
+		t.Refused++
+	case j.answer == entry.Failed:
+		t.Failed++
+	case j.took <= j.aim:
+		t.InAim++
+		earned = owed
+	case j.took <= lateFactor*j.aim:
+		t.Late++
+		earned = cl.Late * weight
+	default:
+		t.Late++
+	}
+	t.Earned += earned
+	t.Owed += owed
+	return earned, owed
+}
+
+// worst returns the share earned in the two worst windows.
+func worst(earned, owed map[int]float64) float64 {
+	a, b := 1.0, 1.0
+	for k, o := range owed {
+		if o == 0 {
+			continue
+		}
+		s := earned[k] / o
+		switch {
+		case s < a:
+			a, b = s, a
+		case s < b:
+			b = s
+		}
+	}
+	return (a + b) / 2
+}
--- /dev/null
+++ b/model/site.go
@@ -0,0 +1,65 @@
+package model
+
+import (
+	"time"
+
+	"snipehub.example/lease"
+)
+
+// Lakeshore is the deployment of the florists' order service, as its users
+// describe it: three data centres, 8 VMs, 48 workers of about 64 cores, and three
+// kinds of request. A worker bears two or three tasks.
+func Lakeshore() Config {
+	return Config{
+		DataCenters: []DataCenter{
+			{Name: "chicago", VMs: 3, Workers: 16, Callers: 47},
+			{Name: "detroit", VMs: 3, Workers: 16, Callers: 51.6},
+			{Name: "cleveland", VMs: 2, Workers: 16, Callers: 42.1},
+		},
+		Near:   200 * time.Microsecond,
+		Far:    1400 * time.Microsecond,
+		Caller: time.Millisecond,
+		Kinds: []Kind{
+			{Name: "a", Speed: 0.6, Room: lease.Room{CPU: 64000, Memory: 262144}},
+			{Name: "a", Speed: 1.0, Room: lease.Room{CPU: 64000, Memory: 262144}},
+			{Name: "b", Speed: 1.6, Room: lease.Room{CPU: 96000, Memory: 393216}},
+		},
+		Classes: classes("stock-check", "wire-price", "slot-confirm", 27000, 41000),
+		Lead:    5 * time.Second,
+		Length:  30 * time.Second,
+		Tail:    10 * time.Second,
+	}
+}
+
+// Teranga is the deployment of the lunch clubs' menu service.
+func Teranga() Config {
+	c := Lakeshore()
+	c.DataCenters = []DataCenter{
+		{Name: "plateau", VMs: 2, Workers: 16, Callers: 45.4},
+		{Name: "medina", VMs: 2, Workers: 16, Callers: 49.7},
+		{Name: "yoff", VMs: 2, Workers: 16, Callers: 45.5},
+	}
+	c.Far = 500 * time.Microsecond
+	c.Kinds = []Kind{
+		{Name: "a", Speed: 0.7, Room: lease.Room{CPU: 32000, Memory: 65536}},
+		{Name: "a", Speed: 0.7, Room: lease.Room{CPU: 32000, Memory: 65536}},
+		{Name: "b", Speed: 1.7, Room: lease.Room{CPU: 48000, Memory: 98304}},
+	}
+	c.Classes = classes("menu-check", "diet-swap", "portion-confirm", 14000, 21000)
+	return c
+}
+
+// classes are the three kinds of request that both users have: a check of many
+// short tasks, a heavy request of few long ones, and a small frequent one. Load 1
+// is the sum of the rates in their sheets.
+func classes(check, heavy, confirm string, cpu, most int) []Class {
+	base := Class{CPU: cpu, CPUMost: most, Memory: 64, Spread: 0.4, Uneven: 0.15, Aim: 60 * time.Millisecond, Stretch: 1.6, Fails: 0.002}
+	a, b, c := base, base, base
+	a.Name, a.PerSecond, a.Work, a.WorkMost, a.Width, a.WidthMost = check, 34.4, 60*time.Millisecond, 240*time.Millisecond, 8, 32
+	a.Attempts, a.Rank, a.Worth, a.Late = 2, 0, 0.0291, 0.00582
+	b.Name, b.PerSecond, b.Work, b.WorkMost, b.Width, b.WidthMost = heavy, 6.25, 900*time.Millisecond, 3600*time.Millisecond, 4, 16
+	b.Attempts, b.Rank, b.Worth, b.Late = 2, 2, 0.16, 0.032
+	c.Name, c.PerSecond, c.Work, c.WorkMost, c.Width, c.WidthMost = confirm, 100, 200*time.Millisecond, 800*time.Millisecond, 2, 8
+	c.Attempts, c.Rank, c.Worth, c.Late = 3, 1, 0.01, 0.002
+	return []Class{a, b, c}
+}
--- /dev/null
+++ b/model/vm.go
@@ -0,0 +1,242 @@
+package model
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"snipehub.example/cell"
+	"snipehub.example/entry"
+	"snipehub.example/lease"
+	"snipehub.example/mesh"
+	"snipehub.example/node"
+
+	"snipehub.example/catalog"
+)
+
+// vm is a modelled VM with one process.
+type vm struct {
+	world *World
+	index int
+	name  string
+	dc    string
+	core  *node.Core
+	id    mesh.ID
+	boots uint64
+	// up tells that the process runs; frozen that it does not get on for now.
+	up, frozen bool
+	// cut tells that it reaches no other process, blind that it does not reach
+	// the store.
+	cut, blind bool
+	slept      time.Time
+	backlog    []func()
+	waiters    map[entry.Waiter]func(entry.Answer)
+	last       entry.Waiter
+	reading    mesh.ID
+}
+
+const (
+	// tickEvery is the period of the core's ticks.
+	tickEvery = 50 * time.Millisecond
+	// listEvery is how often the list of workers is read.
+	listEvery = 400 * time.Millisecond
+	// downAfter is when silence ends a session.
+	downAfter = 650 * time.Millisecond
+	// meetFor is how long two processes take to find each other.
+	meetFor = 60 * time.Millisecond
+	// startTimeout and holdTimeout bound calls to workers.
+	startTimeout = 80 * time.Millisecond
+	holdTimeout  = 200 * time.Millisecond
+)
+
+func (w *World) makeNodes() {
+	for _, dc := range w.cfg.DataCenters {
+		for i := range dc.VMs {
+			n := &vm{world: w, index: len(w.nodes), name: fmt.Sprintf("%s-%d", dc.Name, i+1), dc: dc.Name}
+			w.nodes = append(w.nodes, n)
+		}
+	}
+	for _, n := range w.nodes {
+		w.after(time.Duration(w.rnd.IntN(300))*time.Millisecond, n.boot)
+	}
+}
+
+// boot starts the process.
+func (n *vm) boot() {
+	w := n.world
+	n.boots++
+	n.up, n.frozen = true, false
+	n.id = mesh.ID{Address: address(1, n.index), Boot: uint64(n.index)<<32 | n.boots}
+	self := mesh.Member{ID: n.id, VM: n.name, DataCenter: n.dc, Share: 0.4}
+	n.core = node.NewCore(w.log.With("vm", n.name), self, &catalog.Shelf{})
+	n.waiters = make(map[entry.Waiter]func(entry.Answer))
+	n.backlog = nil
+	n.reading = mesh.ID{}
+	boots := n.boots
+	w.after(10*time.Millisecond, func() { n.register(boots) })
+	n.tick(boots)
+	n.list(boots)
+	for _, o := range w.nodes {
+		if o != n && o.up {
+			w.after(meetFor, func() { w.meet(n, o) })
+		}
+	}
+}
+
+// register reads the store for the first time.
+func (n *vm) register(boots uint64) {
+	w := n.world
+	if n.boots != boots || !n.up {
+		return
+	}
+	if w.storeDown || n.blind {
+		w.after(100*time.Millisecond, func() { n.register(boots) })
+		return
+	}
+	w.number++
+	number := w.number
+	var known []netip.AddrPort
+	for _, o := range w.nodes {
+		known = append(known, address(1, o.index))
+	}
+	n.do(func(now time.Time) {
+		n.core.Catalog(now, w.catalog, "store")
+		n.core.Known(now, known)
+		n.core.Say(now, func(m *mesh.Member) { m.Number = number })
+	})
+}
+
+func (n *vm) tick(boots uint64) {
+	if n.boots != boots || !n.up {
+		return
+	}
+	n.do(func(now time.Time) { n.core.Tick(now) })
+	n.world.after(tickEvery, func() { n.tick(boots) })
+}
+
+// list reads the list of workers while it is this process's turn.
+func (n *vm) list(boots uint64) {
+	w := n.world
+	if n.boots != boots || !n.up {
+		return
+	}
+	blind := w.storeDown || n.blind
+	n.do(func(now time.Time) {
+		n.core.Say(now, func(m *mesh.Member) { m.Blind = blind })
+		planner, ok := n.core.Reads()
+		if !ok || blind {
+			n.reading = mesh.ID{}
+			return
+		}
+		l := cell.Listing{Whole: true}
+		for _, x := range w.workers {
+			if x.up && x.reachable {
+				l.Listed = append(l.Listed, x.listed())
+			}
+		}
+		n.reading = planner
+		n.core.Workers(now, l)
+	})
+	w.after(listEvery, func() { n.list(boots) })
+}
+
+// do has the process do something, now or when it thaws.
+func (n *vm) do(f func(now time.Time)) {
+	if !n.up {
+		return
+	}
+	if n.frozen {
+		boots := n.boots
+		n.backlog = append(n.backlog, func() {
+			if n.boots == boots && n.up {
+				n.do(f)
+			}
+		})
+		return
+	}
+	f(n.world.now)
+	n.perform(n.core.Take(n.world.now))
+}
+
+func (n *vm) perform(out []node.Output) {
+	for _, o := range out {
+		switch {
+		case o.Mail != nil:
+			n.world.send(n, o.To, *o.Mail)
+		case o.Say != nil:
+			n.world.say(n, *o.Say)
+		case o.Answer != nil:
+			n.answer(*o.Answer)
+		case o.Hold != nil:
+			n.hold(o.Worker.ID, *o.Hold)
+		case o.Start != nil:
+			n.start(o.Worker.ID, *o.Start)
+		case o.Stop != nil:
+			n.stop(o.Worker.ID, *o.Stop)
+		}
+	}
+}
+
+func (n *vm) answer(a entry.Answered) {
+	to, ok := n.waiters[a.Waiter]
+	if !ok {
+		return
+	}
+	delete(n.waiters, a.Waiter)
+	to(a.Answer)
+}
+
+// call carries a call to a worker and its answer back. A call that is lost, or
+// carried out late, gets no answer.
+func (n *vm) call(id string, timeout time.Duration, do func(x *worker, to func(lease.Result)), back func(now time.Time, r lease.Result)) {
+	w := n.world
+	x := w.byID[id]
+	boots, answered := n.boots, false
+	reply := func(r lease.Result) {
+		if answered || n.boots != boots || !n.up {
+			return
+		}
+		answered = true
+		n.do(func(now time.Time) { back(now, r) })
+	}
+	w.after(timeout, func() { reply(lease.Result{Verdict: lease.NoAnswer}) })
+	d := w.delay(n.dc, x.DataCenter)
+	if x.lose > 0 && w.rnd.Float64() < x.lose {
+		w.after(time.Duration(2+w.rnd.IntN(10))*time.Second, func() {
+			if x.up {
+				do(x, func(lease.Result) {})
+			}
+		})
+		return
+	}
+	w.after(d, func() {
+		if !x.up || !x.reachable {
+			return
+		}
+		do(x, func(r lease.Result) {
+			w.after(d, func() {
+				if x.reachable {
+					reply(r)
+				}
+			})
+		})
+	})
+}
+
+func (n *vm) hold(id string, c lease.HoldCall) {
+	n.call(id, c.Wait+holdTimeout,
+		func(x *worker, to func(lease.Result)) { x.hold(c, to) },
+		func(now time.Time, r lease.Result) { n.core.Held(now, id, c, r) })
+}
+
+func (n *vm) start(id string, c lease.StartCall) {
+	n.call(id, startTimeout,
+		func(x *worker, to func(lease.Result)) { to(x.start(c)) },
+		func(now time.Time, r lease.Result) { n.core.Started(now, id, c, r) })
+}
+
+func (n *vm) stop(id string, c lease.StopCall) {
+	n.call(id, holdTimeout,
+		func(x *worker, to func(lease.Result)) { to(x.stop(c)) },
+		func(time.Time, lease.Result) {})
+}
--- /dev/null
+++ b/model/worker.go
@@ -0,0 +1,308 @@
+package model
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"snipehub.example/cell"
+	"snipehub.example/lease"
+)
+
+// health is how a worker treats its tasks.
+type health int
+
+const (
+	well health = iota
+	// failing: every task fails at once.
+	failing
+	// hanging: tasks stand still.
+	hanging
+	// shedding: starts are refused.
+	shedding
+)
+
+// worker is a modelled worker under leases.
+type worker struct {
+	lease.Worker
+	world *World
+	kind  Kind
+	// up tells that it runs, reachable that calls reach it.
+	up, reachable bool
+	draining      bool
+	health        health
+	// slow multiplies the time of tasks.
+	slow float64
+	// lose is the share of calls that get no answer and are carried out late.
+	lose float64
+	born time.Time
+	// until is the end of the lease of everything that runs.
+	until time.Time
+	fence lease.Fence
+	runs  map[lease.Run]*execution
+	ended []lease.ListedEnd
+	last  int64
+	// stopped are the highest run numbers stopped or ended, by task.
+	stopped map[string]int
+	waiting []*waiter
+}
+
+// execution is a run on a worker.
+type execution struct {
+	lease.Run
+	room  lease.Room
+	began time.Time
+	total time.Duration
+	over  bool
+	span  *span
+}
+
+// waiter is a hold call that waits for an end.
+type waiter struct {
+	call lease.HoldCall
+	done bool
+	to   func(lease.Result)
+}
+
+// span is the time of a run, for the check that no two overlap.
+type span struct {
+	worker     string
+	run        int
+	begin, end time.Time
+	how        lease.How
+}
+
+func (w *World) makeWorkers() {
+	n := 0
+	for _, dc := range w.cfg.DataCenters {
+		for range dc.Workers {
+			k := w.cfg.Kinds[w.rnd.IntN(len(w.cfg.Kinds))]
+			x := &worker{
+				Worker: lease.Worker{
+					ID:         fmt.Sprintf("w%03d", n),
+					Address:    address(2, n),
+					DataCenter: dc.Name,
+					Pool:       Pool,
+					Kind:       k.Name,
+					Rack:       fmt.Sprintf("r%d", n/8),
+					Room:       k.Room,
+				},
+				world: w,
+				kind:  k,
+				slow:  1,
+			}
+			x.boot()
+			w.workers = append(w.workers, x)
+			w.byID[x.ID] = x
+			n++
+		}
+	}
+}
+
+func (x *worker) boot() {
+	x.up, x.reachable = true, true
+	x.born = x.world.now
+	x.fence, x.last, x.until = 0, 0, time.Time{}
+	x.runs = make(map[lease.Run]*execution)
+	x.stopped = make(map[string]int)
+	x.ended, x.waiting = nil, nil
+}
+
+func (x *worker) listed() cell.Listed { return cell.Listed{Worker: x.Worker, Draining: x.draining} }
+
+// clock is the worker's clock in milliseconds.
+func (x *worker) clock() int64 { return x.world.now.Sub(x.born).Milliseconds() + 1 }
+
+func (x *worker) at(clock int64) time.Time {
+	return x.born.Add(time.Duration(clock-1) * time.Millisecond)
+}
+
+// leaseMost is the longest lease that is granted.
+const leaseMost = time.Second
+
+func (x *worker) result(v lease.Verdict, why lease.Reason) lease.Result {
+	return lease.Result{Verdict: v, Reason: why, Clock: x.clock(), Born: x.born.UnixMilli()}
+}
+
+// fenced tells whether a call is of a holder that was replaced.
+func (x *worker) fenced(f lease.Fence) bool {
+	if f < x.fence {
+		return true
+	}
+	x.fence = f
+	return false
+}
+
+// extend extends the lease, which never shortens.
+func (x *worker) extend(until int64) {
+	if until == 0 {
+		return
+	}
+	t := x.at(until)
+	if most := x.world.now.Add(leaseMost); t.After(most) {
+		t = most
+	}
+	if !t.After(x.until) {
+		return
+	}
+	x.until = t
+	born := x.born
+	x.world.at(t, func() {
+		if x.up && x.born.Equal(born) && !x.world.now.Before(x.until) {
+			x.lapse()
+		}
+	})
+}
+
+// lapse kills everything.
+func (x *worker) lapse() {
+	for _, k := range slices.SortedFunc(maps.Keys(x.runs), compareRuns) {
+		x.finish(x.runs[k], lease.Lapsed)
+	}
+}
+
+func (x *worker) hold(c lease.HoldCall, to func(lease.Result)) {
+	if x.fenced(c.Fence) {
+		to(x.result(lease.Refused, lease.Fenced))
+		return
+	}
+	x.extend(c.Until)
+	x.ended = slices.DeleteFunc(x.ended, func(e lease.ListedEnd) bool { return e.Number <= c.Seen })
+	if len(x.ended) > 0 || c.Wait == 0 {
+		to(x.list())
+		return
+	}
+	wt := &waiter{call: c, to: to}
+	x.waiting = append(x.waiting, wt)
+	x.world.after(c.Wait, func() { x.reply(wt) })
+}
+
+func (x *worker) reply(wt *waiter) {
+	if wt.done || !x.up {
+		return
+	}
+	wt.done = true
+	wt.to(x.list())
+}
+
+func (x *worker) list() lease.Result {
+	r := x.result(lease.OK, "")
+	for _, k := range slices.SortedFunc(maps.Keys(x.runs), compareRuns) {
+		e := x.runs[k]
+		percent := 0
+		if e.total > 0 && x.health != hanging {
+			percent = min(99, int(100*x.world.now.Sub(e.began)/e.total))
+		}
+		r.Running = append(r.Running, lease.Listed{Run: k, Percent: percent})
+	}
+	r.Ended = slices.Clone(x.ended)
+	return r
+}
+
+func compareRuns(a, b lease.Run) int {
+	return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number))
+}
+
+func (x *worker) used() lease.Room {
+	var r lease.Room
+	for _, e := range x.runs {
+		r = r.Plus(e.room)
+	}
+	return r
+}
+
+func (x *worker) start(c lease.StartCall) lease.Result {
+	now := x.world.now
+	if x.health == shedding {
+		return x.result(lease.Refused, lease.Unhealthy)
+	}
+	if x.fenced(c.Fence) {
+		return x.result(lease.Refused, lease.Fenced)
+	}
+	if now.After(x.at(c.Until)) {
+		return x.result(lease.Refused, lease.Late)
+	}
+	if _, ok := x.runs[c.Run]; ok {
+		x.extend(c.Until)
+		return x.result(lease.OK, "")
+	}
+	if c.Number <= x.stopped[c.Task] {
+		x.extend(c.Until)
+		return x.result(lease.Refused, lease.Old)
+	}
+	if !x.used().Plus(c.Room).Fits(x.Room) {
+		x.extend(c.Until)
+		x.world.result.Rejected++
+		return x.result(lease.Refused, lease.NoRoom)
+	}
+	x.begin(c)
+	return x.result(lease.OK, "")
+}
+
+func (x *worker) begin(c lease.StartCall) {
+	now := x.world.now
+	total, fails := x.world.work(c.Run)
+	total = time.Duration(float64(total) / x.kind.Speed * x.slow)
+	e := &execution{Run: c.Run, room: c.Room, began: now, total: total}
+	x.runs[c.Run] = e
+	e.span = x.world.began(x, c.Run)
+	x.extend(c.Until)
+	how := lease.Done
+	switch {
+	case x.health == failing:
+		how, total = lease.Failed, 5*time.Millisecond
+	case fails:
+		how = lease.Failed
+	case x.health == hanging:
+		return
+	}
+	born := x.born
+	x.world.after(total, func() {
+		if x.up && x.born.Equal(born) && !e.over && x.health != hanging {
+			x.finish(e, how)
+		}
+	})
+}
+
+func (x *worker) finish(e *execution, how lease.How) {
+	if e.over {
+		return
+	}
+	e.over = true
+	delete(x.runs, e.Run)
+	x.last++
+	x.ended = append(x.ended, lease.ListedEnd{Number: x.last, Run: e.Run, How: how})
+	x.stopped[e.Task] = max(x.stopped[e.Task], e.Number)
+	x.world.ended(e.span, how)
+	waiting := x.waiting
+	x.waiting = nil
+	for _, wt := range waiting {
+		x.reply(wt)
+	}
+}
+
+func (x *worker) stop(c lease.StopCall) lease.Result {
+	if x.fenced(c.Fence) {
+		return x.result(lease.Refused, lease.Fenced)
+	}
+	x.stopped[c.Task] = max(x.stopped[c.Task], c.Number)
+	if e, ok := x.runs[c.Run]; ok {
+		x.world.after(stopFor, func() { x.finish(e, lease.Stopped) })
+	}
+	return x.result(lease.OK, "")
+}
+
+// stopFor is how long a stop takes.
+const stopFor = 40 * time.Millisecond
+
+// crash ends everything on the worker without a word.
+func (x *worker) crash() {
+	x.up = false
+	for _, k := range slices.SortedFunc(maps.Keys(x.runs), compareRuns) {
+		x.runs[k].over = true
+		x.world.ended(x.runs[k].span, lease.Lost)
+	}
+	x.runs = nil
+}
