--- a/lease/book_test.go
+++ b/lease/book_test.go
@@ -160,18 +160,18 @@
 	}
 }
 
-// A holder renews a worker's lease and is replaced at once; the first call of the new
-// holder is answered, the next ones are lost. The runs go on under the old lease for
-// almost a second. Told too early that they are lost, their owner starts them again
-// elsewhere while they run.
+// A holder renews a worker's lease and is replaced at once. The new holder gets one
+// answer, then pauses for a moment, and its further calls are lost before it has
+// renewed anything. The runs go on under the old lease for almost a second. Told too
+// early that they are lost, their owner starts them again elsewhere while they run.
 func TestLeaseOfTheHolderBefore(t *testing.T) {
 	b := NewBook(ms(0), testWorker(), NewFence(9), 0)
 	look := take(b).holds[0]
 	b.Answered(ms(0), look, listed(ms(0), []Run{{"a", 1}}))
 	take(b)
+	b.Thawed(ms(1))
 	b.Claim(ms(1), alice, []Order{order("a", 1)})
-	for at := 1; at < 990; at += 50 {
-		b.Tick(ms(at))
+	for at := 1; at < 990; at += 10 {
 		got := take(b)
 		if len(got.tells) != 0 {
 			t.Fatalf("at %d ms told %+v", at, got.tells)
@@ -179,6 +179,7 @@
 		for _, h := range got.holds {
 			b.Answered(ms(at), h, Result{Verdict: NoAnswer})
 		}
+		b.Tick(ms(at + 9))
 	}
 	for at := 1000; at < 2300; at += 50 {
 		b.Tick(ms(at))
