The planner plans once for a burst of events, and members speak for less

Each end of a run was reported twice with all that never changes of its worker, each report sorted all workers, and each message was decoded four times by the JSON-RPC library.

Change: what a message is about travels beside the notification and is decoded once; a heartbeat has no content; workers are sorted by speed at each tick and placing runs once for all events that wait; a start is reported only when it has not ended after 150 ms.

--- a/cell/book.go
+++ b/cell/book.go
@@ -53,6 +53,7 @@
 	failures int
 	badSince time.Time
 	runs     map[lease.Run]held
+	used     lease.Room
 	speed    lease.Speed
 }
 
@@ -68,15 +69,23 @@
 	job     string
 }
 
-// free is the room that is left on a worker.
-func (w *worker) free() lease.Room {
-	r := w.Room
-	for _, h := range w.runs {
-		r = r.Minus(h.room)
+// put and drop keep the room in use with the runs.
+func (w *worker) put(r lease.Run, h held) {
+	w.drop(r)
+	w.runs[r] = h
+	w.used = w.used.Plus(h.room)
+}
+
+func (w *worker) drop(r lease.Run) {
+	if h, ok := w.runs[r]; ok {
+		w.used = w.used.Minus(h.room)
+		delete(w.runs, r)
 	}
-	return r
 }
 
+// left is the room that is not in use.
+func (w *worker) left() lease.Room { return w.Room.Minus(w.used) }
+
 // key names the waiting tasks of one step of a job.
 type key struct {
 	job  string
@@ -110,6 +119,11 @@
 	members map[mesh.ID]*member
 	workers map[string]*worker
 	waits   map[key]*wait
+	// bySpeed is the workers, fastest first, as of the last tick.
+	bySpeed []*worker
+	// changed tells that something may be placed, loose that a worker has no
+	// holder.
+	changed, loose bool
 	// may tells whether workers of lost members may be given to others.
 	may  bool
 	acts []Action
@@ -133,6 +147,7 @@
 	b.members = make(map[mesh.ID]*member)
 	b.workers = make(map[string]*worker)
 	b.waits = make(map[key]*wait)
+	b.bySpeed = nil
 	b.listedOnce = false
 }
 
@@ -200,6 +215,7 @@
 func (b *Book) unhold(w *worker) {
 	w.former, w.holder, w.open, w.confirmed = w.holder, mesh.ID{}, false, false
 	w.told, w.relieved = time.Time{}, time.Time{}
+	b.loose = true
 }
 
 // Listed is a worker as the platform lists it.
@@ -228,7 +244,7 @@
 		}
 	}
 	b.assign(now)
-	b.Place(now)
+	b.changed = true
 }
 
 func (b *Book) listed(l Listed) {
@@ -268,8 +284,16 @@
 	for _, s := range r.States {
 		b.state(now, from, s)
 	}
-	b.assign(now)
-	b.Place(now)
+	b.unassigned(now)
+	b.changed = true
+}
+
+// unassigned gives out workers that have just lost their holder.
+func (b *Book) unassigned(now time.Time) {
+	if b.loose {
+		b.loose = false
+		b.assign(now)
+	}
 }
 
 // whole takes note of workers that a member no longer holds.
@@ -278,21 +302,21 @@
 		if w.holder != from || !w.confirmed {
 			continue
 		}
-		if !slices.ContainsFunc(r.States, func(s lease.State) bool { return s.Worker.ID == w.ID }) {
+		if !slices.ContainsFunc(r.States, func(s lease.State) bool { return s.ID == w.ID }) {
 			b.unhold(w)
 		}
 	}
 }
 
 func (b *Book) state(now time.Time, from mesh.ID, s lease.State) {
-	w := b.workers[s.Worker.ID]
+	w := b.workers[s.ID]
 	if w == nil {
-		if s.Gone {
+		if s.Gone || s.Worker == nil {
 			return
 		}
 		// The platform's store may be away; its workers are still held.
-		w = &worker{Worker: s.Worker, listed: !b.listedOnce, runs: make(map[lease.Run]held)}
-		b.workers[s.Worker.ID] = w
+		w = &worker{Worker: *s.Worker, listed: !b.listedOnce, runs: make(map[lease.Run]held)}
+		b.workers[s.ID] = w
 	}
 	if w.holder != from {
 		if s.Gone || s.Fence < w.fence {
@@ -322,16 +346,16 @@
 // runs replaces what is known of a worker's runs; grants that the holder has not
 // seen yet stay.
 func (b *Book) runs(now time.Time, w *worker, s lease.State) {
-	next := make(map[lease.Run]held, len(s.Runs))
-	for r, h := range w.runs {
+	old := w.runs
+	w.runs, w.used = make(map[lease.Run]held, len(s.Runs)), lease.Room{}
+	for r, h := range old {
 		if h.granted && now.Sub(h.began) < grantFor && !slices.Contains(s.Ended, r) {
-			next[r] = h
+			w.put(r, h)
 		}
 	}
 	for _, h := range s.Runs {
-		next[h.Run] = held{room: h.Room, began: now.Add(-h.Age), estimate: h.Estimate, percent: h.Percent}
+		w.put(h.Run, held{room: h.Room, began: now.Add(-h.Age), estimate: h.Estimate, percent: h.Percent})
 	}
-	w.runs = next
 }
 
 // Tick does what is due.
@@ -342,14 +366,15 @@
 	for _, w := range b.workers {
 		for r, h := range w.runs {
 			if h.granted && now.Sub(h.began) >= grantFor {
-				delete(w.runs, r)
+				w.drop(r)
 			}
 		}
 	}
 	b.prune(now)
 	b.assign(now)
 	b.balance(now)
-	b.Place(now)
+	b.sortSeats()
+	b.changed = true
 }
 
 func (b *Book) act(a Action) { b.acts = append(b.acts, a) }
--- a/cell/place.go
+++ b/cell/place.go
@@ -24,7 +24,7 @@
 		w.Begun, w.Avoid = a.Begun, a.Avoid
 		w.Tasks = merge(w.Tasks, a.Tasks)
 	}
-	b.Place(now)
+	b.changed = true
 }
 
 // merge adds runs, replacing older runs of the same tasks.
@@ -36,7 +36,7 @@
 }
 
 // Withdraw takes back what was asked for a job, or grants that won't be used.
-func (b *Book) Withdraw(now time.Time, wd Withdrawal) {
+func (b *Book) Withdraw(wd Withdrawal) {
 	if !b.active {
 		return
 	}
@@ -50,12 +50,12 @@
 	}
 	for _, w := range b.workers {
 		for _, r := range wd.Runs {
-			if h, ok := w.runs[r]; ok && h.granted {
-				delete(w.runs, r)
+			if w.runs[r].granted {
+				w.drop(r)
 			}
 		}
 	}
-	b.Place(now)
+	b.changed = true
 }
 
 // seat is a worker with room, while tasks are placed.
@@ -66,36 +66,77 @@
 }
 
 // Place gives workers to waiting tasks, in the order of their queues and then of
-// the time left to their objectives, and refuses jobs that can't meet theirs.
+// the time left to their objectives, and refuses jobs that can't meet theirs. It
+// does nothing when nothing has changed, so that a burst of events is planned once.
 func (b *Book) Place(now time.Time) {
-	if !b.active || len(b.waits) == 0 {
+	if !b.active || !b.changed {
 		return
 	}
-	seats := b.seats()
-	for _, w := range b.queue() {
-		if b.hopeless(now, w, seats) {
+	b.changed = false
+	if len(b.waits) == 0 {
+		return
+	}
+	queue := b.queue()
+	best := b.bestFactor()
+	seats := b.seats(leastCPU(queue))
+	for _, w := range queue {
+		if b.hopeless(now, w, best) {
 			b.refuse(now, w)
 			continue
 		}
-		b.fill(now, w, seats)
+		seats = b.fill(now, w, seats)
 	}
 }
 
-// seats returns the workers that take tasks, fastest first.
-func (b *Book) seats() []*seat {
-	var out []*seat
+// sortSeats orders the workers by speed.
+func (b *Book) sortSeats() {
+	b.bySpeed = b.bySpeed[:0]
 	for _, w := range b.workers {
-		if !w.open || w.draining || !w.listed && w.failures > 0 {
-			continue
-		}
-		out = append(out, &seat{worker: w, left: w.free(), factor: b.factor(w)})
+		b.bySpeed = append(b.bySpeed, w)
 	}
-	slices.SortFunc(out, func(x, y *seat) int {
-		return cmp.Or(cmp.Compare(x.factor, y.factor), cmp.Compare(x.ID, y.ID))
+	slices.SortFunc(b.bySpeed, func(x, y *worker) int {
+		return cmp.Or(cmp.Compare(b.factor(x), b.factor(y)), cmp.Compare(x.ID, y.ID))
 	})
+}
+
+// takes tells whether a worker takes tasks.
+func (w *worker) takes() bool {
+	return w.open && !w.draining && (w.listed || w.failures == 0)
+}
+
+func leastCPU(queue []*wait) int {
+	least := queue[0].Room.CPU
+	for _, w := range queue {
+		least = min(least, w.Room.CPU)
+	}
+	return least
+}
+
+// seats returns the workers with room for the smallest task that waits, fastest
+// first.
+func (b *Book) seats(least int) []*seat {
+	if len(b.bySpeed) != len(b.workers) {
+		b.sortSeats()
+	}
+	var out []*seat
+	for _, w := range b.bySpeed {
+		if left := w.left(); w.takes() && left.CPU >= least {
+			out = append(out, &seat{worker: w, left: left, factor: b.factor(w)})
+		}
+	}
 	return out
 }
 
+// bestFactor is the factor of the fastest worker that takes tasks, 0 for none.
+func (b *Book) bestFactor() float64 {
+	for _, w := range b.bySpeed {
+		if w.takes() {
+			return b.factor(w)
+		}
+	}
+	return 0
+}
+
 // factor is the time that tasks take on a worker over their estimate.
 func (b *Book) factor(w *worker) float64 {
 	if w.speed.Ends == 0 {
@@ -134,14 +175,11 @@
 
 // hopeless tells that a job of which nothing has begun can't meet its objective
 // any more, even on the fastest worker and at once.
-func (b *Book) hopeless(now time.Time, w *wait, seats []*seat) bool {
+func (b *Book) hopeless(now time.Time, w *wait, best float64) bool {
 	if w.Begun {
 		return false
 	}
-	if len(seats) == 0 {
-		return now.After(w.aim)
-	}
-	least := time.Duration(float64(w.Estimate) * seats[0].factor)
+	least := time.Duration(float64(w.Estimate) * best)
 	return now.Add(least).After(w.aim)
 }
 
@@ -155,7 +193,10 @@
 const retryAfter = time.Second
 
 // fill grants workers to the tasks of one step.
-func (b *Book) fill(now time.Time, w *wait, seats []*seat) {
+func (b *Book) fill(now time.Time, w *wait, seats []*seat) []*seat {
+	if len(seats) == 0 {
+		return seats
+	}
 	g := &Grant{Job: w.job}
 	var rest []lease.Run
 	for _, r := range w.Tasks {
@@ -165,13 +206,13 @@
 			continue
 		}
 		s.left = s.left.Minus(w.Room)
-		s.runs[r] = held{room: w.Room, began: now, estimate: w.Estimate, granted: true, job: w.job}
+		s.put(r, held{room: w.Room, began: now, estimate: w.Estimate, granted: true, job: w.job})
 		g.Items = append(g.Items, Granted{Run: r, Worker: s.ID, Holder: s.holder, Fence: s.fence})
 		event.TaskGranted.Log(b.log, "job", w.job, "task", r.Task, "run", r.Number, "worker", s.ID, "holder", s.holder,
 			"factor", s.factor, "waited_ms", now.Sub(w.arrived).Milliseconds(), "left_cpu", s.left.CPU)
 	}
 	if len(g.Items) == 0 {
-		return
+		return seats
 	}
 	w.Begun = true
 	w.Tasks = rest
@@ -179,6 +220,7 @@
 		delete(b.waits, w.key)
 	}
 	b.act(Action{To: w.owner, Grant: g})
+	return seats
 }
 
 // pick returns the seat for a task: the fastest worker with room, of equal ones
--- a/lease/book.go
+++ b/lease/book.go
@@ -25,6 +25,9 @@
 	fenceTries = 20
 	// retryHold is the pause between hold calls that fail.
 	retryHold = 60 * time.Millisecond
+	// reportAfter is when the planner is told of a run that has not ended. It is
+	// well below the time for which a grant counts without a report.
+	reportAfter = 150 * time.Millisecond
 	// stopAgain is when a stop without effect is repeated.
 	stopAgain = 150 * time.Millisecond
 )
@@ -67,6 +70,8 @@
 	sent, began time.Time
 	clock       int64
 	percent     int
+	// reported tells that the planner was told of it.
+	reported bool
 	// orphan tells that its owner isn't known.
 	orphan bool
 	// stopSent is when the last stop was sent.
@@ -165,7 +170,6 @@
 	}
 	e := &run{Order: o, owner: owner, state: starting, sent: now}
 	b.runs[o.Run] = e
-	b.dirty = true
 	b.send(now, e)
 }
 
@@ -217,7 +221,6 @@
 	if e.state != stopping {
 		e.state = running
 	}
-	b.dirty = true
 }
 
 func (b *Book) turnedDown(now time.Time, e *run, c StartCall, why Reason) {
@@ -378,6 +381,11 @@
 		if e.state == stopping && now.Sub(e.stopSent) >= stopAgain {
 			b.stop(now, e)
 		}
+		// The planner knows what it has granted and needs no report of each
+		// start; short runs end before this, with one report in place of two.
+		if !e.reported && now.Sub(e.sent) >= reportAfter {
+			b.dirty = true
+		}
 	}
 	if !b.sound && len(b.runs) > 0 && b.clock != 0 && now.After(b.Lapse()) {
 		b.lapsed(now)
--- a/lease/state.go
+++ b/lease/state.go
@@ -7,8 +7,11 @@
 
 // State is what a holder tells the planner of a worker.
 type State struct {
-	Worker Worker `json:"worker"`
-	Fence  Fence  `json:"fence"`
+	ID string `json:"id"`
+	// Worker is set now and then; a planner that does not know the worker waits
+	// for it.
+	Worker *Worker `json:"worker,omitempty"`
+	Fence  Fence   `json:"fence"`
 	// Open tells that tasks may be started there now.
 	Open bool `json:"open,omitempty"`
 	// Gone tells that this process does not hold the worker any more.
@@ -33,25 +36,32 @@
 	Stopping bool          `json:"stopping,omitempty"`
 }
 
-// Changed returns the state if it has changed since the last call.
+// Changed returns the state if it has changed since the last call, without what
+// never changes.
 func (b *Book) Changed(now time.Time) (State, bool) {
 	if !b.dirty {
 		return State{}, false
 	}
-	return b.State(now), true
+	s := b.State(now)
+	s.Worker = nil
+	return s, true
 }
 
 // State returns the state and clears what Changed looks at.
 func (b *Book) State(now time.Time) State {
 	s := b.Peek(now)
 	b.dirty, b.gone = false, nil
+	for _, e := range b.runs {
+		e.reported = true
+	}
 	return s
 }
 
 // Peek returns the state.
 func (b *Book) Peek(now time.Time) State {
 	s := State{
-		Worker:   b.worker,
+		ID:       b.worker.ID,
+		Worker:   &b.worker,
 		Fence:    b.fence,
 		Open:     b.phase == open && b.sound,
 		Gone:     b.phase == closed,
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -21,12 +21,12 @@
 
 const (
 	// BeatEvery is the longest silence of a process on a session.
-	BeatEvery = 150 * time.Millisecond
-	// DownAfter is the silence after which a session is given up: four lost
+	BeatEvery = 200 * time.Millisecond
+	// DownAfter is the silence after which a session is given up: three lost
 	// heartbeats. It bounds how long a frozen process holds up others, and must
 	// leave time to stop its runs before a caller's repetition can start them
 	// again somewhere else.
-	DownAfter = 600 * time.Millisecond
+	DownAfter = 650 * time.Millisecond
 	// dialTimeout bounds the opening of a connection: some hundred round trips
 	// between data centres.
 	dialTimeout = 300 * time.Millisecond
@@ -45,6 +45,7 @@
 
 	methodHello = "hello"
 	methodMail  = "mail"
+	methodBeat  = "beat"
 )
 
 // Kind tells what an event is about.
@@ -245,7 +246,8 @@
 	m.last++
 	s := &session[M]{mesh: m, number: m.last, heard: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{})}
 	m.mu.Unlock()
-	s.conn = jsonrpc2.NewConn(ctx, peer.NewStream(c, DownAfter), handler(s.handle))
+	stream := jsonrpc2.NewBufferedStream(peer.Patient(c, DownAfter), &s.codec)
+	s.conn = jsonrpc2.NewConn(ctx, stream, handler(s.handle))
 	m.wg.Go(func() { s.run(ctx) })
 }
 
@@ -310,6 +312,7 @@
 	mesh   *Mesh[M]
 	number uint64
 	conn   *jsonrpc2.Conn
+	codec  codec
 	wake   chan struct{}
 	// done is closed when the end of the session has been told.
 	done chan struct{}
@@ -433,17 +436,22 @@
 		me := s.mesh.me()
 		b.From = &me
 	}
+	if b.From == nil && len(b.Mail) == 0 {
+		return s.notify(ctx, methodBeat, nil)
+	}
 	return s.notify(ctx, methodMail, b)
 }
 
-// notify writes a notification. The content travels as bytes: the library would
-// decode it into maps and encode it again.
+// notify writes a notification, with content if there is any.
 func (s *session[M]) notify(ctx context.Context, method string, v any) error {
-	sealed, err := json.Marshal(v)
-	if err != nil {
-		return errors.Wrap(err, "mesh: encode")
+	if v != nil {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return errors.Wrap(err, "mesh: encode")
+		}
+		s.codec.out = b
 	}
-	return s.conn.Notify(ctx, method, sealed)
+	return s.conn.Notify(ctx, method, nil)
 }
 
 func (s *session[M]) send(mail []M) {
@@ -498,24 +506,19 @@
 }
 
 func (s *session[M]) take(r *jsonrpc2.Request) error {
-	var sealed []byte
-	if r.Params == nil {
-		return errors.New("mesh: notification without content")
-	}
-	if err := json.Unmarshal(*r.Params, &sealed); err != nil {
-		return errors.Wrap(err, "mesh: decode")
-	}
 	switch r.Method {
+	case methodBeat:
+		return nil
 	case methodHello:
 		var h hello
-		if err := json.Unmarshal(sealed, &h); err != nil {
+		if err := json.Unmarshal(s.codec.in, &h); err != nil {
 			return errors.Wrap(err, "mesh: decode")
 		}
 		s.greet(h)
 		return nil
 	case methodMail:
 		var b batch[M]
-		if err := json.Unmarshal(sealed, &b); err != nil {
+		if err := json.Unmarshal(s.codec.in, &b); err != nil {
 			return errors.Wrap(err, "mesh: decode")
 		}
 		s.receive(b)
--- a/node/core.go
+++ b/node/core.go
@@ -138,6 +138,7 @@
 }
 
 func (c *Core) step(now time.Time) bool {
+	c.cell.Place(now)
 	entries, plans := c.entry.Take(), c.cell.Take()
 	for _, a := range entries {
 		c.fromEntry(now, a)
@@ -234,7 +235,7 @@
 	case m.Ask != nil:
 		c.cell.Ask(now, from, *m.Ask)
 	case m.Withdraw != nil:
-		c.cell.Withdraw(now, *m.Withdraw)
+		c.cell.Withdraw(*m.Withdraw)
 	case m.Report != nil:
 		c.cell.Report(now, from, *m.Report)
 	case m.Grant != nil:
@@ -287,7 +288,7 @@
 		return
 	}
 	// The planner is behind: it takes this process for the holder.
-	c.send(now, c.planner, Mail{Report: &cell.Report{States: []lease.State{{Worker: lease.Worker{ID: worker}, Gone: true}}}})
+	c.send(now, c.planner, Mail{Report: &cell.Report{States: []lease.State{{ID: worker, Gone: true}}}})
 }
 
 func (c *Core) start(now time.Time, from mesh.ID, s entry.Start) {
--- a/node/node.go
+++ b/node/node.go
@@ -256,7 +256,7 @@
 const tickEvery = 50 * time.Millisecond
 
 // frozenAfter is the silence of this process after which it takes itself for
-// frozen. Its peers give up the sessions after 600 ms.
+// frozen. Its peers give up the sessions after 650 ms.
 const frozenAfter = 500 * time.Millisecond
 
 // serveCore owns the core.
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -242,7 +242,7 @@
 	none := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no calls this way"}
 	})
-	return jsonrpc2.NewConn(context.WithoutCancel(ctx), NewStream(nc, d.timeout), none), nil
+	return jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(nc, d.timeout), none), nil
 }
 
 // Close closes all connections.
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -75,8 +75,9 @@
 	return p.Conn.Write(b)
 }
 
-// NewStream puts the framing of this package on a connection, on which each write
-// is bounded by the timeout.
-func NewStream(c net.Conn, timeout time.Duration) jsonrpc2.ObjectStream {
+// Patient bounds each write to a connection.
+func Patient(c net.Conn, timeout time.Duration) net.Conn { return patient{c, timeout} }
+
+func newStream(c net.Conn, timeout time.Duration) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewBufferedStream(patient{c, timeout}, frames{maxFrame})
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -87,7 +87,7 @@
 			return
 		}
 	}
-	jsonrpc2.NewConn(ctx, NewStream(c, answerTimeout), counted{s})
+	jsonrpc2.NewConn(ctx, newStream(c, answerTimeout), counted{s})
 }
 
 // counted answers calls and counts those whose answer is not yet written.
