--- a/entry/book.go
+++ b/entry/book.go
@@ -520,11 +520,13 @@
 	return n
 }
 
-// HolderDown takes note that a holder is out of sight.
-func (b *Book) HolderDown(heard time.Time, h mesh.ID) {
+// HolderDown takes note that a holder is out of sight. What counts is when it is
+// noted here, not when the holder was last heard: a busy process notes it late, and
+// what it has placed in between may have reached the holder by a new session.
+func (b *Book) HolderDown(now time.Time, h mesh.ID) {
 	for _, p := range b.runs {
 		if p.t.holder == h && p.t.adrift.IsZero() {
-			p.t.adrift = heard
+			p.t.adrift = now
 		}
 	}
 }
--- /dev/null
+++ b/entry/book_test.go
@@ -0,0 +1,337 @@
+package entry
+
+import (
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"snipehub.example/catalog"
+	"snipehub.example/cell"
+	"snipehub.example/lease"
+	"snipehub.example/mesh"
+)
+
+var (
+	epoch   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	planner = mesh.ID{Address: netip.MustParseAddrPort("10.0.0.1:1"), Boot: 1}
+	next    = mesh.ID{Address: netip.MustParseAddrPort("10.0.0.2:1"), Boot: 1}
+	holder  = mesh.ID{Address: netip.MustParseAddrPort("10.0.0.3:1"), Boot: 1}
+	other   = mesh.ID{Address: netip.MustParseAddrPort("10.0.0.4:1"), Boot: 1}
+)
+
+const id = "00000000000000aa"
+
+func ms(n int) time.Time { return epoch.Add(time.Duration(n) * time.Millisecond) }
+
+func queue() catalog.Queue {
+	return catalog.Queue{Name: "q", Pool: "p", Attempts: 2, Stretch: 1.6, Aim: 60 * time.Millisecond}
+}
+
+func request(counts ...int) Request {
+	r := Request{ID: id, Queue: queue(), Spec: "spec", Patience: 10 * time.Second}
+	for i, n := range counts {
+		s := Step{Count: n, Room: lease.Room{CPU: 10}, Estimate: 100 * time.Millisecond}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		r.Steps = append(r.Steps, s)
+	}
+	return r
+}
+
+// took is the actions of a book, by kind.
+type took struct {
+	asks      []cell.Ask
+	withdraws []cell.Withdrawal
+	starts    []Start
+	stops     []Stop
+	claims    []Claim
+	answers   []Answered
+}
+
+func take(b *Book) took {
+	var out took
+	for _, a := range b.Take() {
+		switch {
+		case a.Ask != nil:
+			out.asks = append(out.asks, *a.Ask)
+		case a.Withdraw != nil:
+			out.withdraws = append(out.withdraws, *a.Withdraw)
+		case a.Start != nil:
+			out.starts = append(out.starts, *a.Start)
+		case a.Stop != nil:
+			out.stops = append(out.stops, *a.Stop)
+		case a.Claim != nil:
+			out.claims = append(out.claims, *a.Claim)
+		case a.Answer != nil:
+			out.answers = append(out.answers, *a.Answer)
+		}
+	}
+	return out
+}
+
+// submitted is a book with one job at 0 ms, and what was asked for it.
+func submitted(t *testing.T, r Request) (*Book, cell.Ask) {
+	t.Helper()
+	b := New(slog.New(slog.DiscardHandler))
+	b.Planner(ms(0), planner)
+	b.Submit(ms(0), 1, r)
+	got := take(b)
+	if len(got.asks) != 1 {
+		t.Fatalf("%d asks", len(got.asks))
+	}
+	return b, got.asks[0]
+}
+
+// grant gives every asked task the worker.
+func grant(a cell.Ask, worker string) cell.Grant {
+	g := cell.Grant{Job: a.Job}
+	for _, r := range a.Tasks {
+		g.Items = append(g.Items, cell.Granted{Run: r, Worker: worker, Holder: holder, Fence: lease.NewFence(3)})
+	}
+	return g
+}
+
+// running is a book whose only job has all its tasks on worker "w".
+func running(t *testing.T, r Request) (*Book, cell.Ask) {
+	t.Helper()
+	b, a := submitted(t, r)
+	b.Grant(ms(1), grant(a, "w"))
+	if got := take(b); len(got.starts) != 1 || len(got.starts[0].Runs) != len(a.Tasks) {
+		t.Fatalf("starts %+v", got.starts)
+	}
+	return b, a
+}
+
+func end(b *Book, at int, r lease.Run, how lease.How) took {
+	b.Ended(ms(at), Ended{Worker: "w", End: lease.End{Run: r, How: how}})
+	return take(b)
+}
+
+func wantAnswer(t *testing.T, got took, s Status) {
+	t.Helper()
+	if len(got.answers) != 1 || got.answers[0].Answer.Status != s {
+		t.Errorf("answers %+v, want %v", got.answers, s)
+	}
+}
+
+func TestJobIsAnsweredWhenAllIsDone(t *testing.T) {
+	b, a := running(t, request(2))
+	if got := end(b, 100, a.Tasks[0], lease.Done); len(got.answers) != 0 {
+		t.Errorf("answers %+v after half of the job", got.answers)
+	}
+	wantAnswer(t, end(b, 110, a.Tasks[1], lease.Done), Completed)
+	if b.Len() != 0 {
+		t.Errorf("%d jobs open", b.Len())
+	}
+}
+
+func TestStepsFollowEachOther(t *testing.T) {
+	b, a := running(t, request(2, 1))
+	end(b, 100, a.Tasks[0], lease.Done)
+	got := end(b, 110, a.Tasks[1], lease.Done)
+	if len(got.asks) != 1 || got.asks[0].Step != 1 || len(got.asks[0].Tasks) != 1 {
+		t.Fatalf("asks %+v, want the second step", got.asks)
+	}
+	b.Grant(ms(111), grant(got.asks[0], "w"))
+	take(b)
+	wantAnswer(t, end(b, 200, got.asks[0].Tasks[0], lease.Done), Completed)
+}
+
+// Tasks end in other ways than done. Only ends by a fault of the task or the worker
+// count towards the attempts that the queue allows: a caller whose worker was taken
+// away or stopped must not be told that its order has failed.
+func TestEndsOfRuns(t *testing.T) {
+	tests := []struct {
+		name string
+		ends []lease.How
+		want Status
+	}{
+		{"failed once", []lease.How{lease.Failed}, 0},
+		{"failed as often as allowed", []lease.How{lease.Failed, lease.Failed}, Failed},
+		{"lost over and over", []lease.How{lease.Lost, lease.Lapsed, lease.Stopped, lease.Never, lease.Lost}, 0},
+		{"failed between", []lease.How{lease.Failed, lease.Lost, lease.Never, lease.Failed}, Failed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b, a := running(t, request(1))
+			run := a.Tasks[0]
+			for i, how := range tt.ends {
+				got := end(b, 10*i+10, run, how)
+				if i == len(tt.ends)-1 && tt.want != 0 {
+					wantAnswer(t, got, tt.want)
+					return
+				}
+				if len(got.answers) != 0 || len(got.asks) != 1 || got.asks[0].Tasks[0].Number <= run.Number {
+					t.Fatalf("after %v: %+v, want the task to be placed again", how, got)
+				}
+				run = got.asks[0].Tasks[0]
+				b.Grant(ms(10*i+15), grant(got.asks[0], "w"))
+				take(b)
+			}
+		})
+	}
+}
+
+// The planner refuses a job just when a part of it was granted, over a message that
+// overtook the other. Told "not run", the caller would order elsewhere while the
+// first order is under way.
+func TestRefusalOfABegunJob(t *testing.T) {
+	b, a := submitted(t, request(2))
+	g := grant(a, "w")
+	g.Items = g.Items[:1]
+	b.Grant(ms(1), g)
+	take(b)
+	b.Refused(ms(2), cell.Refusal{Job: id, Why: "late"})
+	if got := take(b); len(got.answers) != 0 {
+		t.Errorf("answers %+v", got.answers)
+	}
+	end(b, 3, a.Tasks[0], lease.Never)
+	b.Refused(ms(4), cell.Refusal{Job: id, Why: "late", After: time.Second})
+	wantAnswer(t, take(b), Refused)
+}
+
+// A caller's time is over while its job runs. What runs is stopped; the same job,
+// sent again, must not start beside it.
+func TestSecondCopyWaitsForTheFirst(t *testing.T) {
+	r := request(1)
+	r.Patience = time.Second
+	b, a := running(t, r)
+	b.Tick(ms(1000))
+	got := take(b)
+	wantAnswer(t, got, Unknown)
+	if len(got.stops) != 1 {
+		t.Fatalf("stops %+v", got.stops)
+	}
+	b.Submit(ms(1010), 2, r)
+	got = take(b)
+	if len(got.asks) != 0 {
+		t.Errorf("asked for workers while the first copy may run: %+v", got.asks)
+	}
+	wantAnswer(t, got, Unknown)
+	end(b, 1050, a.Tasks[0], lease.Stopped)
+	b.Submit(ms(1060), 3, r)
+	if got = take(b); len(got.asks) != 1 {
+		t.Errorf("%+v, want the job to begin anew", got)
+	}
+}
+
+func TestSameIDJoins(t *testing.T) {
+	b, a := running(t, request(1))
+	b.Submit(ms(50), 2, request(1))
+	if got := take(b); len(got.asks) != 0 || len(got.answers) != 0 {
+		t.Errorf("%+v for a copy of a job under way", got)
+	}
+	b.Leave(ms(60), 1)
+	if got := take(b); len(got.stops) != 0 {
+		t.Errorf("stopped %+v although a caller waits", got.stops)
+	}
+	wantAnswer(t, end(b, 100, a.Tasks[0], lease.Done), Completed)
+	b.Submit(ms(200), 3, request(1))
+	wantAnswer(t, take(b), Completed)
+}
+
+// The last caller of a job leaves. Its runs would take room from those who wait.
+func TestNobodyWaits(t *testing.T) {
+	b, _ := running(t, request(2))
+	b.Leave(ms(20), 1)
+	if got := take(b); len(got.stops) != 1 || len(got.stops[0].Runs) != 2 {
+		t.Errorf("stops %+v, want both runs", got.stops)
+	}
+	b, _ = submitted(t, request(2))
+	b.Leave(ms(20), 1)
+	if got := take(b); len(got.withdraws) != 1 {
+		t.Errorf("%+v, want the tasks withdrawn", got)
+	}
+}
+
+// The planner dies with everything that waits. The next one is asked again, and a
+// grant of the first one that arrives after that of the second is given back.
+func TestPlannerReplaced(t *testing.T) {
+	b, a := submitted(t, request(2))
+	b.Planner(ms(10), next)
+	again := take(b).asks
+	if len(again) != 1 || len(again[0].Tasks) != 2 {
+		t.Fatalf("asks %+v", again)
+	}
+	b.Grant(ms(11), grant(again[0], "w"))
+	take(b)
+	b.Grant(ms(12), grant(a, "v"))
+	got := take(b)
+	if len(got.starts) != 0 || len(got.withdraws) != 1 || len(got.withdraws[0].Runs) != 2 {
+		t.Errorf("%+v, want the second grant back", got)
+	}
+}
+
+// A holder is lost; another one takes the worker over and announces it. The owner
+// claims its runs there, and an older announcement that arrives late changes nothing:
+// its sender knows nothing of what was started under its successor.
+func TestHolderReplaced(t *testing.T) {
+	b, a := running(t, request(1))
+	b.HolderDown(ms(100), holder)
+	b.Held(other, "w", lease.NewFence(5))
+	got := take(b)
+	if len(got.claims) != 1 || got.claims[0].Runs[0].Run != a.Tasks[0] {
+		t.Fatalf("claims %+v", got.claims)
+	}
+	b.Held(holder, "w", lease.NewFence(2))
+	if got := take(b); len(got.claims) != 0 {
+		t.Errorf("claims %+v at a holder of before", got.claims)
+	}
+	b.Tick(ms(5000))
+	if got := take(b); len(got.asks) != 0 {
+		t.Error("the run was given up although its holder is in sight")
+	}
+}
+
+// A busy process notes late that it has lost a holder, and what it has placed there in
+// between arrived over a new session. Counted from when the holder was last heard, the
+// run would be given up at once and placed again while it runs.
+func TestHolderLostLate(t *testing.T) {
+	b, _ := running(t, request(1))
+	b.HolderDown(ms(3000), holder)
+	b.Tick(ms(3050))
+	if got := take(b); len(got.asks) != 0 {
+		t.Error("the run was placed again at once")
+	}
+	b.Tick(ms(3000).Add(forgetAfter + time.Millisecond))
+	if got := take(b); len(got.asks) != 1 {
+		t.Errorf("%+v, want the task to be placed again in the end", got)
+	}
+}
+
+// A holder comes back in a new session; the start, or the news of its end, may have
+// been lost with the old one.
+func TestHolderInANewSession(t *testing.T) {
+	b, a := running(t, request(2))
+	b.HolderDown(ms(10), holder)
+	b.HolderUp(holder)
+	got := take(b)
+	if len(got.claims) != 1 || len(got.claims[0].Runs) != 2 {
+		t.Fatalf("claims %+v", got.claims)
+	}
+	if got := end(b, 20, a.Tasks[1], lease.Lost); len(got.asks) != 1 {
+		t.Errorf("%+v, want the lost start to be placed again", got)
+	}
+}
+
+// The process stood still. Its callers may be with others by now, and what it goes on
+// with would run beside their copies.
+func TestThawed(t *testing.T) {
+	b, _ := running(t, request(2))
+	b.Thawed(ms(4000))
+	got := take(b)
+	wantAnswer(t, got, Unknown)
+	if len(got.stops) != 1 {
+		t.Errorf("stops %+v", got.stops)
+	}
+}
+
+func TestObjective(t *testing.T) {
+	r := request(1, 1, 1)
+	r.Steps[2].After = []int{0}
+	if got, want := objective(r), 380*time.Millisecond; got != want {
+		t.Errorf("objective %v, want %v: 1.6 times the longest chain of two steps, and 60 ms", got, want)
+	}
+}
--- a/node/core.go
+++ b/node/core.go
@@ -464,7 +464,7 @@
 	}
 	delete(c.members, id)
 	c.lost[id] = heard
-	c.entry.HolderDown(heard, id)
+	c.entry.HolderDown(now, id)
 	c.elect(now)
 }
 
