Sick workers are put aside, and tasks wait for a worker on which they are in time

Change: bad ends of two jobs in a row put a worker aside (at most 0.3 of them), one task tries it after 0.5 s, then less often; a run without progress for 0.7 s is stopped and counts as two; speed is learned from progress at 20%; a task that would be late on the free workers waits for a faster one while it could be in time there.

--- a/cell/book.go
+++ b/cell/book.go
@@ -53,9 +53,15 @@
 	// failures counts the holder's calls without an answer.
 	failures int
 	badSince time.Time
-	runs     map[lease.Run]held
-	used     lease.Room
-	speed    lease.Speed
+	// aside tells that it is given one task now and then, to see whether it is
+	// well again: the next at probeAt, after that with the pause probeWait.
+	aside     bool
+	probeAt   time.Time
+	probeWait time.Duration
+
+	runs  map[lease.Run]held
+	used  lease.Room
+	speed lease.Speed
 }
 
 // held is a run on a worker, reported or granted.
@@ -115,6 +121,7 @@
 type Book struct {
 	log     *slog.Logger
 	self    mesh.ID
+	policy  Policy
 	active  bool
 	began   time.Time
 	members map[mesh.ID]*member
@@ -139,8 +146,8 @@
 }
 
 // New makes a book that doesn't plan yet.
-func New(log *slog.Logger, self mesh.ID) *Book {
-	b := &Book{log: log, self: self, counts: Counts{Refused: make(map[string]int64)}}
+func New(log *slog.Logger, self mesh.ID, policy Policy) *Book {
+	b := &Book{log: log, self: self, policy: policy.orDefault(), counts: Counts{Refused: make(map[string]int64)}}
 	b.clear()
 	return b
 }
@@ -397,7 +404,8 @@
 		b.tellDraining(w)
 	}
 	w.draining = w.draining || s.Draining
-	w.fence, w.speed = s.Fence, s.Speed
+	w.fence = s.Fence
+	b.health(now, w, s.Speed)
 	if s.Failures > 0 && w.failures == 0 {
 		w.badSince = now
 	}
--- a/cell/place.go
+++ b/cell/place.go
@@ -63,6 +63,8 @@
 	*worker
 	left   lease.Room
 	factor float64
+	// probe tells that it takes a single task, to be tried.
+	probe bool
 }
 
 // Place gives workers to waiting tasks, in the order of their queues and then of
@@ -78,13 +80,13 @@
 	}
 	queue := b.queue()
 	best := b.bestFactor()
-	seats := b.seats(leastCPU(queue))
+	seats := b.seats(now, leastCPU(queue))
 	for _, w := range queue {
 		if b.hopeless(now, w, best) {
 			b.refuse(now, w)
 			continue
 		}
-		seats = b.fill(now, w, seats)
+		b.fill(now, w, seats, best)
 	}
 }
 
@@ -114,17 +116,23 @@
 
 // seats returns the workers with room for the smallest task that waits, fastest
 // first.
-func (b *Book) seats(least int) []*seat {
+func (b *Book) seats(now time.Time, least int) []*seat {
 	if len(b.bySpeed) != len(b.workers) {
 		b.sortSeats()
 	}
-	var out []*seat
+	var out, probes []*seat
 	for _, w := range b.bySpeed {
-		if left := w.left(); w.takes() && left.CPU >= least {
+		left := w.left()
+		switch {
+		case !w.takes() || left.CPU < least:
+		case w.probes(now):
+			probes = append(probes, &seat{worker: w, left: left, factor: b.factor(w), probe: true})
+		case !w.aside:
 			out = append(out, &seat{worker: w, left: left, factor: b.factor(w)})
 		}
 	}
-	return out
+	slices.SortStableFunc(out, func(x, y *seat) int { return cmp.Compare(x.factor, y.factor) })
+	return append(probes, out...)
 }
 
 // bestFactor is the factor of the fastest worker that takes tasks, 0 for none. The
@@ -133,7 +141,7 @@
 func (b *Book) bestFactor() float64 {
 	best := 0.0
 	for _, w := range b.bySpeed {
-		if f := b.factor(w); w.takes() && (best == 0 || f < best) {
+		if f := b.factor(w); w.takes() && !w.aside && (best == 0 || f < best) {
 			best = f
 		}
 	}
@@ -182,8 +190,11 @@
 	if w.Begun {
 		return false
 	}
-	least := time.Duration(float64(w.Estimate) * best)
-	return now.Add(least).After(w.aim)
+	return now.Add(scaled(w.Estimate, best)).After(w.aim)
+}
+
+func scaled(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
 }
 
 func (b *Book) refuse(now time.Time, w *wait) {
@@ -200,19 +211,25 @@
 const retryAfter = time.Second
 
 // fill grants workers to the tasks of one step.
-func (b *Book) fill(now time.Time, w *wait, seats []*seat) []*seat {
+func (b *Book) fill(now time.Time, w *wait, seats []*seat, best float64) {
 	if len(seats) == 0 {
-		return seats
+		return
 	}
+	// Once it is late, any worker will do.
+	late := now.Add(scaled(w.Estimate, best)).After(w.aim)
 	g := &Grant{Job: w.job}
 	var rest []lease.Run
 	for _, r := range w.Tasks {
-		s := b.pick(w, seats)
+		s := b.pick(now, w, seats, late)
 		if s == nil {
 			rest = append(rest, r)
 			continue
 		}
 		s.left = s.left.Minus(w.Room)
+		if s.probe {
+			s.left = lease.Room{}
+			s.probeAt = now.Add(s.probeWait)
+		}
 		s.put(r, held{room: w.Room, began: now, estimate: w.Estimate, granted: true, job: w.job})
 		b.counts.Granted++
 		g.Items = append(g.Items, Granted{Run: r, Worker: s.ID, Holder: s.holder, Fence: s.fence})
@@ -220,7 +237,7 @@
 			"factor", s.factor, "waited_ms", now.Sub(w.arrived).Milliseconds(), "left_cpu", s.left.CPU)
 	}
 	if len(g.Items) == 0 {
-		return seats
+		return
 	}
 	w.Begun = true
 	w.Tasks = rest
@@ -228,17 +245,22 @@
 		delete(b.waits, w.key)
 	}
 	b.act(Action{To: w.owner, Grant: g})
-	return seats
 }
 
 // pick returns the seat for a task: the fastest worker with room, of equal ones
 // the one with the least room left over.
-func (b *Book) pick(w *wait, seats []*seat) *seat {
+func (b *Book) pick(now time.Time, w *wait, seats []*seat, late bool) *seat {
 	var best *seat
 	for _, s := range seats {
 		if !b.fits(w, s) {
 			continue
 		}
+		if s.probe {
+			return s
+		}
+		if !late && b.policy.WaitForFaster.on() && now.Add(scaled(w.Estimate, s.factor)).After(w.aim) {
+			break
+		}
 		if best == nil {
 			best = s
 			continue
--- /dev/null
+++ b/cell/policy.go
@@ -0,0 +1,47 @@
+package cell
+
+import "time"
+
+// Policy is how the planner decides. Each field says what it buys, as measured in
+// the model (package model) over 20 seeds.
+type Policy struct {
+	// AsideAfter is how many bad ends of different jobs in a row put a worker
+	// aside; 0 takes the default, a negative number puts none aside.
+	AsideAfter int
+	// AsideShare is the largest part of the workers that is put aside.
+	AsideShare float64
+	// ProbeEvery is the first pause between two tasks that try a worker that was
+	// put aside; it doubles up to ProbeMost.
+	ProbeEvery, ProbeMost time.Duration
+	// WaitForFaster lets a task that could still be in time wait for a faster
+	// worker when the ones that are free would make it late.
+	WaitForFaster Choice
+}
+
+// Choice is a policy that can be left to the default.
+type Choice int
+
+// The choices.
+const (
+	Default Choice = iota
+	On
+	Off
+)
+
+func (c Choice) on() bool { return c != Off }
+
+func (p Policy) orDefault() Policy {
+	if p.AsideAfter == 0 {
+		p.AsideAfter = 2
+	}
+	if p.AsideShare == 0 {
+		p.AsideShare = 0.3
+	}
+	if p.ProbeEvery == 0 {
+		p.ProbeEvery = 500 * time.Millisecond
+	}
+	if p.ProbeMost == 0 {
+		p.ProbeMost = 2 * time.Second
+	}
+	return p
+}
--- a/entry/book.go
+++ b/entry/book.go
@@ -380,8 +380,10 @@
 	default:
 		t.state = blocked
 	}
-	if end.How == lease.Never {
+	if end.How != lease.Done {
 		t.avoid = worker
+	}
+	if end.How == lease.Never {
 		b.counts.NotStarted[end.Why]++
 	} else {
 		j.ran = true
--- a/event/table.go
+++ b/event/table.go
@@ -86,6 +86,8 @@
 	DutyLeft        ID = 909
 	WorkerHeld      ID = 910
 	WorkerSilent    ID = 911
+	WorkerAside     ID = 912
+	WorkerBack      ID = 913
 
 	JobAdmitted   ID = 920
 	JobJoined     ID = 921
@@ -169,6 +171,8 @@
 	{DutyLeft, slog.LevelInfo, "holding ended", "This process does not hold the worker any more, for the reason given: it was passed on, another holder has taken over (fenced), the worker is gone, or all rounds of the fencing token are used.", "0.2"},
 	{WorkerHeld, slog.LevelInfo, "worker held", "The worker has accepted this holder's fencing token.", "0.2"},
 	{WorkerSilent, slog.LevelWarn, "worker silent", "The worker did not answer its holder. It gets no tasks until it does.", "0.2"},
+	{WorkerAside, slog.LevelWarn, "worker put aside", "Tasks of several jobs in a row failed, were refused or stood still there. It gets one task now and then until one of them is done.", "0.2"},
+	{WorkerBack, slog.LevelInfo, "worker back in use", "A task was done on a worker that was put aside.", "0.2"},
 	{JobAdmitted, slog.LevelInfo, "job admitted", "A caller's job was taken in and workers are asked for.", "0.2"},
 	{JobJoined, slog.LevelInfo, "job joined", "A request with the id of a job that is under way here waits for the same answer.", "0.2"},
 	{JobAnswered, slog.LevelInfo, "job answered", "The final answer of a job: completed, failed, refused (nothing ran) or unknown (given up after something ran).", "0.2"},
--- a/lease/book.go
+++ b/lease/book.go
@@ -70,6 +70,10 @@
 	sent, began time.Time
 	clock       int64
 	percent     int
+	// progressed is when percent last changed. sampled tells that its speed was
+	// learned before its end, adopted that its beginning isn't known.
+	progressed       time.Time
+	sampled, adopted bool
 	// reported tells that the planner was told of it.
 	reported bool
 	// orphan tells that its owner isn't known.
@@ -111,15 +115,16 @@
 	// draining tells that the worker takes no new tasks.
 	draining bool
 
-	speed Speed
-	dirty bool
-	gone  []Run
-	acts  []Action
+	speed  Speed
+	habits *Habits
+	dirty  bool
+	gone   []Run
+	acts   []Action
 }
 
 // NewBook begins to hold a worker with a fence above the floor.
-func NewBook(now time.Time, w Worker, own, floor Fence) *Book {
-	b := &Book{worker: w, fence: own.Above(floor), phase: looking, runs: make(map[Run]*run), ended: make(map[Run]How), nextHold: now}
+func NewBook(now time.Time, w Worker, own, floor Fence, habits *Habits) *Book {
+	b := &Book{worker: w, habits: habits, fence: own.Above(floor), phase: looking, runs: make(map[Run]*run), ended: make(map[Run]How), nextHold: now}
 	b.Tick(now)
 	return b
 }
@@ -221,7 +226,7 @@
 }
 
 func (b *Book) confirm(now time.Time, e *run, clock int64) {
-	e.began, e.clock = now, clock
+	e.began, e.progressed, e.clock = now, now, clock
 	if e.state != stopping {
 		e.state = running
 	}
@@ -230,7 +235,7 @@
 func (b *Book) turnedDown(now time.Time, e *run, c StartCall, why Reason) {
 	if why != Fenced {
 		if why == Unhealthy {
-			b.speed.shed()
+			b.speed.bad(e.Run)
 		}
 		b.end(now, e, End{Run: e.Run, How: Never, Why: why})
 		return
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -166,7 +166,7 @@
 		l, ok := there[e.Run]
 		switch {
 		case ok:
-			e.percent = l.Percent
+			b.progress(now, e, l.Percent)
 			if e.state == doubtful || e.state == starting {
 				b.confirm(now, e, r.Clock)
 			}
@@ -188,7 +188,7 @@
 // adopt takes in a run that nobody here knows: of the holder before, or of a
 // start that was carried out late. In an open book it is stopped.
 func (b *Book) adopt(now time.Time, l Listed, clock int64) {
-	e := &run{Order: Order{Run: l.Run}, state: running, orphan: true, sent: now, began: now, clock: clock, percent: l.Percent}
+	e := &run{Order: Order{Run: l.Run}, state: running, orphan: true, adopted: true, sent: now, began: now, progressed: now, clock: clock, percent: l.Percent}
 	b.runs[l.Run] = e
 	if b.phase == open || b.phase == leaving {
 		b.stop(now, e)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -22,6 +22,7 @@
 import (
 	"log/slog"
 	"net/netip"
+	"strings"
 	"time"
 
 	"snipehub.example/mesh"
@@ -119,6 +120,12 @@
 	Number int `json:"n"`
 }
 
+// Job returns the name of the run's job: the task's name up to its first dot.
+func (r Run) Job() string {
+	job, _, _ := strings.Cut(r.Task, ".")
+	return job
+}
+
 // Order asks for one run.
 type Order struct {
 	Run
--- a/model/caller.go
+++ b/model/caller.go
@@ -52,13 +52,18 @@
 // makeJobs plans all requests of the day, whatever becomes of them.
 func (w *World) makeJobs() {
 	for c, cl := range w.cfg.Classes {
-		rate := cl.PerSecond * w.cfg.Load
+		most := cl.PerSecond * w.cfg.Load
+		for _, b := range w.cfg.Bursts {
+			most *= max(b.Times, 1)
+		}
 		for t := time.Duration(0); ; {
-			t += time.Duration(w.rnd.ExpFloat64() / rate * float64(time.Second))
+			t += time.Duration(w.rnd.ExpFloat64() / most * float64(time.Second))
 			if t > w.cfg.Length {
 				break
 			}
-			w.addJob(c, t)
+			if w.rnd.Float64()*most < w.rate(cl, t) {
+				w.addJob(c, t)
+			}
 		}
 	}
 	slices.SortFunc(w.jobs, func(a, b *job) int { return a.sent.Compare(b.sent) })
@@ -69,6 +74,17 @@
 	}
 }
 
+// rate is the rate of a class at a time.
+func (w *World) rate(cl Class, t time.Duration) float64 {
+	r := cl.PerSecond * w.cfg.Load
+	for _, b := range w.cfg.Bursts {
+		if t >= b.At && t < b.At+b.For && (b.Class == "" || b.Class == cl.Name) {
+			r *= b.Times
+		}
+	}
+	return r
+}
+
 func (w *World) addJob(c int, at time.Duration) {
 	cl := w.cfg.Classes[c]
 	j := &job{class: c, dc: w.callerPlace(), sent: w.start.Add(at)}
--- a/model/model.go
+++ b/model/model.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"snipehub.example/catalog"
+	"snipehub.example/cell"
 	"snipehub.example/lease"
 )
 
@@ -36,9 +37,12 @@
 	// Lead is the time from the start of the processes to the first request,
 	// Length how long requests come, Tail how long the day goes on after that.
 	Lead, Length, Tail time.Duration
-	// Load scales the rates of all classes.
+	// Load scales the rates of all classes, Bursts for a while.
 	Load   float64
+	Bursts []Burst
 	Faults []Fault
+	// Policy is how the planner decides; the zero value is the default one.
+	Policy cell.Policy
 	// Log takes what the processes log; nil drops it.
 	Log io.Writer
 }
@@ -86,6 +90,14 @@
 	Fails float64
 }
 
+// Burst is a time with more requests than usual: of one class, or of all if Class is
+// empty.
+type Burst struct {
+	At, For time.Duration
+	Times   float64
+	Class   string
+}
+
 // Pool is the name of the only pool.
 const Pool = "pool"
 
--- a/model/vm.go
+++ b/model/vm.go
@@ -67,7 +67,7 @@
 	n.up, n.frozen = true, false
 	n.id = mesh.ID{Address: address(1, n.index), Boot: uint64(n.index)<<32 | n.boots}
 	self := mesh.Member{ID: n.id, VM: n.name, DataCenter: n.dc, Share: 0.4}
-	n.core = node.NewCore(w.log.With("vm", n.name), self, &catalog.Shelf{})
+	n.core = node.NewCore(w.log.With("vm", n.name), self, &catalog.Shelf{}, w.cfg.Policy)
 	n.waiters = make(map[entry.Waiter]func(entry.Answer))
 	n.backlog = nil
 	n.reading = mesh.ID{}
--- a/node/core.go
+++ b/node/core.go
@@ -82,6 +82,7 @@
 	entry  *entry.Book
 	cell   *cell.Book
 	held   map[string]*lease.Book
+	habits map[string]*lease.Habits
 	// lost are the entry processes out of sight and when they were last heard.
 	lost     map[mesh.ID]time.Time
 	reported time.Time
@@ -95,7 +96,7 @@
 }
 
 // NewCore makes the core of a process.
-func NewCore(log *slog.Logger, self mesh.Member, shelf *catalog.Shelf) *Core {
+func NewCore(log *slog.Logger, self mesh.Member, shelf *catalog.Shelf, policy cell.Policy) *Core {
 	return &Core{
 		log:     log,
 		self:    self,
@@ -103,8 +104,9 @@
 		members: make(map[mesh.ID]peerState),
 		known:   make(map[netip.AddrPort]struct{}),
 		entry:   entry.New(log),
-		cell:    cell.New(log, self.ID),
+		cell:    cell.New(log, self.ID, policy),
 		held:    make(map[string]*lease.Book),
+		habits:  make(map[string]*lease.Habits),
 		lost:    make(map[mesh.ID]time.Time),
 	}
 }
@@ -279,7 +281,17 @@
 		return
 	}
 	event.DutyTaken.Log(c.log, "worker", d.Worker.ID, "address", d.Worker.Address, "floor", uint64(d.Floor))
-	c.held[d.Worker.ID] = lease.NewBook(now, d.Worker, lease.NewFence(c.self.Number), d.Floor)
+	c.held[d.Worker.ID] = lease.NewBook(now, d.Worker, lease.NewFence(c.self.Number), d.Floor, c.habitsOf(d.Worker.Pool))
+}
+
+// habitsOf returns what is known of a pool's workers as a whole.
+func (c *Core) habitsOf(pool string) *lease.Habits {
+	h := c.habits[pool]
+	if h == nil {
+		h = &lease.Habits{}
+		c.habits[pool] = h
+	}
+	return h
 }
 
 func (c *Core) release(now time.Time, worker string) {
--- a/node/node.go
+++ b/node/node.go
@@ -46,6 +46,8 @@
 	Callers, Ready, Peers, Operators netip.AddrPort
 	// Seeds are addresses of other processes, which may be out of date.
 	Seeds []netip.AddrPort
+	// Policy is how the planner decides; the zero value is the default one.
+	Policy cell.Policy
 	// StopFor is the time from the order to stop to the end by force.
 	StopFor time.Duration
 }
@@ -139,7 +141,7 @@
 		ln:       ln,
 		clock:    clock.New(),
 		shelf:    shelf,
-		core:     NewCore(log, self, shelf),
+		core:     NewCore(log, self, shelf, cfg.Policy),
 		work:     make(chan work, ring),
 		waiters:  make(map[entry.Waiter]chan entry.Answer),
 		topics:   make(map[string]*registry.Follower),
