--- /dev/null
+++ b/operator/cell.go
@@ -0,0 +1,129 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"snipehub.example/mesh"
+	"snipehub.example/node"
+)
+
+func cellCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "cell",
+		Usage: "on the platform: show who plans, who holds which worker, versions and ages",
+		Description: "Asks one process of the cell, and the planner that it names. Exit code 4 if the\n" +
+			"planner did not answer.",
+		Flags:  []cli.Flag{dispatcherFlag, jsonFlag, timeoutFlag},
+		Action: showCell,
+	}
+}
+
+func showCell(ctx context.Context, c *cli.Command) error {
+	ctx, cancel := bounded(ctx, c)
+	defer cancel()
+	address := c.String("dispatcher")
+	s, err := askNode(ctx, address)
+	if err != nil {
+		return err
+	}
+	planner, err := askPlanner(ctx, s, address)
+	if err := out(c, []node.Status{s, planner}, func(w io.Writer) { writeCell(w, s, planner) }); err != nil {
+		return err
+	}
+	if err != nil {
+		return cli.Exit("no answer from the planner: "+err.Error(), ExitPending)
+	}
+	return nil
+}
+
+// askPlanner asks the planner at the same port, on its own machine.
+func askPlanner(ctx context.Context, s node.Status, address string) (node.Status, error) {
+	if s.Plans || s.Planner == (mesh.ID{}) {
+		return s, nil
+	}
+	port := address[strings.LastIndexByte(address, ':')+1:]
+	return askNode(ctx, s.Planner.Address.Addr().String()+":"+port)
+}
+
+func askNode(ctx context.Context, address string) (node.Status, error) {
+	var s node.Status
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return s, usage(errors.Wrap(err, "dispatcher"))
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return s, errors.Wrap(err, "cell")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return s, errors.Errorf("cell: %s answers %s; is this the metrics address of a process?", address, resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&s); err != nil {
+		return s, errors.Wrap(err, "cell")
+	}
+	return s, nil
+}
+
+func writeCell(w io.Writer, s, planner node.Status) {
+	fmt.Fprintf(w, "%-32s %-12s %-6s %-8s %-8s %s\n", "process", "data centre", "share", "number", "catalog", "")
+	for _, m := range s.Members {
+		var notes []string
+		if m.ID == s.Planner {
+			notes = append(notes, "plans")
+		}
+		if m.Leaving {
+			notes = append(notes, "leaving")
+		}
+		if m.Blind {
+			notes = append(notes, "does not reach the store")
+		}
+		fmt.Fprintf(w, "%-32s %-12s %-6g %-8d %-8d %s\n", m.VM, m.DataCenter, m.Share, m.Number, m.Catalog, strings.Join(notes, ", "))
+	}
+	writeAges(w, s.StoreAge)
+	if planner.Cell == nil {
+		return
+	}
+	writeHolders(w, s.Members, planner)
+}
+
+func writeAges(w io.Writer, ages map[string]time.Duration) {
+	names := make([]string, 0, len(ages))
+	for n := range ages {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for _, n := range names {
+		fmt.Fprintf(w, "store, %s: read %s ago\n", n, ages[n].Round(10*time.Millisecond))
+	}
+}
+
+func writeHolders(w io.Writer, members []mesh.Member, planner node.Status) {
+	vm := make(map[mesh.ID]string, len(members))
+	for _, m := range members {
+		vm[m.ID] = m.VM
+	}
+	c := planner.Cell
+	fmt.Fprintf(w, "\n%d steps wait; %d workers take tasks, %.1f cores free\n", c.Waiting, c.Workers, c.FreeCores)
+	fmt.Fprintf(w, "%-20s %-32s %-10s %-6s %-5s %-7s %s\n", "worker", "holder", "for", "term", "runs", "factor", "")
+	for _, h := range c.Holders {
+		var notes []string
+		for note, is := range map[string]bool{"not open": !h.Open, "draining": h.Draining, "not listed": !h.Listed, fmt.Sprintf("%d bad in a row", h.Speed.Bad): h.Speed.Bad > 0} {
+			if is {
+				notes = append(notes, note)
+			}
+		}
+		slices.Sort(notes)
+		fmt.Fprintf(w, "%-20s %-32s %-10s %-6d %-5d %-7.2f %s\n", h.Worker, vm[h.Holder], h.For.Round(100*time.Millisecond), h.Fence.Term(), h.Runs, h.Speed.Factor, strings.Join(notes, ", "))
+	}
+}
--- a/operator/command.go
+++ b/operator/command.go
@@ -66,6 +66,7 @@
 			tableCommand(poolsTable),
 			applyCommand(bothTables),
 			statusCommand(),
+			cellCommand(),
 			watchCommand(),
 			jobsCommand(),
 			keysCommand(),
