--- a/mesh/member.go
+++ b/mesh/member.go
@@ -31,14 +31,23 @@
 	Boot    uint64
 }
 
-// String writes the id as address/boot.
-func (i ID) String() string { return fmt.Sprintf("%s/%x", i.Address, i.Boot) }
+// String writes the id as address/boot; nobody's is empty.
+func (i ID) String() string {
+	if i == (ID{}) {
+		return ""
+	}
+	return fmt.Sprintf("%s/%x", i.Address, i.Boot)
+}
 
 // MarshalText writes the id for messages.
 func (i ID) MarshalText() ([]byte, error) { return []byte(i.String()), nil }
 
 // UnmarshalText reads what MarshalText wrote.
 func (i *ID) UnmarshalText(b []byte) error {
+	if len(b) == 0 {
+		*i = ID{}
+		return nil
+	}
 	address, boot, ok := strings.Cut(string(b), "/")
 	if !ok {
 		return errors.Errorf("mesh: id %q has no boot number", b)
