A call to a worker that gets lost does not take the worker out of use

Change: three calls in a row without an answer close it; while calls get lost, polls wait 100 ms, starts are given up after 25 ms, and a second call looks beside the poll. The time-outs are the book's and travel with the calls.

--- a/lease/book.go
+++ b/lease/book.go
@@ -12,6 +12,25 @@
 	leaseFor = 1000 * time.Millisecond
 	// pollFor is how long a hold call waits for an end.
 	pollFor = 300 * time.Millisecond
+	// pollShort is the same while calls get lost: an end is noticed only with the
+	// next answer.
+	pollShort = 100 * time.Millisecond
+	// answerFor is when a call that does not wait counts as not answered, and
+	// what one that waits may take besides. A round trip takes a millisecond in
+	// the data centre and a few between two; a slow VM of our own takes tens.
+	answerFor = 100 * time.Millisecond
+	// startAnswer is the same for a start. It may be shorter: finding out what
+	// became of the start costs one more call, and its caller waits.
+	startAnswer = 50 * time.Millisecond
+	// startShort is the same while calls get lost.
+	startShort = 25 * time.Millisecond
+	// lossyFor is how long calls are taken to get lost after one was.
+	lossyFor = 3 * time.Second
+	// deafAfter is how many calls in a row must get no answer before a worker
+	// counts as out of reach. With one, a loss of 15% of the calls left half of
+	// the workers unused at any time, and callers got 0.48 of the worth in the
+	// model; with this and the shorter times below 0.86 (TestLostCalls).
+	deafAfter = 3
 	// startFor is the time in which a start must be carried out. An order that
 	// got no answer can reach the worker seconds later; it is refused then.
 	startFor = 250 * time.Millisecond
@@ -108,9 +127,13 @@
 	// calls counts hold calls, poll and look are those without answer.
 	calls      int
 	poll, look int
-	sound      bool
-	failures   int
-	nextHold   time.Time
+	// sound tells that the worker answers. look is due when something has to be
+	// known at once.
+	sound    bool
+	lookDue  bool
+	failures int
+	lossy    time.Time
+	nextHold time.Time
 
 	// draining tells that the worker takes no new tasks.
 	draining bool
@@ -202,7 +225,14 @@
 	e.attempt++
 	until := b.at(now) + startFor.Milliseconds()
 	b.lease = max(b.lease, until)
-	b.act(Action{Start: &StartCall{Order: e.Order, Until: until, Fence: e.fence, Attempt: e.attempt, Sent: now}})
+	b.act(Action{Start: &StartCall{Order: e.Order, Until: until, Fence: e.fence, Attempt: e.attempt, Timeout: b.startTime(now), Sent: now}})
+}
+
+func (b *Book) startTime(now time.Time) time.Duration {
+	if now.Before(b.lossy) {
+		return startShort
+	}
+	return startAnswer
 }
 
 // Started takes the answer to a start.
@@ -266,12 +296,25 @@
 		return
 	}
 	b.fence = next
-	b.sound = false
-	b.dirty = true
-	b.nextHold = now
+	b.missed(now)
 	b.Tick(now)
 }
 
+// missed takes note of a call that got no answer.
+func (b *Book) missed(now time.Time) {
+	b.failures++
+	b.lossy = now.Add(lossyFor)
+	b.lookDue = true
+	b.nextHold = now
+	if b.failures >= deafAfter {
+		b.dirty = b.dirty || b.sound
+		b.sound = false
+	}
+	if b.failures > deafAfter {
+		b.nextHold = now.Add(retryHold)
+	}
+}
+
 // Stop ends a run.
 func (b *Book) Stop(now time.Time, r Run) {
 	e, ok := b.runs[r]
@@ -396,6 +439,11 @@
 			b.dirty = true
 		}
 	}
+	// A lost poll hides ends until it is given up; while calls get lost, a second
+	// call looks now and then.
+	if len(b.runs) > 0 && now.Before(b.lossy) && b.look == 0 {
+		b.lookDue = true
+	}
 	if !b.sound && len(b.runs) > 0 && b.clock != 0 && now.After(b.Lapse()) {
 		b.lapsed(now)
 	}
--- a/lease/book_test.go
+++ b/lease/book_test.go
@@ -319,6 +319,30 @@
 	t.Error("never told that the run is lost")
 }
 
+// One call to a sound worker gets no answer. The worker stays in use: a call that is
+// lost now and then would else take a good part of all workers out of use.
+func TestOneLostCall(t *testing.T) {
+	b, poll, _ := runningBook(t)
+	b.Answered(ms(400), poll, Result{Verdict: NoAnswer})
+	got := take(b)
+	if len(got.holds) != 1 || got.holds[0].Wait != 0 {
+		t.Fatalf("calls %+v, want one that looks at once", got.holds)
+	}
+	b.Start(ms(401), alice, order("b", 1))
+	if s := take(b).starts; len(s) != 1 {
+		t.Error("the worker is out of use")
+	}
+	for i := range deafAfter - 1 {
+		look := got.holds[0]
+		b.Answered(ms(410+i), look, Result{Verdict: NoAnswer})
+		if got = take(b); len(got.holds) == 0 {
+			break
+		}
+	}
+	b.Start(ms(420), alice, order("c", 1))
+	wantEnd(t, take(b).tells, alice, Never, Unsound)
+}
+
 // A holder that is passed on starts nothing more and ends when no start is open.
 func TestRelease(t *testing.T) {
 	b, _ := opened(t)
--- a/lease/call.go
+++ b/lease/call.go
@@ -14,6 +14,8 @@
 	Seen int64
 	// Wait is how long the answer may wait for an end.
 	Wait time.Duration
+	// Timeout is when the call counts as not answered.
+	Timeout time.Duration
 	// Sent is when the call was given out.
 	Sent time.Time
 }
@@ -27,6 +29,8 @@
 	Fence Fence
 	// Attempt tells the calls for one run apart.
 	Attempt int
+	// Timeout is when the call counts as not answered.
+	Timeout time.Duration
 	Sent    time.Time
 }
 
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -11,20 +11,28 @@
 		return
 	}
 	switch {
-	case b.poll == 0 && b.sound && b.phase != looking && b.phase != claiming:
-		b.poll = b.call(now, pollFor)
-	case !b.sound && b.look == 0:
+	case b.poll == 0 && b.sound && b.failures == 0 && b.phase != looking && b.phase != claiming:
+		b.poll = b.call(now, b.pollTime(now))
+	case (!b.sound || b.lookDue) && b.look == 0:
+		b.lookDue = false
 		b.look = b.call(now, 0)
 	}
 }
 
+func (b *Book) pollTime(now time.Time) time.Duration {
+	if now.Before(b.lossy) {
+		return pollShort
+	}
+	return pollFor
+}
+
 func (b *Book) call(now time.Time, wait time.Duration) int {
 	b.calls++
-	c := &HoldCall{Number: b.calls, Fence: b.fence, Seen: b.seen, Wait: wait, Sent: now}
+	c := &HoldCall{Number: b.calls, Fence: b.fence, Seen: b.seen, Wait: wait, Timeout: wait + answerFor, Sent: now}
 	// A call to a worker that does not answer renews nothing: its order may be
 	// carried out although the answer is lost, and the runs there would be in
 	// doubt for as long as it is tried.
-	if b.clock != 0 && b.sound && (b.phase == open || b.phase == leaving) {
+	if b.clock != 0 && b.failures == 0 && (b.phase == open || b.phase == leaving) {
 		c.Until = b.at(now) + leaseFor.Milliseconds()
 		b.lease = max(b.lease, c.Until)
 	}
@@ -52,13 +60,7 @@
 		b.allLost(now)
 		b.close("worker_gone")
 	case NoAnswer:
-		b.failures++
-		b.sound = false
-		b.dirty = true
-		b.nextHold = now
-		if b.failures > 1 {
-			b.nextHold = now.Add(retryHold)
-		}
+		b.missed(now)
 	}
 	b.Tick(now)
 }
--- a/model/trouble_test.go
+++ b/model/trouble_test.go
@@ -21,8 +21,9 @@
 	return cfg
 }
 
-// TestBusyDays compares nothing; it logs what a busy day comes to, and checks that no
-// promise is broken on it.
+// More is asked than can be served, and a good part of the workers is sick. The least
+// worth is a little below what these days came to; without putting sick workers aside
+// it was 0.84, without waiting for faster ones 0.91.
 func TestBusyDays(t *testing.T) {
 	for _, site := range []struct {
 		name string
@@ -38,6 +39,9 @@
 				t.Log(r)
 			}
 		}
+		if sum < 0.925 {
+			t.Errorf("%s: worth %.3f, want 0.925", site.name, sum)
+		}
 		t.Logf("%s: worth %.3f, worst windows %.3f over %d days", site.name, sum, worst, seeds)
 	}
 }
--- a/model/vm.go
+++ b/model/vm.go
@@ -43,9 +43,8 @@
 	downAfter = 650 * time.Millisecond
 	// meetFor is how long two processes take to find each other.
 	meetFor = 60 * time.Millisecond
-	// startTimeout and holdTimeout bound calls to workers.
-	startTimeout = 80 * time.Millisecond
-	holdTimeout  = 200 * time.Millisecond
+	// stopTimeout bounds the order to stop a run.
+	stopTimeout = 150 * time.Millisecond
 )
 
 func (w *World) makeNodes() {
@@ -223,19 +222,19 @@
 }
 
 func (n *vm) hold(id string, c lease.HoldCall) {
-	n.call(id, c.Wait+holdTimeout,
+	n.call(id, c.Timeout,
 		func(x *worker, to func(lease.Result)) { x.hold(c, to) },
 		func(now time.Time, r lease.Result) { n.core.Held(now, id, c, r) })
 }
 
 func (n *vm) start(id string, c lease.StartCall) {
-	n.call(id, startTimeout,
+	n.call(id, c.Timeout,
 		func(x *worker, to func(lease.Result)) { to(x.start(c)) },
 		func(now time.Time, r lease.Result) { n.core.Started(now, id, c, r) })
 }
 
 func (n *vm) stop(id string, c lease.StopCall) {
-	n.call(id, holdTimeout,
+	n.call(id, stopTimeout,
 		func(x *worker, to func(lease.Result)) { to(x.stop(c)) },
 		func(time.Time, lease.Result) {})
 }
--- a/node/calls.go
+++ b/node/calls.go
@@ -9,20 +9,11 @@
 	"snipehub.example/meter"
 )
 
-const (
-	// holdSlack is added to the wait of a hold call: a round trip in the data
-	// centre takes under a millisecond, between data centres a few.
-	holdSlack = 200 * time.Millisecond
-	// startFor is when a start counts as not answered. Finding out what became
-	// of it takes one more call, so it may be short; a busy worker or a slow VM
-	// of our own take some tens of milliseconds.
-	startFor = 80 * time.Millisecond
-	// stopFor is when a stop is given up; it is repeated.
-	stopFor = 150 * time.Millisecond
-)
+// stopFor is when a stop is given up; it is repeated.
+const stopFor = 150 * time.Millisecond
 
 func (n *Node) hold(w lease.Worker, h lease.HoldCall) {
-	ctx, cancel := context.WithTimeout(n.root, h.Wait+holdSlack)
+	ctx, cancel := context.WithTimeout(n.root, h.Timeout)
 	defer cancel()
 	r, err := n.platform.Workers.Hold(ctx, w, h)
 	n.called("hold", w, lease.Run{}, err)
@@ -30,7 +21,7 @@
 }
 
 func (n *Node) start(w lease.Worker, s lease.StartCall) {
-	ctx, cancel := context.WithTimeout(n.root, startFor)
+	ctx, cancel := context.WithTimeout(n.root, s.Timeout)
 	defer cancel()
 	r, err := n.platform.Workers.Start(ctx, w, s)
 	n.called("start", w, s.Run, err)
