--- a/cell/book.go
+++ b/cell/book.go
@@ -133,13 +133,14 @@
 	bySpeed []*worker
 	// admitted is when it was last looked ahead.
 	admitted time.Time
-	// changed tells that something may be placed, loose that a worker has no
-	// holder.
+	// changed tells that something may be placed, loose that a worker may be
+	// without a holder.
 	changed, loose bool
-	// may tells whether workers of lost members may be given to others.
-	may    bool
-	acts   []Action
-	counts Counts
+	// may tells whether workers of lost members may be given to others, all
+	// whether every process that there is is in sight.
+	may, all bool
+	acts     []Action
+	counts   Counts
 	// listedOnce tells that the platform's list was read.
 	listedOnce bool
 }
@@ -254,12 +255,13 @@
 }
 
 // Members takes the processes of the cell that are in sight, this one included.
-// may tells whether the workers of those out of sight may be given to others.
-func (b *Book) Members(now time.Time, all []mesh.Member, may bool) {
+// may tells whether the workers of those out of sight may be given to others, whole
+// whether nobody is out of sight.
+func (b *Book) Members(now time.Time, all []mesh.Member, may, whole bool) {
 	if !b.active {
 		return
 	}
-	b.may = may
+	b.may, b.all = may, whole
 	next := make(map[mesh.ID]*member, len(all))
 	for _, m := range all {
 		e := b.members[m.ID]
@@ -350,6 +352,7 @@
 	if !b.active || m == nil {
 		return
 	}
+	first := r.Whole && !m.reported
 	if r.Whole {
 		m.reported = true
 		b.whole(now, from, r)
@@ -357,6 +360,7 @@
 	for _, s := range r.States {
 		b.state(now, from, s)
 	}
+	b.loose = b.loose || first
 	b.unassigned(now)
 	b.changed = true
 }
--- a/cell/book_test.go
+++ b/cell/book_test.go
@@ -36,7 +36,7 @@
 	t.Helper()
 	b := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
 	b.Begin(ms(0))
-	b.Members(ms(0), members(n), true)
+	b.Members(ms(0), members(n), true, false)
 	l := Listing{Whole: true}
 	for i := range k {
 		l.Listed = append(l.Listed, Listed{Worker: testWorker(i)})
@@ -118,25 +118,41 @@
 // and so on in turns.
 func TestCutOffPlannerTakesNothing(t *testing.T) {
 	b := allHeld(t, 4, 8)
-	b.Members(ms(1000), members(1), false)
+	b.Members(ms(1000), members(1), false, false)
 	b.Tick(ms(3000))
 	if got := duties(b); len(got) != 0 {
 		t.Errorf("duties %v", got)
 	}
-	b.Members(ms(3100), members(1), true)
+	b.Members(ms(3100), members(1), true, false)
 	b.Tick(ms(3200))
 	if got := duties(b); len(got) != 6 {
 		t.Errorf("%d duties once the others are known to be gone, want their 6 workers", len(got))
 	}
 }
 
+// All processes have started anew. When each has reported there is nothing to wait
+// for; every moment more is one in which nobody is served.
+func TestNobodyIsMissing(t *testing.T) {
+	b := planning(t, 3, 6)
+	b.Members(ms(1), members(3), true, true)
+	for i := range 3 {
+		if got := duties(b); len(got) != 0 {
+			t.Fatalf("duties %v before all have reported", got)
+		}
+		b.Report(ms(2), memberID(i), Report{Whole: true})
+	}
+	if got := duties(b); len(got) != 6 {
+		t.Errorf("%d duties when all have reported, want 6", len(got))
+	}
+}
+
 // A member that leaves is relieved of its workers first; they are given on when it has
 // let go, and not back to it.
 func TestLeavingMember(t *testing.T) {
 	b := allHeld(t, 4, 4)
 	all := members(4)
 	all[2].Leaving = true
-	b.Members(ms(1000), all, true)
+	b.Members(ms(1000), all, true, false)
 	var relieved []string
 	for _, a := range b.Take() {
 		if a.Relief != nil {
@@ -163,7 +179,7 @@
 func TestDrainingIsKnownFromTheHolder(t *testing.T) {
 	b := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
 	b.Begin(ms(0))
-	b.Members(ms(0), members(2), true)
+	b.Members(ms(0), members(2), true, false)
 	w := testWorker(0)
 	b.Report(ms(1), memberID(1), Report{Whole: true, States: []lease.State{{ID: w.ID, Worker: &w, Fence: lease.NewFence(9), Open: true, Draining: true}}})
 	b.Ask(ms(2), memberID(1), ask("j", 1))
@@ -341,7 +357,7 @@
 func BenchmarkPlace(b *testing.B) {
 	book := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
 	book.Begin(ms(0))
-	book.Members(ms(0), members(41), true)
+	book.Members(ms(0), members(41), true, false)
 	l := Listing{Whole: true}
 	for i := range 350 {
 		l.Listed = append(l.Listed, Listed{Worker: testWorker(i)})
@@ -460,3 +476,46 @@
 		t.Errorf("grants %+v, want the late task on the slow worker", g)
 	}
 }
+
+// Two jobs that have begun will use the only worker for longer than a third one has
+// time. It is refused at once, while its caller can still turn elsewhere; a job that
+// fits behind them waits.
+func TestLookingAhead(t *testing.T) {
+	b := allHeld(t, 2, 1)
+	first := ask("first", 2)
+	first.Estimate, first.Aim = time.Second, 2*time.Second
+	b.Ask(ms(700), memberID(1), first)
+	place(b, 700)
+	short, long := ask("short", 1), ask("long", 1)
+	short.Aim, long.Aim = 500*time.Millisecond, 1500*time.Millisecond
+	b.Ask(ms(720), memberID(1), short)
+	b.Ask(ms(720), memberID(1), long)
+	_, refusals := place(b, 720)
+	if len(refusals) != 1 || refusals[0].Job != "short" || refusals[0].Why != lateWord {
+		t.Errorf("refusals %+v, want only that of the job without time", refusals)
+	}
+	if len(b.waits) != 1 {
+		t.Errorf("%d jobs wait", len(b.waits))
+	}
+}
+
+// What is left of a run is foreseen from its progress, else from its estimate; one that
+// is overdue does not count as free.
+func TestEndOfARun(t *testing.T) {
+	tests := []struct {
+		name string
+		h    held
+		at   int
+		want int
+	}{
+		{"by estimate", held{began: ms(0), estimate: 100 * time.Millisecond}, 40, 200},
+		{"by progress", held{began: ms(0), estimate: 100 * time.Millisecond, percent: 50, seen: ms(30)}, 40, 60},
+		{"too early to tell", held{began: ms(0), estimate: 100 * time.Millisecond, percent: 5, seen: ms(30)}, 40, 200},
+		{"overdue", held{began: ms(0), estimate: 100 * time.Millisecond}, 400, 440},
+	}
+	for _, tt := range tests {
+		if got := tt.h.end(ms(tt.at), 2); !got.Equal(ms(tt.want)) {
+			t.Errorf("%s: ends at %v, want %v", tt.name, got.Sub(epoch), ms(tt.want).Sub(epoch))
+		}
+	}
+}
--- a/cell/duty.go
+++ b/cell/duty.go
@@ -14,9 +14,10 @@
 
 const (
 	// settleFor is how long a new planner waits for the members' reports before
-	// it gives workers to holders. Those of the planner before are reported
-	// within milliseconds; processes that start together find each other within
-	// about 400 ms.
+	// it gives workers to holders, unless all processes that there are have
+	// reported before. Those of the planner before are reported within
+	// milliseconds; processes that start together find each other within about
+	// 400 ms.
 	settleFor = 500 * time.Millisecond
 	// tellAgain is when a duty is repeated that no report confirms.
 	tellAgain = 500 * time.Millisecond
@@ -57,7 +58,19 @@
 // enough of the cell to give workers to holders. One that doesn't, because it was
 // cut off or the others have just started, would take the workers of those whom it
 // does not see.
-func (b *Book) settled(now time.Time) bool { return b.may && now.Sub(b.began) >= settleFor }
+func (b *Book) settled(now time.Time) bool {
+	return b.may && (now.Sub(b.began) >= settleFor || b.all && b.reported())
+}
+
+// reported tells whether all members have reported.
+func (b *Book) reported() bool {
+	for _, m := range b.members {
+		if !m.reported {
+			return false
+		}
+	}
+	return true
+}
 
 func (b *Book) sortedWorkers() []*worker {
 	out := make([]*worker, 0, len(b.workers))
--- a/node/core.go
+++ b/node/core.go
@@ -526,7 +526,8 @@
 	} else {
 		c.cell.Stop()
 	}
-	c.cell.Members(now, up, c.mayTakeOver(up))
+	seen := c.seen(up)
+	c.cell.Members(now, up, 2*seen > len(c.known), seen == len(c.known))
 }
 
 // electReader finds who reads the platform's list of workers: the planner, or the
@@ -579,18 +580,17 @@
 	return -1
 }
 
-// mayTakeOver tells whether those out of sight are surely not holding workers in
-// touch with most others: this process sees more than half of the processes that
-// the store lists. A process that is cut off alone would else take the workers of
-// all others from them.
-func (c *Core) mayTakeOver(up []mesh.Member) bool {
-	seen := 0
+// seen counts the processes that the store lists and this one sees. Only with more
+// than half of them in sight are workers given to others than their holders: a process
+// that is cut off alone would else take the workers of all others from them.
+func (c *Core) seen(up []mesh.Member) int {
+	n := 0
 	for a := range c.known {
 		if slices.ContainsFunc(up, func(m mesh.Member) bool { return m.ID.Address == a }) {
-			seen++
+			n++
 		}
 	}
-	return 2*seen > len(c.known)
+	return n
 }
 
 // Thawed takes note that the process did not run for a while: its jobs are given
