--- /dev/null
+++ b/load/model.go
@@ -0,0 +1,122 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"snipehub.example/cell"
+	"snipehub.example/internal/program"
+	"snipehub.example/model"
+)
+
+// planning are the planner's policies that are compared: the default, and the default
+// with one part changed.
+var planning = []struct {
+	name   string
+	policy cell.Policy
+}{
+	{"default", cell.Policy{}},
+	{"nothing put aside", cell.Policy{AsideAfter: -1}},
+	{"no waiting for faster", cell.Policy{WaitForFaster: cell.Off}},
+	{"no looking ahead", cell.Policy{LookAhead: cell.Off}},
+	{"margin 0.8", cell.Policy{Margin: 0.8}},
+	{"by objective", cell.Policy{Order: cell.ByAim}},
+	{"by work", cell.Policy{Order: cell.ByWork}},
+	{"by rank and work", cell.Policy{Order: cell.ByRankWork}},
+}
+
+func modelCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "model",
+		Usage: "play days in virtual time, with workers under leases, and compare the planner's policies",
+		Description: "Each row is a policy: the part of all worth that callers earned over the seeds with\n" +
+			"its standard error, that of the two worst windows, and what was late and refused.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "site", Value: "lakeshore", Usage: "lakeshore or teranga"},
+			&cli.StringFlag{Name: "day", Value: "busy", Usage: "calm, busy, full or lossy"},
+			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "how many"},
+			&cli.StringFlag{Name: "plots", Usage: "write a plot of the worth by seed into this directory"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			site, ok := model.Sites[c.String("site")]
+			if !ok {
+				return cli.Exit(fmt.Sprintf("no site %q", c.String("site")), program.ExitUsage)
+			}
+			i := slices.IndexFunc(model.Days, func(d model.Day) bool { return d.Name == c.String("day") })
+			if i < 0 {
+				return cli.Exit(fmt.Sprintf("no day %q", c.String("day")), program.ExitUsage)
+			}
+			day := model.Days[i]
+			fmt.Fprintf(c.Root().Writer, "%s, %s: %s; %d seeds\n", c.String("site"), day.Name, day.Pattern, c.Int("seeds"))
+			curves := comparePlanning(c.Root().Writer, site, day, c.Int("seeds"))
+			if dir := c.String("plots"); dir != "" {
+				d := drawing{
+					name: c.String("site") + "-" + day.Name + "-policies", title: day.Pattern,
+					x: "seed", y: "worth", curves: curves,
+				}
+				return d.save(dir, "svg")
+			}
+			return nil
+		},
+	}
+}
+
+// comparePlanning plays the day with each policy and writes a table.
+func comparePlanning(w io.Writer, site func() model.Config, day model.Day, seeds int) []curve {
+	fmt.Fprintf(w, "%-24s %-16s %-8s %-8s %-8s %s\n", "policy", "worth", "worst", "late", "refused", "by kind")
+	var curves []curve
+	for _, p := range planning {
+		var worth, worst []float64
+		late, refused := 0, 0
+		kinds := make(map[string]float64)
+		begun := time.Now()
+		cv := curve{name: p.name}
+		for seed := 1; seed <= seeds; seed++ {
+			cfg := site()
+			cfg.Seed, cfg.Policy = uint64(seed), p.policy
+			day.Apply(&cfg)
+			r := model.New(cfg).Run()
+			worth, worst = append(worth, r.Worth), append(worst, r.Worst)
+			cv.points = append(cv.points, Point{X: float64(seed), Y: r.Worth})
+			for _, t := range r.Classes {
+				late, refused = late+t.Late, refused+t.Refused
+				kinds[t.Name] += t.Share() / float64(seeds)
+			}
+		}
+		curves = append(curves, cv)
+		mean, err := meanError(worth)
+		low, _ := meanError(worst)
+		fmt.Fprintf(w, "%-24s %.3f ± %.3f    %.3f    %-8d %-8d %s (%.0f s)\n", p.name, mean, err, low, late, refused, byKind(kinds), time.Since(begun).Seconds())
+	}
+	return curves
+}
+
+func byKind(kinds map[string]float64) string {
+	var out []string
+	for k, v := range kinds {
+		out = append(out, fmt.Sprintf("%s %.2f", k, v))
+	}
+	slices.Sort(out)
+	return strings.Join(out, ", ")
+}
+
+// meanError returns the mean and its standard error.
+func meanError(v []float64) (mean, err float64) {
+	for _, x := range v {
+		mean += x / float64(len(v))
+	}
+	for _, x := range v {
+		err += (x - mean) * (x - mean)
+	}
+	if len(v) > 1 {
+		err = math.Sqrt(err / float64(len(v)-1) / float64(len(v)))
+	}
+	return mean, err
+}
--- a/model/trouble_test.go
+++ b/model/trouble_test.go
@@ -1,22 +1,14 @@
 package model
 
-import (
-	"testing"
-	"time"
-)
+import "testing"
 
-// busy is a day on which more is asked for a while than can be served, while workers
-// crash, fail everything, stand still and turn slow: the load of the fullest days
-// that the two users' stories describe.
+// busy is the day of that name.
 func busy(cfg Config, seed uint64) Config {
-	cfg.Seed, cfg.Load, cfg.Length, cfg.Tail = seed, 1.1, 16*time.Second, 6*time.Second
-	cfg.Bursts = []Burst{{At: 3 * time.Second, For: 4 * time.Second, Times: 1.3}}
-	n := int(seed) * 7
-	cfg.Faults = []Fault{
-		{5 * time.Second, Crash(n, 7, 4*time.Second)},
-		{7 * time.Second, Fail(n+12, 4, 5*time.Second)},
-		{10 * time.Second, Hang(n+20, 4, 3*time.Second)},
-		{12 * time.Second, Slow(n+30, 6, 5, 3*time.Second)},
+	cfg.Seed = seed
+	for _, d := range Days {
+		if d.Name == "busy" {
+			d.Apply(&cfg)
+		}
 	}
 	return cfg
 }
