An idle process wakes less often

A fifth of its wakes were looks at nothing: for addresses to try and for log lines.

Change: both are woken when there is something; a worker on which nothing runs is asked to wait 0.6 s in place of 0.3.

--- a/internal/sink/sink.go
+++ b/internal/sink/sink.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"snipehub.example/clock"
 	"snipehub.example/event"
 )
 
@@ -31,6 +32,9 @@
 type Sink struct {
 	out io.Writer
 
+	// wake tells that there are lines; a process that logs nothing needn't look.
+	wake chan struct{}
+
 	mu      sync.Mutex
 	lines   bytes.Buffer
 	dropped int
@@ -40,7 +44,7 @@
 }
 
 // New makes a sink that writes to out while Serve runs.
-func New(out io.Writer) *Sink { return &Sink{out: out} }
+func New(out io.Writer) *Sink { return &Sink{out: out, wake: make(chan struct{}, 1)} }
 
 // Write takes one line.
 func (s *Sink) Write(line []byte) (int, error) {
@@ -50,21 +54,26 @@
 		s.dropped++
 		return len(line), nil
 	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
 	return s.lines.Write(line)
 }
 
 // Serve writes until ctx ends, and then what is left.
 func (s *Sink) Serve(ctx context.Context) error {
-	t := time.NewTicker(sinkEvery)
-	defer t.Stop()
+	defer s.flush()
 	for {
 		select {
 		case <-ctx.Done():
-			s.flush()
 			return ctx.Err()
-		case <-t.C:
-			s.flush()
+		case <-s.wake:
+		}
+		if !clock.Sleep(ctx, sinkEvery) {
+			return ctx.Err()
 		}
+		s.flush()
 	}
 }
 
--- a/lease/book.go
+++ b/lease/book.go
@@ -13,6 +13,10 @@
 	leaseFor = 1000 * time.Millisecond
 	// pollFor is how long a hold call waits for an end.
 	pollFor = 300 * time.Millisecond
+	// pollIdle is the same while nothing runs: there is no end to wait for and no
+	// lease to renew, only the worker's silence to be noticed. It must be below
+	// the time of a lease, since a run can start while it waits.
+	pollIdle = 600 * time.Millisecond
 	// pollShort is the same while calls get lost: an end is noticed only with the
 	// next answer.
 	pollShort = 100 * time.Millisecond
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -20,8 +20,11 @@
 }
 
 func (b *Book) pollTime(now time.Time) time.Duration {
-	if now.Before(b.lossy) {
+	switch {
+	case now.Before(b.lossy):
 		return pollShort
+	case len(b.runs) == 0:
+		return pollIdle
 	}
 	return pollFor
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -16,7 +16,6 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
-	"snipehub.example/clock"
 	"snipehub.example/event"
 	"snipehub.example/peer"
 )
@@ -105,7 +104,9 @@
 	sessions map[netip.AddrPort]*session[M]
 	known    map[netip.AddrPort]*address
 	last     uint64
-	wg       sync.WaitGroup
+	// changed tells that an address was learned or a session has ended.
+	changed chan struct{}
+	wg      sync.WaitGroup
 }
 
 // address is a place to look for a member at.
@@ -127,6 +128,7 @@
 		self:     self,
 		sessions: make(map[netip.AddrPort]*session[M]),
 		known:    make(map[netip.AddrPort]*address),
+		changed:  make(chan struct{}, 1),
 	}
 }
 
@@ -164,6 +166,7 @@
 		k.due = now.Add(lowFirst)
 	}
 	m.known[a] = k
+	m.seekAgain()
 }
 
 // Send puts messages on the session with a member. Messages to a member without
@@ -196,26 +199,39 @@
 	}
 }
 
-// seekEvery is how often it is looked which addresses are due.
-const seekEvery = 50 * time.Millisecond
+// seekMost is the longest pause between two looks at which addresses are due.
+const seekMost = time.Second
 
 // seek tries the addresses without a session. The address with the lower number
 // dials at once, the other one only if nobody came.
 func (m *Mesh[M]) seek(ctx context.Context) {
-	for clock.Sleep(ctx, seekEvery) {
-		for _, a := range m.due(time.Now()) {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.changed:
+		case <-t.C:
+		}
+		out, next := m.due(time.Now())
+		for _, a := range out {
 			m.wg.Go(func() { m.dial(ctx, a) })
 		}
+		t.Reset(next)
 	}
 }
 
-func (m *Mesh[M]) due(now time.Time) []netip.AddrPort {
+// due returns the addresses to try now, and when the next one is due.
+func (m *Mesh[M]) due(now time.Time) (out []netip.AddrPort, next time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []netip.AddrPort
+	next = seekMost
 	for a, k := range m.known {
 		switch {
-		case k.dialing || m.sessions[a] != nil || now.Before(k.due):
+		case k.dialing || m.sessions[a] != nil:
+		case now.Before(k.due):
+			next = min(next, k.due.Sub(now))
 		case now.Sub(k.named) > forgetAfter:
 			delete(m.known, a)
 		default:
@@ -223,7 +239,15 @@
 			out = append(out, a)
 		}
 	}
-	return out
+	return out, next
+}
+
+// seekAgain has addresses that have become due noticed.
+func (m *Mesh[M]) seekAgain() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
 }
 
 func (m *Mesh[M]) dial(ctx context.Context, a netip.AddrPort) {
@@ -240,6 +264,7 @@
 		k.due = time.Now().Add(k.pause/2 + rand.N(k.pause))
 		k.pause = min(2*k.pause, redialMost)
 	}
+	m.seekAgain()
 }
 
 // connect begins a session on a new connection, on which both sides greet.
@@ -294,6 +319,7 @@
 			k.due = k.named.Add(lowFirst)
 		}
 	}
+	m.seekAgain()
 }
 
 func (m *Mesh[M]) hello() hello {
