--- a/lease/state.go
+++ b/lease/state.go
@@ -107,6 +107,9 @@
 	b.Tick(now)
 }
 
+// Known tells that the worker has accepted this holder and has told what it runs.
+func (b *Book) Known() bool { return b.phase != looking && b.phase != closed }
+
 // Owners returns the processes that have runs on the worker.
 func (b *Book) Owners() []Owner {
 	var out []Owner
--- a/model/model.go
+++ b/model/model.go
@@ -105,8 +105,11 @@
 type World struct {
 	cfg Config
 	rnd *rand.Rand
-	log *slog.Logger
-	now time.Time
+	// meetings draws how long processes take to find each other, without changing
+	// what is drawn for the day itself.
+	meetings *rand.Rand
+	log      *slog.Logger
+	now      time.Time
 	// start is the time of the first request.
 	start   time.Time
 	queue   events
@@ -177,13 +180,14 @@
 		cfg.Load = 1
 	}
 	w := &World{
-		cfg:   cfg,
-		rnd:   rand.New(rand.NewPCG(cfg.Seed, 1)),
-		now:   time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
-		links: make(map[[2]int]*link),
-		byID:  make(map[string]*worker),
-		byJob: make(map[string]*job),
-		runs:  make(map[string][]*span),
+		cfg:      cfg,
+		rnd:      rand.New(rand.NewPCG(cfg.Seed, 1)),
+		meetings: rand.New(rand.NewPCG(cfg.Seed, 3)),
+		now:      time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		links:    make(map[[2]int]*link),
+		byID:     make(map[string]*worker),
+		byJob:    make(map[string]*job),
+		runs:     make(map[string][]*span),
 	}
 	w.log = slog.New(slog.NewTextHandler(cfg.Log, &slog.HandlerOptions{ReplaceAttr: w.stamp}))
 	w.start = w.now.Add(cfg.Lead)
--- a/model/vm.go
+++ b/model/vm.go
@@ -41,7 +41,8 @@
 	listEvery = 400 * time.Millisecond
 	// downAfter is when silence ends a session.
 	downAfter = 650 * time.Millisecond
-	// meetFor is how long two processes take to find each other.
+	// meetFor is how long two processes take to find each other, at least; some
+	// pairs take up to 200 ms more.
 	meetFor = 60 * time.Millisecond
 	// stopTimeout bounds the order to stop a run.
 	stopTimeout = 150 * time.Millisecond
@@ -76,7 +77,7 @@
 	n.list(boots)
 	for _, o := range w.nodes {
 		if o != n && o.up {
-			w.after(meetFor, func() { w.meet(n, o) })
+			w.after(meetFor+time.Duration(w.meetings.IntN(200))*time.Millisecond, func() { w.meet(n, o) })
 		}
 	}
 }
--- a/node/core.go
+++ b/node/core.go
@@ -448,12 +448,24 @@
 	c.elect(now)
 	delete(c.lost, m.ID)
 	c.entry.HolderUp(m.ID)
+	c.announce(now, m.ID)
 	c.wants(now, m)
 	if m.ID == c.planner {
 		c.greet(now)
 	}
 }
 
+// announce tells a member which workers are held here. It may have runs there and have
+// missed the announcement because there was no session yet: it would wait two seconds
+// until it takes them for lost.
+func (c *Core) announce(now time.Time, to mesh.ID) {
+	for _, id := range slices.Sorted(maps.Keys(c.held)) {
+		if b := c.held[id]; b.Known() {
+			c.send(now, to, Mail{Held: &entry.Held{Worker: id, Fence: b.Fence()}})
+		}
+	}
+}
+
 // before ends other lives at the same address: an address is bound by one process
 // at a time.
 func (c *Core) before(now time.Time, id mesh.ID) {
--- /dev/null
+++ b/node/core_test.go
@@ -0,0 +1,217 @@
+package node
+
+import (
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"snipehub.example/catalog"
+	"snipehub.example/cell"
+	"snipehub.example/entry"
+	"snipehub.example/lease"
+	"snipehub.example/mesh"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ms(n int) time.Time { return epoch.Add(time.Duration(n) * time.Millisecond) }
+
+func member(n int) mesh.Member {
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
+	return mesh.Member{ID: mesh.ID{Address: a, Boot: uint64(n)}, DataCenter: "dc", Share: 1, Number: uint64(n)}
+}
+
+// newCore is the core of member n, which has the first catalog and knows others by the
+// store.
+func newCore(n int, known ...int) *Core {
+	self := member(n)
+	self.Number = 0
+	c := NewCore(slog.New(slog.DiscardHandler), self, &catalog.Shelf{}, cell.Policy{})
+	var addrs []netip.AddrPort
+	for _, k := range append(known, n) {
+		addrs = append(addrs, member(k).ID.Address)
+	}
+	c.Known(ms(0), addrs)
+	c.Catalog(ms(0), &catalog.Catalog{Version: 1}, "store")
+	c.Say(ms(0), func(m *mesh.Member) { m.Number = uint64(n) })
+	c.Take(ms(0))
+	return c
+}
+
+// mail returns the messages to a member.
+func mail(out []Output, to mesh.ID) (all []Mail) {
+	for _, o := range out {
+		if o.Mail != nil && o.To == to {
+			all = append(all, *o.Mail)
+		}
+	}
+	return all
+}
+
+func testWorker() lease.Worker {
+	return lease.Worker{ID: "w", Address: netip.MustParseAddrPort("10.1.0.1:1"), DataCenter: "dc", Pool: "p", Room: lease.Room{CPU: 60}}
+}
+
+// holding is a core that holds a worker with a run that nobody has claimed yet.
+func holding(t *testing.T, c *Core, from mesh.Member) {
+	t.Helper()
+	c.MemberUp(ms(1), from, 1)
+	c.Receive(ms(2), from.ID, 1, []Mail{{Duty: &cell.Duty{Worker: testWorker()}}})
+	for _, o := range c.Take(ms(2)) {
+		if o.Hold != nil {
+			r := lease.Result{Verdict: lease.OK, Clock: 100, Born: 1, Running: []lease.Listed{{Run: lease.Run{Task: "j.0.0.0", Number: 1}}}}
+			c.Held(ms(3), "w", *o.Hold, r)
+		}
+	}
+	c.Take(ms(3))
+}
+
+// A process that has just started takes over a worker before it has met all others.
+// One that it meets later has a run there: it must learn who holds the worker now, or
+// its caller waits for two seconds until the run counts as lost.
+func TestHeldWorkersAreToldToANewSession(t *testing.T) {
+	c := newCore(2, 1, 3)
+	holding(t, c, member(1))
+	c.MemberUp(ms(50), member(3), 2)
+	var held []entry.Held
+	for _, m := range mail(c.Take(ms(50)), member(3).ID) {
+		if m.Held != nil {
+			held = append(held, *m.Held)
+		}
+	}
+	if len(held) != 1 || held[0].Worker != "w" || held[0].Fence == 0 {
+		t.Errorf("told %+v, want the worker", held)
+	}
+}
+
+// The messages of a session that is over arrive after its end was noted. What they ask
+// for was settled otherwise since.
+func TestMailOfAnEndedSession(t *testing.T) {
+	c := newCore(1, 2)
+	c.MemberUp(ms(1), member(2), 1)
+	c.MemberDown(ms(10), member(2).ID, 1, ms(5))
+	c.MemberUp(ms(20), member(2), 2)
+	c.Take(ms(20))
+	start := entry.Start{Runs: []entry.Placed{{Run: lease.Run{Task: "j.0.0.0", Number: 1}, Worker: "w"}}}
+	c.Receive(ms(21), member(2).ID, 1, []Mail{{Start: &start}})
+	if got := mail(c.Take(ms(21)), member(2).ID); len(got) != 0 {
+		t.Errorf("answered %+v", got)
+	}
+	c.Receive(ms(22), member(2).ID, 2, []Mail{{Start: &start}})
+	if got := mail(c.Take(ms(22)), member(2).ID); len(got) != 1 || got[0].Ended == nil || got[0].Ended.End.Why != lease.NotHeld {
+		t.Errorf("%+v, want to be told that the worker is not held", got)
+	}
+}
+
+// Who plans must not change when another process joins: what waits would have to be
+// asked for again. It changes when the planner leaves.
+func TestWhoPlans(t *testing.T) {
+	c := newCore(3, 1, 2)
+	if c.Planner() != member(3).ID || !c.Plans() {
+		t.Fatalf("alone, the planner is %v", c.Planner())
+	}
+	c.MemberUp(ms(1), member(1), 1)
+	if c.Planner() != member(1).ID || c.Plans() {
+		t.Errorf("the planner is %v, want the one that joined first", c.Planner())
+	}
+	late := member(9)
+	c.MemberUp(ms(2), late, 2)
+	if c.Planner() != member(1).ID {
+		t.Errorf("the planner changed to %v for one that joined", c.Planner())
+	}
+	large := member(8)
+	large.Share = 4
+	c.MemberUp(ms(3), large, 3)
+	if c.Planner() != large.ID {
+		t.Errorf("the planner is %v, want the largest", c.Planner())
+	}
+	large.Leaving = true
+	c.MemberChanged(ms(4), large)
+	if c.Planner() != member(1).ID {
+		t.Errorf("the planner is %v although it leaves", c.Planner())
+	}
+}
+
+// The store turns the planner away and serves the others: one of them reads the list
+// of workers for it. Else tasks would be started on workers that have long left.
+func TestWhoReads(t *testing.T) {
+	c := newCore(2, 1)
+	first := member(1)
+	c.MemberUp(ms(1), first, 1)
+	if _, ok := c.Reads(); ok {
+		t.Error("reads although the planner does")
+	}
+	first.Blind = true
+	c.MemberChanged(ms(2), first)
+	planner, ok := c.Reads()
+	if !ok || planner != first.ID {
+		t.Errorf("reads %v for %v, want for the planner", ok, planner)
+	}
+	c.Take(ms(2))
+	c.Workers(ms(3), cell.Listing{Whole: true, Listed: []cell.Listed{{Worker: testWorker()}}})
+	got := mail(c.Take(ms(3)), first.ID)
+	if len(got) != 1 || got[0].Listing == nil || !got[0].Listing.Whole {
+		t.Errorf("sent %+v, want the list", got)
+	}
+}
+
+// A member has a newer configuration; the store may never tell this process.
+func TestNewerCatalogOfAMember(t *testing.T) {
+	a, b := newCore(1, 2), newCore(2, 1)
+	a.Catalog(ms(1), &catalog.Catalog{Version: 7}, "store")
+	b.MemberUp(ms(2), a.Self(), 1)
+	var want *Want
+	for _, m := range mail(b.Take(ms(2)), a.Self().ID) {
+		if m.Want != nil {
+			want = m.Want
+		}
+	}
+	if want == nil {
+		t.Fatal("the catalog is not asked for")
+	}
+	a.MemberUp(ms(2), b.Self(), 1)
+	a.Take(ms(2))
+	a.Receive(ms(3), b.Self().ID, 1, []Mail{{Want: want}})
+	b.Receive(ms(4), a.Self().ID, 1, mail(a.Take(ms(3)), b.Self().ID))
+	if v := b.Self().Catalog; v != 7 {
+		t.Errorf("version %d", v)
+	}
+	b.Catalog(ms(5), &catalog.Catalog{Version: 5}, "store")
+	if v := b.Self().Catalog; v != 7 {
+		t.Errorf("version %d after an older one from the store", v)
+	}
+}
+
+// The process that had taken in a job is lost. Its runs here are stopped before its
+// caller can have started them elsewhere; but not if it only connects anew.
+func TestRunsOfALostProcess(t *testing.T) {
+	for _, back := range []bool{true, false} {
+		c := newCore(2, 1, 3)
+		holding(t, c, member(1))
+		e := member(3)
+		c.MemberUp(ms(10), e, 5)
+		run := lease.Run{Task: "j.0.0.0", Number: 1}
+		c.Receive(ms(11), e.ID, 5, []Mail{{Claim: &entry.Claim{Worker: "w", Runs: []entry.Claimed{{Run: run}}}}})
+		c.Take(ms(11))
+		c.MemberDown(ms(700), e.ID, 5, ms(50))
+		if back {
+			c.MemberUp(ms(710), e, 6)
+		}
+		stops := 0
+		for at := 710; at < 1100; at += 50 {
+			c.Tick(ms(at))
+			for _, o := range c.Take(ms(at)) {
+				if o.Stop != nil {
+					stops++
+					if at < 950 || at > 1000 {
+						t.Errorf("stopped at %d ms, last heard at 50", at)
+					}
+				}
+			}
+		}
+		if (stops == 0) != back {
+			t.Errorf("%d stops; the process came back: %v", stops, back)
+		}
+	}
+}
