--- a/cell/book_test.go
+++ b/cell/book_test.go
@@ -452,6 +452,21 @@
 	}
 }
 
+// A worker changes its holder. What was learned of its speed must go with it.
+func TestSpeedGoesWithADuty(t *testing.T) {
+	b := allHeld(t, 4, 1)
+	h := b.workers["w0"].holder
+	slow := lease.Speed{Factor: 3, Ends: 40}
+	b.Report(ms(700), h, Report{States: []lease.State{{ID: "w0", Fence: lease.NewFence(9), Open: true, Speed: slow}}})
+	b.Report(ms(710), h, Report{States: []lease.State{{ID: "w0", Fence: lease.NewFence(9), Gone: true}}})
+	for _, a := range b.Take() {
+		if a.Duty != nil && a.Duty.Speed.Factor == slow.Factor {
+			return
+		}
+	}
+	t.Error("the new holder is not told the speed")
+}
+
 // Only a slow worker is free, on which a task would be late. It waits for a fast one
 // while it still could be in time there; once it is late, any worker will do.
 func TestTasksWaitForAFasterWorker(t *testing.T) {
--- a/cell/duty.go
+++ b/cell/duty.go
@@ -97,7 +97,7 @@
 func (b *Book) tell(now time.Time, w *worker) {
 	w.told = now
 	event.DutyGiven.Log(b.log, "worker", w.ID, "member", w.holder, "former", w.former, "floor", w.fence)
-	b.act(Action{To: w.holder, Duty: &Duty{Worker: w.Worker, Floor: w.fence}})
+	b.act(Action{To: w.holder, Duty: &Duty{Worker: w.Worker, Floor: w.fence, Speed: w.speed}})
 }
 
 // choose returns the member of the worker's data centre with the least load for
--- a/cell/message.go
+++ b/cell/message.go
@@ -70,8 +70,11 @@
 // Duty tells a member to hold a worker.
 type Duty struct {
 	Worker lease.Worker `json:"worker"`
-	// Floor is the highest fence known of the worker.
+	// Floor is the highest fence known of the worker, Speed what its former
+	// holder had learned. Without it, each takeover would let slow workers pass
+	// for ordinary ones until some tasks have been late there.
 	Floor lease.Fence `json:"floor"`
+	Speed lease.Speed `json:"speed"`
 }
 
 // Relief tells a member to pass a worker on.
--- a/lease/book.go
+++ b/lease/book.go
@@ -155,9 +155,10 @@
 	acts   []Action
 }
 
-// NewBook begins to hold a worker with a fence above the floor.
-func NewBook(now time.Time, w Worker, own, floor Fence, habits *Habits) *Book {
-	b := &Book{worker: w, habits: habits, fence: own.Above(floor), phase: looking, runs: make(map[Run]*run), ended: make(map[Run]How), nextHold: now}
+// NewBook begins to hold a worker with a fence above the floor, and with what its
+// former holder had learned of its speed.
+func NewBook(now time.Time, w Worker, own, floor Fence, speed Speed, habits *Habits) *Book {
+	b := &Book{worker: w, speed: speed, habits: habits, fence: own.Above(floor), phase: looking, runs: make(map[Run]*run), ended: make(map[Run]How), nextHold: now}
 	b.Tick(now)
 	return b
 }
--- a/lease/book_test.go
+++ b/lease/book_test.go
@@ -65,7 +65,7 @@
 // opened is a book that holds an idle worker at 0 ms, with its first poll.
 func opened(t *testing.T) (*Book, HoldCall) {
 	t.Helper()
-	b := NewBook(ms(0), testWorker(), NewFence(9), 0, &Habits{})
+	b := NewBook(ms(0), testWorker(), NewFence(9), 0, Speed{}, &Habits{})
 	first := take(b).holds
 	if len(first) != 1 || first[0].Until != 0 || first[0].Wait != 0 {
 		t.Fatalf("the first call %+v is no look", first)
@@ -165,7 +165,7 @@
 // renewed anything. The runs go on under the old lease for almost a second. Told too
 // early that they are lost, their owner starts them again elsewhere while they run.
 func TestLeaseOfTheHolderBefore(t *testing.T) {
-	b := NewBook(ms(0), testWorker(), NewFence(9), 0, &Habits{})
+	b := NewBook(ms(0), testWorker(), NewFence(9), 0, Speed{}, &Habits{})
 	look := take(b).holds[0]
 	b.Answered(ms(0), look, listed(ms(0), []Run{{"a", 1}}))
 	take(b)
@@ -199,7 +199,7 @@
 // without renewing would keep it from renewing for its whole wait, and what runs
 // would be killed in the middle.
 func TestClaimedRunsAreRenewedAtOnce(t *testing.T) {
-	b := NewBook(ms(0), testWorker(), NewFence(9), 0, &Habits{})
+	b := NewBook(ms(0), testWorker(), NewFence(9), 0, Speed{}, &Habits{})
 	b.Answered(ms(0), take(b).holds[0], listed(ms(0), []Run{{"a", 1}}))
 	if h := take(b).holds; len(h) != 0 {
 		t.Fatalf("calls %+v while runs are claimed", h)
@@ -214,7 +214,7 @@
 // The new holder finds a run that nobody claims. Renewed, it would run on beside the
 // copy that the caller has sent to another process.
 func TestRunOfNobody(t *testing.T) {
-	b := NewBook(ms(0), testWorker(), NewFence(9), 0, &Habits{})
+	b := NewBook(ms(0), testWorker(), NewFence(9), 0, Speed{}, &Habits{})
 	b.Answered(ms(0), take(b).holds[0], listed(ms(0), []Run{{"a", 1}, {"b", 1}}))
 	take(b)
 	b.Claim(ms(2), alice, []Order{order("a", 1)})
@@ -232,7 +232,7 @@
 // A new holder is asked for runs that ended before it came, that go on, and that it
 // has never heard of.
 func TestClaims(t *testing.T) {
-	b := NewBook(ms(0), testWorker(), NewFence(9), 0, &Habits{})
+	b := NewBook(ms(0), testWorker(), NewFence(9), 0, Speed{}, &Habits{})
 	b.Answered(ms(0), take(b).holds[0], listed(ms(0), []Run{{"a", 1}}, ListedEnd{4, Run{"b", 1}, Done}, ListedEnd{5, Run{"c", 1}, Failed}))
 	take(b)
 	b.Claim(ms(2), bob, []Order{order("a", 1), order("b", 1), order("c", 1), order("d", 1)})
--- a/lease/speed_test.go
+++ b/lease/speed_test.go
@@ -55,7 +55,7 @@
 func TestStandingStill(t *testing.T) {
 	for _, told := range []bool{true, false} {
 		habits := &Habits{Progress: told}
-		b := NewBook(ms(0), testWorker(), NewFence(9), 0, habits)
+		b := NewBook(ms(0), testWorker(), NewFence(9), 0, Speed{}, habits)
 		b.Answered(ms(0), take(b).holds[0], listed(ms(0), nil))
 		poll := take(b).holds[0]
 		b.Start(ms(10), alice, order("a", 1))
--- a/node/core.go
+++ b/node/core.go
@@ -281,7 +281,7 @@
 		return
 	}
 	event.DutyTaken.Log(c.log, "worker", d.Worker.ID, "address", d.Worker.Address, "floor", uint64(d.Floor))
-	c.held[d.Worker.ID] = lease.NewBook(now, d.Worker, lease.NewFence(c.self.Number), d.Floor, c.habitsOf(d.Worker.Pool))
+	c.held[d.Worker.ID] = lease.NewBook(now, d.Worker, lease.NewFence(c.self.Number), d.Floor, d.Speed, c.habitsOf(d.Worker.Pool))
 }
 
 // habitsOf returns what is known of a pool's workers as a whole.
