A planned stop cuts no request at its very end

Ruled out: closing idle connections at the beginning of the stop (tried: callers that were just writing got a reset, 1 to 4 of 2,400 requests).

Change: 2.5 s after the order the address is closed and what still comes over open connections is refused; the process ends when nothing is open, after its answers are written.

--- a/node/callers.go
+++ b/node/callers.go
@@ -25,6 +25,13 @@
 
 // Submit takes in a job and waits for its answer, or until its caller leaves.
 func (n *Node) Submit(ctx context.Context, r entry.Request) entry.Answer {
+	n.open.Add(1)
+	defer n.open.Add(-1)
+	if n.closed.Load() {
+		n.meter.CountCode(meter.LeasedJobs, entry.Refused.String(), 1)
+		event.JobAnswered.Log(n.log, "job", r.ID, "queue", r.Queue.Name, "status", entry.Refused, "why", closedWord, "age_ms", 0)
+		return entry.Answer{Status: entry.Refused, Why: closedWord, After: time.Second}
+	}
 	answers := make(chan entry.Answer, 1)
 	n.mu.Lock()
 	n.last++
@@ -49,6 +56,9 @@
 	return entry.Answer{Status: entry.Unknown, Why: "caller_left"}
 }
 
+// closedWord is the reason of a refusal by a process that is about to end.
+const closedWord = "process_ends"
+
 func (n *Node) answer(a entry.Answered) {
 	n.mu.Lock()
 	answers, ok := n.waiters[a.Waiter]
@@ -101,6 +111,9 @@
 	context.AfterFunc(ctx, func() { _ = n.ln.callers.Close() })
 	for {
 		c, err := n.ln.callers.Accept()
+		if n.closed.Load() {
+			<-ctx.Done()
+		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -116,6 +129,9 @@
 				ReadHeaderTimeout: l.HeaderTimeout,
 				IdleTimeout:       l.IdleTimeout,
 			}
+			n.mu.Lock()
+			n.servers = append(n.servers, s)
+			n.mu.Unlock()
 			servers.Go(func() { _ = s.Serve(feed) })
 			context.AfterFunc(ctx, func() { _ = s.Close() })
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -104,7 +104,10 @@
 	// root ends when the process does; calls to workers run under it.
 	root context.Context
 
-	stopping atomic.Bool
+	// stopping tells that a planned stop has begun, closed that nothing is taken
+	// in any more; open counts the jobs that callers wait for.
+	stopping, closed atomic.Bool
+	open             atomic.Int64
 	// reads tells that this process reads the list of workers for the planner.
 	reads   atomic.Bool
 	planner atomic.Pointer[mesh.ID]
@@ -114,6 +117,7 @@
 	last    entry.Waiter
 	calls   sync.WaitGroup
 	topics  map[string]*registry.Follower
+	servers []*http.Server
 }
 
 // work is one event for the core.
--- a/node/stop.go
+++ b/node/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"time"
 
 	"snipehub.example/clock"
@@ -16,25 +18,56 @@
 	// lastCall is the part of the time to stop that is left for what can't be
 	// finished: answers, and the end of the process.
 	lastCall = time.Second
-	stopPoll = 25 * time.Millisecond
+	// lastAnswers bounds the writing of answers at the end.
+	lastAnswers = 500 * time.Millisecond
+	stopPoll    = 25 * time.Millisecond
 )
 
 // stop ends the process without cutting anything: the workers are passed on, what
 // callers wait for is finished here by the new holders, and new callers are served
-// until the balancer has sent them elsewhere.
+// until the balancer has sent them elsewhere. Each answer closes its connection; idle
+// ones stay open until the end, because a caller may just be writing on them. Who still
+// comes at the end is refused: a request taken in between the last look and the end
+// would be cut in the middle.
 func (n *Node) stop(ctx context.Context) {
 	event.ProcessStopping.Log(n.log)
 	n.stopping.Store(true)
 	begun := time.Now()
 	n.say(ctx, func(m *mesh.Member) { m.Leaving = true })
+	clock.Sleep(ctx, lingerFor)
+	n.closed.Store(true)
+	_ = n.ln.callers.Close()
+	dropped := make(chan struct{})
+	go func() {
+		defer close(dropped)
+		if _, err := n.put(ctx, nil); err != nil {
+			event.MemberNotRecorded.Log(n.log, "error", err)
+		}
+	}()
 	for time.Since(begun) < n.cfg.StopFor-lastCall {
 		idle, _ := ask(ctx, n, func(_ time.Time, c *Core) bool { return c.Idle() })
-		if idle && time.Since(begun) > lingerFor {
+		if idle && n.open.Load() == 0 {
 			break
 		}
 		clock.Sleep(ctx, stopPoll)
 	}
-	if _, err := n.put(ctx, nil); err != nil {
-		event.MemberNotRecorded.Log(n.log, "error", err)
+	<-dropped
+	n.shutdown(ctx)
+}
+
+// shutdown closes the callers' connections, each after the answer that is being
+// written on it.
+func (n *Node) shutdown(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lastAnswers)
+	defer cancel()
+	for _, s := range n.callers() {
+		_ = s.Shutdown(ctx)
 	}
 }
+
+// callers returns the servers of callers.
+func (n *Node) callers() []*http.Server {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.servers)
+}
