A planner that begins is told again what it was told too early

Cause: when the planner leaves, one member may hear of it first, take another process for the new planner and tell it what it holds and asks for, before that process knows that it plans: the messages are dropped, and these jobs get no workers until their time is over.

Ruled out: lost messages of the session (sequence numbers are whole).

Change: a member counts how often it has begun to plan and says so; members that took it for the planner before then greet it again.

Test: node.TestWhatAPlannerWasToldTooEarly, red without the change ('a process that begins to plan doesn't say so').

--- a/mesh/member.go
+++ b/mesh/member.go
@@ -81,6 +81,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Blind tells that it does not reach the platform's store.
 	Blind bool `json:"blind,omitempty"`
+	// Plans counts how often it has begun to plan for the cell. It was told nothing
+	// of what was sent to it before it last began.
+	Plans uint64 `json:"plans,omitempty"`
 	// Catalog is the version of the routes and pools in force there.
 	Catalog catalog.Version `json:"catalog"`
 }
--- a/node/core.go
+++ b/node/core.go
@@ -494,11 +494,18 @@
 
 // MemberChanged takes what a member says of itself.
 func (c *Core) MemberChanged(now time.Time, m mesh.Member) {
-	if p, ok := c.members[m.ID]; ok {
-		p.Member = m
-		c.members[m.ID] = p
-		c.wants(now, m)
-		c.elect(now)
+	p, ok := c.members[m.ID]
+	if !ok {
+		return
+	}
+	before := c.planner
+	began := m.Plans != p.Plans
+	p.Member = m
+	c.members[m.ID] = p
+	c.wants(now, m)
+	c.elect(now)
+	if began && m.ID == before && m.ID == c.planner {
+		c.greet(now)
 	}
 }
 
@@ -533,13 +540,24 @@
 		c.greet(now)
 	}
 	c.reader = c.electReader(up, best)
-	if best.ID == c.self.ID {
+	c.plan(now, best.ID == c.self.ID)
+	seen := c.seen(up)
+	c.cell.Members(now, up, 2*seen > len(c.known), seen == len(c.known))
+}
+
+// plan begins or ends the planning. Members that took this process for the planner
+// earlier than it did have told it things that it could not use: it says that it has
+// begun, and they tell it again.
+func (c *Core) plan(now time.Time, self bool) {
+	switch {
+	case self == c.cell.Active():
+	case self:
 		c.cell.Begin(now)
-	} else {
+		c.self.Plans++
+		c.out = append(c.out, Output{Say: &c.self})
+	default:
 		c.cell.Stop()
 	}
-	seen := c.seen(up)
-	c.cell.Members(now, up, 2*seen > len(c.known), seen == len(c.known))
 }
 
 // electReader finds who reads the platform's list of workers: the planner, or the
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -215,3 +215,43 @@
 		}
 	}
 }
+
+// The planner leaves. One member hears of it first, takes this process for the new
+// planner, and tells it all that it holds and asks for its jobs before this process
+// knows that it plans: what was said is lost, and those jobs would get no workers until
+// their time is over. So a new planner says when it begins, and is told again then.
+func TestWhatAPlannerWasToldTooEarly(t *testing.T) {
+	planner := newCore(2, 1, 3)
+	other := newCore(3, 1, 2)
+	first := member(1)
+	planner.MemberUp(ms(1), first, 1)
+	planner.MemberUp(ms(1), member(3), 2)
+	other.MemberUp(ms(1), first, 1)
+	other.MemberUp(ms(1), planner.Self(), 2)
+	other.Submit(ms(2), 1, entry.Request{ID: "1", Queue: catalog.Queue{Name: "q"}, Steps: []entry.Step{{Count: 1}}, Patience: time.Minute})
+	planner.Take(ms(2))
+	other.Take(ms(2))
+
+	first.Leaving = true
+	other.MemberChanged(ms(10), first)
+	planner.Receive(ms(11), member(3).ID, 2, mail(other.Take(ms(10)), planner.Self().ID))
+	planner.MemberChanged(ms(12), first)
+	var said *mesh.Member
+	for _, o := range planner.Take(ms(12)) {
+		if o.Say != nil {
+			said = o.Say
+		}
+	}
+	if said == nil {
+		t.Fatal("a process that begins to plan doesn't say so")
+	}
+	other.MemberChanged(ms(13), *said)
+	var asked, reported bool
+	for _, m := range mail(other.Take(ms(13)), planner.Self().ID) {
+		asked = asked || m.Ask != nil
+		reported = reported || m.Report != nil && m.Report.Whole
+	}
+	if !asked || !reported {
+		t.Errorf("asked again %v, reported again %v", asked, reported)
+	}
+}
