A process that has just started is not ready before it has met the others

Cause: a process that knows nobody yet takes itself for the planner and holds no worker; callers sent to it in its first tenths of a second were refused. It met the others late when its side of a pair had to wait 250 ms for the other to connect.

Change: not ready until more than half of the recorded processes are in sight, for two seconds at the most; 60 ms in place of 250 for the other side to connect; a planned stop takes callers in for 3 s, as the balancer's two misses can take 2 s and a new connection is already on its way then.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -36,8 +36,10 @@
 	ring = 8192
 	// lowFirst is how long the process with the higher address leaves it to
 	// the other one to connect, so that two don't open two connections at once
-	// and close each other's.
-	lowFirst = 250 * time.Millisecond
+	// and close each other's. The other one may be in a pause between two
+	// attempts, and a process that has just started knows the planner only when
+	// it has met it, so it is short: some round trips.
+	lowFirst = 60 * time.Millisecond
 	// redialLeast and redialMost bound the pause between two attempts.
 	redialLeast = 100 * time.Millisecond
 	redialMost  = time.Second
--- a/node/callers.go
+++ b/node/callers.go
@@ -11,9 +11,9 @@
 	"github.com/go-faster/errors"
 
 	"snipehub.example/catalog"
+	"snipehub.example/clock"
 	"snipehub.example/entry"
 	"snipehub.example/event"
-	"snipehub.example/mesh"
 	"snipehub.example/meter"
 )
 
@@ -172,18 +172,22 @@
 
 // unready tells why the balancer should not send callers here, "" if it should.
 func (n *Node) unready() string {
-	p := n.planner.Load()
 	switch {
 	case n.stopping.Load():
 		return "stopping"
 	case n.shelf.Current().Version == 0:
 		return "no_catalog"
-	case p == nil || *p == mesh.ID{}:
-		return "no_planner"
+	case !n.met.Load() && clock.SinceBoot()-n.began < meetFor:
+		return "few_members"
 	}
 	return ""
 }
 
+// meetFor is how long a process that has just started may be not ready because it has
+// not met the others: it would take somebody for the planner who is not. Processes meet
+// within a few hundred milliseconds; one that meets nobody serves alone after this.
+const meetFor = 2 * time.Second
+
 // serveReady answers the balancer's question.
 func (n *Node) serveReady(ctx context.Context) error {
 	last := "starting"
--- a/node/core.go
+++ b/node/core.go
@@ -623,6 +623,9 @@
 	return n
 }
 
+// Met tells whether more than half of the processes that the store lists are in sight.
+func (c *Core) Met() bool { return len(c.known) > 0 && 2*c.seen(c.up()) > len(c.known) }
+
 // Thawed takes note that the process did not run for a while: its jobs are given
 // up, and its leases are looked at before anything else is done.
 func (c *Core) Thawed(now time.Time) {
--- a/node/node.go
+++ b/node/node.go
@@ -108,6 +108,10 @@
 	// in any more; open counts the jobs that callers wait for.
 	stopping, closed atomic.Bool
 	open             atomic.Int64
+	// met tells that most other processes are in sight; began is when this one
+	// started.
+	met   atomic.Bool
+	began time.Duration
 	// reads tells that this process reads the list of workers for the planner.
 	reads   atomic.Bool
 	planner atomic.Pointer[mesh.ID]
@@ -147,6 +151,7 @@
 		shelf:    shelf,
 		core:     NewCore(log, self, shelf, cfg.Policy),
 		work:     make(chan work, ring),
+		began:    clock.SinceBoot(),
 		waiters:  make(map[entry.Waiter]chan entry.Answer),
 		topics:   make(map[string]*registry.Follower),
 	}
@@ -314,6 +319,7 @@
 func (n *Node) publish() {
 	p, reads := n.core.Reads()
 	n.planner.Store(&p)
+	n.met.Store(n.core.Met())
 	n.reads.Store(reads)
 }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -14,7 +14,7 @@
 const (
 	// lingerFor is how long a process that stops takes in new jobs. The balancer
 	// asks once a second and needs two answers to send callers elsewhere.
-	lingerFor = 2500 * time.Millisecond
+	lingerFor = 3000 * time.Millisecond
 	// lastCall is the part of the time to stop that is left for what can't be
 	// finished: answers, and the end of the process.
 	lastCall = time.Second
