mesh: news that come up during the greeting reach the member

Say passes news only to sessions that have begun, so the member kept number 0, took another process for the planner, and sent its requests for workers to one that does not plan.

Ruled out: lost messages, the planner's own state (it planned for all others; the logs show 'number 0' at the two processes and 9 at the rest).

Change: each session knows the edition that it last told and compares it with the newest whenever it writes.

Test: mesh.TestNewsWhileGreeting, red at four of 41 moments before.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -101,8 +101,10 @@
 	open    peer.Dial
 	deliver func(Event[M])
 
-	mu       sync.Mutex
-	self     Member
+	mu   sync.Mutex
+	self Member
+	// edition counts what this process has said of itself.
+	edition  uint64
 	sessions map[netip.AddrPort]*session[M]
 	known    map[netip.AddrPort]*address
 	last     uint64
@@ -140,8 +142,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.self = self
+	m.edition++
 	for _, s := range m.sessions {
-		s.news()
+		s.poke()
 	}
 }
 
@@ -324,21 +327,23 @@
 	m.seekAgain()
 }
 
-func (m *Mesh[M]) hello() hello {
+// hello returns the greeting, and the edition of what it says of this process.
+func (m *Mesh[M]) hello() (h hello, edition uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h := hello{From: m.self}
+	h.From = m.self
 	for a := range m.known {
 		h.Known = append(h.Known, a)
 	}
 	slices.SortFunc(h.Known, netip.AddrPort.Compare)
-	return h
+	return h, m.edition
 }
 
-func (m *Mesh[M]) me() Member {
+// me returns what this process says of itself, and its edition.
+func (m *Mesh[M]) me() (Member, uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.self
+	return m.self, m.edition
 }
 
 // session is one connection with one member.
@@ -352,6 +357,11 @@
 	done chan struct{}
 	// id is set before the session is known to anybody else.
 	id ID
+	// told is the edition that the member was last told. Only the goroutine that
+	// writes uses it. It is compared with the newest before each message: news that
+	// came up between the greeting and the beginning of the session would else never
+	// be told, and the member would believe the old for as long as both live.
+	told uint64
 
 	// telling orders what is told: nothing before Up, nothing after Down. A
 	// session that ends while its beginning is told would else be taken for
@@ -365,9 +375,8 @@
 	why    string
 	heard  time.Time
 	// taking tells that a message is being passed on, which may block.
-	taking  bool
-	queue   []M
-	changed bool
+	taking bool
+	queue  []M
 }
 
 // handler handles notifications in the order in which they arrive, in the
@@ -384,7 +393,9 @@
 	defer s.mesh.forget(s)
 	defer func() { _ = s.conn.Close() }()
 	defer s.tellDown()
-	if err := s.notify(ctx, methodHello, s.mesh.hello()); err != nil {
+	h, edition := s.mesh.hello()
+	s.told = edition
+	if err := s.notify(ctx, methodHello, h); err != nil {
 		s.end("greeting failed: " + err.Error())
 		return
 	}
@@ -463,12 +474,9 @@
 	}
 	b := batch[M]{Mail: s.queue}
 	s.queue = nil
-	changed := s.changed
-	s.changed = false
 	s.mu.Unlock()
-	if changed {
-		me := s.mesh.me()
-		b.From = &me
+	if me, edition := s.mesh.me(); edition != s.told {
+		b.From, s.told = &me, edition
 	}
 	if b.From == nil && len(b.Mail) == 0 {
 		return s.notify(ctx, methodBeat, nil)
@@ -499,13 +507,6 @@
 	s.poke()
 }
 
-func (s *session[M]) news() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.changed = true
-	s.poke()
-}
-
 func (s *session[M]) poke() {
 	select {
 	case s.wake <- struct{}{}:
@@ -564,7 +565,7 @@
 // greet begins the session. A process that reaches itself (a seed can be its
 // own address) ends it.
 func (s *session[M]) greet(h hello) {
-	if s.id != (ID{}) || h.From.ID.Address == s.mesh.me().ID.Address {
+	if me, _ := s.mesh.me(); s.id != (ID{}) || h.From.ID.Address == me.ID.Address {
 		s.end("second greeting, or own address")
 		return
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -271,3 +271,48 @@
 		}
 	}
 }
+
+// A process gets its number from the store while it greets a member: the greeting has
+// gone out with what it said before, and the session isn't known yet to those who pass
+// on news. The member never learned the number, took another process for the planner
+// for as long as both lived, and none of its callers was served.
+func TestNewsWhileGreeting(t *testing.T) {
+	const step, last = 250 * time.Microsecond, 10 * time.Millisecond
+	for said := time.Duration(0); said <= last; said += step {
+		t.Run(said.String(), func(t *testing.T) { newsWhileGreeting(t, said) })
+	}
+}
+
+func newsWhileGreeting(t *testing.T, said time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(time.Millisecond)
+		a, b := start(t, n, "127.0.0.1", 1), start(t, n, "127.0.0.2", 2)
+		b.mesh.Learn(a.member.ID.Address)
+		time.Sleep(lowFirst + said)
+		m := a.member
+		m.Number = 7
+		a.mesh.Say(m)
+		time.Sleep(time.Second)
+		if got := b.newest().Number; got != m.Number {
+			t.Errorf("number is %d, want %d", got, m.Number)
+		}
+		for _, p := range []*process{a, b} {
+			p.cancel()
+			<-p.done
+		}
+		n.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// newest returns what a member was last told to have said of itself.
+func (p *process) newest() (m Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.events {
+		if e.Kind == Up || e.Kind == Changed {
+			m = e.Member
+		}
+	}
+	return m
+}
