entry: a job for which the planner says nothing is refused when it can't be in time

Whatever makes a process believe in a planner that does not plan (members seen differently under a partial cut is one that stays possible), its callers waited until their time was over.

Change: the entry refuses by itself a job of which nothing has begun once it would be late on a worker 2.5 times as fast as estimated; the planner does so before.

Test: entry.TestPlannerIsSilent, red before.

--- a/entry/book.go
+++ b/entry/book.go
@@ -21,6 +21,12 @@
 	// keepDone is how long the answer of a job is kept for a late copy of its
 	// request.
 	keepDone = 4 * time.Second
+	// leastFactor is the smallest part of its estimate that a task is assumed to
+	// take on the fastest worker.
+	leastFactor = 0.4
+	// plannerSlack is how much later than the planner this process refuses jobs that
+	// can't be in time: messages both ways, and a tick.
+	plannerSlack = 100 * time.Millisecond
 )
 
 type state int
@@ -617,6 +623,7 @@
 		case j.answer != nil:
 			b.settle(now, j)
 		case now.Before(j.limit):
+			b.silence(now, j)
 		case j.begun():
 			b.finish(now, j, Answer{Status: Unknown, Why: "time_over"})
 		default:
@@ -625,6 +632,17 @@
 	}
 }
 
+// silence refuses a job of which nothing has begun and that can't be in time any more.
+// The planner does that, and earlier. But a process may take one for the planner that
+// does not plan, for instance when the two see different members: all its callers would
+// then wait until their time is over, for nothing.
+func (b *Book) silence(now time.Time, j *job) {
+	least := time.Duration(leastFactor * float64(j.Steps[0].Estimate))
+	if !j.begun() && now.After(j.aim.Add(plannerSlack-least)) {
+		b.finish(now, j, Answer{Status: Refused, Why: "planner_silent", After: time.Second})
+	}
+}
+
 func (b *Book) adrift(now time.Time) []placedTask {
 	var out []placedTask
 	for _, p := range b.runs {
--- a/entry/book_test.go
+++ b/entry/book_test.go
@@ -335,3 +335,34 @@
 		t.Errorf("objective %v, want %v: 1.6 times the longest chain of two steps, and 60 ms", got, want)
 	}
 }
+
+// A process takes another one for the planner that does not plan, because the two see
+// different members. Its callers heard nothing until their time was over, ten seconds
+// here, although the job could have been in time elsewhere.
+func TestPlannerIsSilent(t *testing.T) {
+	b, _ := submitted(t, request(2))
+	// The objective is 220 ms, and 40 ms of work at the least.
+	b.Tick(ms(270))
+	if got := take(b); len(got.answers) != 0 {
+		t.Fatalf("answered at once: %+v", got.answers)
+	}
+	b.Tick(ms(300))
+	got := take(b)
+	if len(got.answers) != 1 || got.answers[0].Answer.Status != Refused {
+		t.Fatalf("answers %+v, want a refusal", got.answers)
+	}
+	if len(got.withdraws) != 1 {
+		t.Errorf("%d withdrawals, want 1", len(got.withdraws))
+	}
+}
+
+// The same with a job that has begun: a refusal would not be true.
+func TestPlannerIsSilentAfterABeginning(t *testing.T) {
+	b, ask := submitted(t, request(2))
+	b.Grant(ms(10), cell.Grant{Job: id, Items: []cell.Granted{{Run: ask.Tasks[0], Worker: "w", Holder: holder, Fence: 1}}})
+	take(b)
+	b.Tick(ms(300))
+	if got := take(b); len(got.answers) != 0 {
+		t.Errorf("answered %+v", got.answers)
+	}
+}
