Tasks go to the rack where their data is

Cause: affinity was read and not used; a task took twice as long on two workers of three, was foreseen at half of that, and the worker passed for slow afterwards.

Change: a worker on another rack counts as slower by the platform's factor (bounds.far_factor) in placing, in what is hopeless and in the look ahead; the longer time goes along with the start, so that the holder learns the worker's own speed.

Tests: cell.TestTasksGoToTheirData, TestLookAheadKnowsRacks; neither compiles before.

--- a/cell/admit.go
+++ b/cell/admit.go
@@ -38,7 +38,9 @@
 // behind, more waited, and the look ahead took longer still.
 type places struct {
 	factor float64
-	free   []time.Time
+	// rack is set while something waits that wants a rack.
+	rack string
+	free []time.Time
 }
 
 // Len, Less, Swap, Push and Pop make it a heap.
@@ -72,7 +74,9 @@
 		cpu += w.Room.CPU
 	}
 	cpu = max(cpu/len(queue), 1)
+	byRack := slices.ContainsFunc(queue, func(w *wait) bool { return w.Rack != "" })
 	var out []*places
+	group := make(map[string]*places)
 	for _, w := range b.bySpeed {
 		if !w.takes() || w.aside {
 			continue
@@ -80,10 +84,16 @@
 		f := b.factor(w)
 		// The order by speed is that of the last tick; a worker that has turned slow
 		// since begins places of its own.
-		if n := len(out); n == 0 || f > out[n-1].factor*speedStep || f < out[n-1].factor/speedStep {
-			out = append(out, &places{factor: f})
+		rack := ""
+		if byRack {
+			rack = w.Rack
+		}
+		p := group[rack]
+		if p == nil || f > p.factor*speedStep || f < p.factor/speedStep {
+			p = &places{factor: f, rack: rack}
+			group[rack] = p
+			out = append(out, p)
 		}
-		p := out[len(out)-1]
 		for range w.left().CPU / cpu {
 			p.free = append(p.free, now)
 		}
@@ -129,7 +139,7 @@
 	limit := w.arrived.Add(time.Duration(float64(w.aim.Sub(w.arrived)) * b.policy.Margin))
 	fits := true
 	for range w.Tasks {
-		p, end := earliest(all, w.Estimate)
+		p, end := b.earliest(all, w)
 		if p == nil || end.After(limit) && !w.Begun {
 			fits = false
 			break
@@ -149,11 +159,15 @@
 	return false
 }
 
-// earliest returns the places at whose head a task of that estimate ends first, nil if
-// there are none.
-func earliest(all []*places, estimate time.Duration) (best *places, end time.Time) {
+// earliest returns the places at whose head a task of the step ends first, nil if there
+// are none.
+func (b *Book) earliest(all []*places, w *wait) (best *places, end time.Time) {
 	for _, p := range all {
-		if e := p.free[0].Add(scaled(estimate, p.factor)); best == nil || e.Before(end) {
+		f := p.factor
+		if w.Rack != "" && w.Rack != p.rack {
+			f *= b.policy.Far
+		}
+		if e := p.free[0].Add(scaled(w.Estimate, f)); best == nil || e.Before(end) {
 			best, end = p, e
 		}
 	}
--- a/cell/book_test.go
+++ b/cell/book_test.go
@@ -534,3 +534,48 @@
 		}
 	}
 }
+
+// Many jobs want the rack where their data is; elsewhere their tasks take twice as long.
+// A slower worker there is better for them than the fastest one, a full rack is no reason
+// to wait if the task can be in time elsewhere, and one that can't isn't started in vain.
+func TestTasksGoToTheirData(t *testing.T) {
+	tests := []struct {
+		name  string
+		aim   time.Duration
+		tasks int
+		// near is how many are placed on the rack, far how many elsewhere.
+		near, far int
+	}{
+		{"room on the rack", 300 * time.Millisecond, 2, 2, 0},
+		{"rack full, time enough", 300 * time.Millisecond, 4, 2, 2},
+		{"rack full, too late elsewhere", 180 * time.Millisecond, 4, 2, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := allHeld(t, 2, 3)
+			for _, w := range b.workers {
+				w.speed = lease.Speed{Factor: 1, Ends: 9}
+				if w.Rack == "r1" {
+					w.speed.Factor = 1.5
+				}
+			}
+			b.sortSeats()
+			a := ask("a", tt.tasks)
+			a.Rack, a.Aim = "r1", tt.aim
+			b.Ask(ms(700), memberID(1), a)
+			grants, _ := place(b, 700)
+			near, far := 0, 0
+			for _, g := range grants {
+				switch {
+				case b.workers[g.Worker].Rack == "r1" && g.Estimate == 0:
+					near++
+				case g.Estimate == 200*time.Millisecond:
+					far++
+				}
+			}
+			if near != tt.near || far != tt.far || len(grants) != near+far {
+				t.Errorf("%d near, %d far of %d grants; want %d, %d", near, far, len(grants), tt.near, tt.far)
+			}
+		})
+	}
+}
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -164,3 +164,36 @@
 		book.Tick(ms(at))
 	}
 }
+
+// Every job wants the same rack. Its workers are soon full, and elsewhere a task takes
+// twice as long: who would be late there is refused at once, and does not wait for it.
+func TestLookAheadKnowsRacks(t *testing.T) {
+	b := crowded(t, 1, 0)
+	for i := range 300 {
+		a := ask(fmt.Sprintf("r%04d", i), 2)
+		a.Rack, a.Estimate, a.Aim = "r1", 500*time.Millisecond, 1000*time.Millisecond
+		b.Ask(ms(700), memberID(1), a)
+	}
+	groups := b.places(ms(700), b.line.waits)
+	fit := 0
+	for _, w := range slices.Clone(b.line.waits) {
+		if b.fitsIn(w, groups) {
+			fit++
+		}
+	}
+	plain := 0
+	for _, p := range b.places(ms(700), b.line.waits) {
+		for _, free := range p.free {
+			f := p.factor
+			if p.rack != "r1" {
+				f *= 2
+			}
+			if !free.Add(scaled(500*time.Millisecond, f)).After(ms(1700)) {
+				plain++
+			}
+		}
+	}
+	if fit == 0 || fit > plain {
+		t.Errorf("%d jobs of two tasks fit, and %d places are free in time", fit, plain)
+	}
+}
--- a/cell/message.go
+++ b/cell/message.go
@@ -50,6 +50,9 @@
 	Holder mesh.ID `json:"holder"`
 	// Fence is the holder's.
 	Fence lease.Fence `json:"fence"`
+	// Estimate is the expected time at ordinary speed there, if it is not that of
+	// the Ask: the worker may be far from the data.
+	Estimate time.Duration `json:"estimate,omitempty"`
 }
 
 // Refusal tells that a job gets no workers.
--- a/cell/place.go
+++ b/cell/place.go
@@ -92,8 +92,13 @@
 	}
 	queue := slices.Clone(b.line.waits)
 	best := b.bestFactor()
+	nearest := make(map[string]float64)
 	seats := b.seats(now, leastCPU(queue))
 	for _, w := range queue {
+		best := best
+		if w.Rack != "" {
+			best = b.bestNear(w.Rack, best, nearest)
+		}
 		if b.hopeless(now, w, best) {
 			b.refuse(now, w, hopelessWord)
 			continue
@@ -103,6 +108,30 @@
 	b.admit(now)
 }
 
+// bestNear is the least factor for tasks whose data is on a rack, given that of all
+// workers. What it finds is kept for the others that want the same rack.
+func (b *Book) bestNear(rack string, best float64, found map[string]float64) float64 {
+	if f, ok := found[rack]; ok {
+		return f
+	}
+	near := best * b.policy.Far
+	for _, w := range b.bySpeed {
+		if w.Rack == rack && w.takes() && !w.aside {
+			near = min(near, b.factor(w))
+		}
+	}
+	found[rack] = near
+	return near
+}
+
+// away is by how much longer tasks with data on a rack take on a worker.
+func (b *Book) away(rack string, w *worker) float64 {
+	if rack == "" || rack == w.Rack {
+		return 1
+	}
+	return b.policy.Far
+}
+
 // sortSeats orders the workers by speed.
 func (b *Book) sortSeats() {
 	b.bySpeed = b.bySpeed[:0]
@@ -247,9 +276,15 @@
 			s.left = lease.Room{}
 			s.probeAt = now.Add(s.probeWait)
 		}
-		s.put(r, held{room: w.Room, began: now, estimate: w.Estimate, granted: true, job: w.job})
+		it := Granted{Run: r, Worker: s.ID, Holder: s.holder, Fence: s.fence}
+		estimate := w.Estimate
+		if away := b.away(w.Rack, s.worker); away != 1 {
+			estimate = scaled(estimate, away)
+			it.Estimate = estimate
+		}
+		s.put(r, held{room: w.Room, began: now, estimate: estimate, granted: true, job: w.job})
 		b.counts.Granted++
-		g.Items = append(g.Items, Granted{Run: r, Worker: s.ID, Holder: s.holder, Fence: s.fence})
+		g.Items = append(g.Items, it)
 		event.TaskGranted.Log(b.log, "job", w.job, "task", r.Task, "run", r.Number, "worker", s.ID, "holder", s.holder,
 			"factor", s.factor, "waited_ms", now.Sub(w.arrived).Milliseconds(), "left_cpu", s.left.CPU)
 	}
@@ -267,6 +302,9 @@
 // pick returns the seat for a task: the fastest worker with room, of equal ones
 // the one with the least room left over.
 func (b *Book) pick(now time.Time, w *wait, seats []*seat, late bool) *seat {
+	if w.Rack != "" {
+		return b.pickNear(now, w, seats, late)
+	}
 	var best *seat
 	for _, s := range seats {
 		if !b.fits(w, s) {
@@ -292,6 +330,23 @@
 	return best
 }
 
+// pickNear is pick for tasks whose data is on a rack: a slower worker there may be
+// faster for them than any other.
+func (b *Book) pickNear(now time.Time, w *wait, seats []*seat, late bool) *seat {
+	var best *seat
+	var least float64
+	for _, s := range seats {
+		f := s.factor * b.away(w.Rack, s.worker)
+		switch {
+		case !b.fits(w, s):
+		case !late && b.policy.WaitForFaster.on() && now.Add(scaled(w.Estimate, f)).After(w.aim):
+		case best == nil || f < least || f == least && s.left.CPU < best.left.CPU:
+			best, least = s, f
+		}
+	}
+	return best
+}
+
 func (b *Book) fits(w *wait, s *seat) bool {
 	switch {
 	case s.Pool != w.Pool || !w.Room.Fits(s.left):
--- a/cell/policy.go
+++ b/cell/policy.go
@@ -22,8 +22,14 @@
 	Margin    float64
 	// Order is how what waits is ordered.
 	Order Order
+	// Far is the time that tasks take on a rack without their data, over the time
+	// they take near it; 0 takes the default.
+	Far float64
 }
 
+// farDefault is what the platform's deployments name today.
+const farDefault = 2
+
 // Order is an order of what waits. In each, what has begun goes first.
 type Order int
 
@@ -67,5 +73,8 @@
 	if p.Margin == 0 {
 		p.Margin = 1
 	}
+	if p.Far == 0 {
+		p.Far = farDefault
+	}
 	return p
 }
--- a/entry/book.go
+++ b/entry/book.go
@@ -51,6 +51,8 @@
 	holder mesh.ID
 	// fence is the holder's.
 	fence lease.Fence
+	// estimate is the expected time there at ordinary speed.
+	estimate time.Duration
 	// avoid is the worker that did not start the last run.
 	avoid string
 	// adrift is since when the holder is out of sight, zero while it isn't.
@@ -311,7 +313,7 @@
 			s = &Start{Spec: j.Spec, Room: step.Room, Estimate: step.Estimate}
 			byStep[t.step] = s
 		}
-		s.Runs = append(s.Runs, Placed{Run: it.Run, Worker: it.Worker})
+		s.Runs = append(s.Runs, Placed{Run: it.Run, Worker: it.Worker, Estimate: it.Estimate})
 	}
 	if len(unused) > 0 {
 		b.act(Action{Withdraw: &cell.Withdrawal{Job: g.Job, Runs: unused}})
@@ -350,6 +352,7 @@
 
 func (b *Book) place(j *job, t *task, it cell.Granted) {
 	t.state, t.worker, t.holder, t.fence, t.adrift = placed, it.Worker, it.Holder, it.Fence, time.Time{}
+	t.estimate = cmp.Or(it.Estimate, j.Steps[t.step].Estimate)
 	b.runs[it.Run] = placedTask{j, t}
 }
 
@@ -596,8 +599,8 @@
 func (b *Book) claim(h mesh.ID, worker string, found []placedTask) {
 	c := &Claim{Worker: worker}
 	for _, p := range found {
-		s := p.j.Steps[p.t.step]
-		c.Runs = append(c.Runs, Claimed{Run: p.j.name(p.t), Room: s.Room, Estimate: s.Estimate, Fence: p.t.fence})
+		room := p.j.Steps[p.t.step].Room
+		c.Runs = append(c.Runs, Claimed{Run: p.j.name(p.t), Room: room, Estimate: p.t.estimate, Fence: p.t.fence})
 	}
 	slices.SortFunc(c.Runs, func(x, y Claimed) int { return compareRuns(x.Run, y.Run) })
 	b.act(Action{To: h, Claim: c})
--- a/entry/message.go
+++ b/entry/message.go
@@ -20,6 +20,8 @@
 type Placed struct {
 	lease.Run
 	Worker string `json:"worker"`
+	// Estimate is set if it is not that of the step.
+	Estimate time.Duration `json:"estimate,omitempty"`
 }
 
 // Stop asks a holder to stop runs.
