A planned stop resets no connection that waits to be accepted

While a process stops, each answer closes its connection, so busy callers connect all the time and some are always in the queue. Connections handed to a server that was then shut down were lost in the same way.

Change: for 60 ms answers leave connections open, so that everybody has one; then the address is closed and what still comes is refused, for 60 ms more at the least.

--- a/node/callers.go
+++ b/node/callers.go
@@ -20,8 +20,9 @@
 // Catalog returns the routes and pools in force.
 func (n *Node) Catalog() *catalog.Catalog { return n.shelf.Current() }
 
-// Stopping tells that the process is about to end.
-func (n *Node) Stopping() bool { return n.stopping.Load() }
+// Stopping tells that the process is about to end, and that callers should look for
+// another one after their answer.
+func (n *Node) Stopping() bool { return n.stopping.Load() && !n.settling.Load() }
 
 // Submit takes in a job and waits for its answer, or until its caller leaves.
 func (n *Node) Submit(ctx context.Context, r entry.Request) entry.Answer {
@@ -111,12 +112,14 @@
 	context.AfterFunc(ctx, func() { _ = n.ln.callers.Close() })
 	for {
 		c, err := n.ln.callers.Accept()
-		if n.closed.Load() {
-			<-ctx.Done()
-		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if err != nil && n.settling.Load() {
+			close(n.shut)
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		if err != nil {
 			return errors.Wrap(err, "callers")
 		}
@@ -148,7 +151,7 @@
 }
 
 func newFeed(a net.Addr) *feed {
-	return &feed{addr: a, c: make(chan net.Conn, 16), done: make(chan struct{})}
+	return &feed{addr: a, c: make(chan net.Conn), done: make(chan struct{})}
 }
 
 // Accept returns the next connection.
--- a/node/node.go
+++ b/node/node.go
@@ -107,6 +107,10 @@
 	// stopping tells that a planned stop has begun, closed that nothing is taken
 	// in any more; open counts the jobs that callers wait for.
 	stopping, closed atomic.Bool
+	// settling tells that the callers' address is being closed, shut is closed when it
+	// is.
+	settling atomic.Bool
+	shut     chan struct{}
 	open             atomic.Int64
 	// met tells that most other processes are in sight; began is when this one
 	// started.
@@ -153,6 +157,7 @@
 		work:     make(chan work, ring),
 		began:    clock.SinceBoot(),
 		waiters:  make(map[entry.Waiter]chan entry.Answer),
+		shut:     make(chan struct{}),
 		topics:   make(map[string]*registry.Follower),
 	}
 	n.meter = meter.New(metricSeries, func() { event.MetricsFull.Log(log) })
--- a/node/stop.go
+++ b/node/stop.go
@@ -15,6 +15,10 @@
 	// lingerFor is how long a process that stops takes in new jobs. The balancer
 	// asks once a second and needs two answers to send callers elsewhere.
 	lingerFor = 3000 * time.Millisecond
+	// settleFor is how long callers may keep their connections before the address is
+	// closed, and have for a last answer after that: many times what a request takes
+	// to be read.
+	settleFor = 60 * time.Millisecond
 	// lastCall is the part of the time to stop that is left for what can't be
 	// finished: answers, and the end of the process.
 	lastCall = time.Second
@@ -35,8 +39,7 @@
 	begun := time.Now()
 	n.say(ctx, func(m *mesh.Member) { m.Leaving = true })
 	clock.Sleep(ctx, lingerFor)
-	n.closed.Store(true)
-	_ = n.ln.callers.Close()
+	n.closeAddress(ctx)
 	dropped := make(chan struct{})
 	go func() {
 		defer close(dropped)
@@ -55,6 +58,27 @@
 	n.shutdown(ctx)
 }
 
+// closeAddress closes the address of the callers, then refuses what comes over open
+// connections.
+//
+// Closing it resets the connections that wait to be accepted, whose callers have written
+// their requests by then and see them cut off. While each answer closes its connection,
+// busy callers connect all the time; so for a moment answers leave connections open, and
+// the address is closed when everybody has one.
+func (n *Node) closeAddress(ctx context.Context) {
+	n.settling.Store(true)
+	clock.Sleep(ctx, settleFor)
+	_ = n.ln.callers.Close()
+	// Those who were let in last are known to a server after that.
+	select {
+	case <-n.shut:
+	case <-ctx.Done():
+	}
+	n.closed.Store(true)
+	n.settling.Store(false)
+	clock.Sleep(ctx, settleFor)
+}
+
 // shutdown closes the callers' connections, each after the answer that is being
 // written on it.
 func (n *Node) shutdown(ctx context.Context) {
