A job is not refused for room that changes hands; Retry-After from the line

Cause 2: refused callers were all told one second, so that a refused burst came back together, and in vain while the line was longer.

Change: no look ahead refuses until all members in sight have reported, half a second at the most; a worker that was open less than half a second ago counts, 20 ms later. Refused jobs are laid behind all others: a caller is told how late its job would have been, 0.5 to 8 s, and up to a second more by its id.

Tests: cell.TestNewPlannerWaitsForReports, TestWorkerThatChangesHands, TestRefusedCallersComeBackSpread, red before.

--- a/cell/admit.go
+++ b/cell/admit.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // admitEvery is the least time between two looks ahead: they cost half a millisecond
@@ -19,14 +21,57 @@
 	if !b.policy.LookAhead.on() || len(b.waits) == 0 || now.Sub(b.admitted) < admitEvery {
 		return
 	}
+	// A new planner sees no room where a member has not reported yet.
+	if !b.reported() && now.Sub(b.began) < settleFor {
+		return
+	}
 	b.admitted = now
 	queue := slices.Clone(b.line.waits)
 	places := b.places(now, queue)
+	queue = slices.DeleteFunc(queue, func(w *wait) bool { return b.fitsIn(w, places) || w.Begun })
+	b.late = 0
 	for _, w := range queue {
-		if !b.fitsIn(w, places) && !w.Begun {
-			b.refuse(now, w, lateWord)
+		if end := b.lay(w, places); !end.IsZero() {
+			b.late = end.Sub(w.aim)
+		}
+		b.refuse(now, w, lateWord)
+	}
+}
+
+// lay places a job's tasks after all that was placed before, in time or not, and returns
+// when the last of them will be ready; zero if there are no places.
+func (b *Book) lay(w *wait, all []*places) (last time.Time) {
+	for range w.Tasks {
+		p, end := b.earliest(all, w)
+		if p == nil {
+			return time.Time{}
+		}
+		p.free[0] = end
+		heap.Fix(p, 0)
+		if end.After(last) {
+			last = end
 		}
 	}
+	return last
+}
+
+const (
+	// retryLeast is the least time after which a refused caller is asked to come back.
+	// The callers' interface rounds up to whole seconds, so half of them are told one.
+	retryLeast = 500 * time.Millisecond
+	// retryMost is the longest. What is foreseen further ahead is wrong by then.
+	retryMost = 8 * time.Second
+	// retrySpread is over how long the return of callers is spread that were refused
+	// at the same time. Together they would be the next burst.
+	retrySpread = time.Second
+)
+
+// retryAfter is what a refused caller is told to wait: as long as its job would have been
+// late if it had been kept with all that were refused before it, and a part of a second
+// that depends on the job.
+func (b *Book) retryAfter(job string) time.Duration {
+	wait := min(max(b.late, retryLeast), retryMost)
+	return wait + time.Duration(xxhash.Sum64String(job)%uint64(retrySpread))
 }
 
 // lateWord is the reason of a refusal because of what waits before it.
@@ -78,7 +123,14 @@
 	var out []*places
 	group := make(map[string]*places)
 	for _, w := range b.bySpeed {
-		if !w.takes() || w.aside {
+		from := now
+		switch {
+		case w.aside:
+			continue
+		case w.takes():
+		case w.changesHands(now):
+			from = now.Add(handOver)
+		default:
 			continue
 		}
 		f := b.factor(w)
@@ -95,7 +147,7 @@
 			out = append(out, p)
 		}
 		for range w.left().CPU / cpu {
-			p.free = append(p.free, now)
+			p.free = append(p.free, from)
 		}
 		for _, h := range w.runs {
 			p.free = append(p.free, h.end(now, f))
@@ -108,6 +160,19 @@
 	return out
 }
 
+const (
+	// handOver is how long a worker takes no tasks while it changes hands as planned:
+	// four messages between data centres and a call.
+	handOver = 20 * time.Millisecond
+	// handOverMost is when it is no longer counted on.
+	handOverMost = 500 * time.Millisecond
+)
+
+// changesHands tells that a worker took tasks a moment ago and will again.
+func (w *worker) changesHands(now time.Time) bool {
+	return !w.open && w.listed && !w.draining && w.failures == 0 && now.Sub(w.shut) < handOverMost
+}
+
 // end foresees when a run ends: from its progress if it is known, else from its
 // estimate and the worker's speed.
 func (h held) end(now time.Time, factor float64) time.Time {
--- a/cell/book.go
+++ b/cell/book.go
@@ -50,6 +50,8 @@
 	letGo  time.Time
 	fence  lease.Fence
 	open   bool
+	// shut is when it last ceased to be open.
+	shut time.Time
 	// failures counts the holder's calls without an answer.
 	failures int
 	badSince time.Time
@@ -136,6 +138,8 @@
 	byID []*worker
 	// admitted is when it was last looked ahead.
 	admitted time.Time
+	// late is how late the last job was that was refused then.
+	late time.Duration
 	// changed tells that something may be placed, loose that a worker may be
 	// without a holder.
 	changed, loose bool
@@ -289,10 +293,19 @@
 	b.assign(now)
 }
 
+// opened takes note of whether tasks may be started there.
+func (w *worker) opened(now time.Time, open bool) {
+	if w.open && !open {
+		w.shut = now
+	}
+	w.open = open
+}
+
 // unhold takes note that nobody holds the worker.
 func (b *Book) unhold(now time.Time, w *worker) {
 	w.letGo = now
-	w.former, w.holder, w.open, w.confirmed = w.holder, mesh.ID{}, false, false
+	w.opened(now, false)
+	w.former, w.holder, w.confirmed = w.holder, mesh.ID{}, false
 	w.told, w.relieved = time.Time{}, time.Time{}
 	b.loose = true
 }
@@ -411,7 +424,8 @@
 		b.unhold(now, w)
 		return
 	}
-	w.open, w.confirmed = s.Open, true
+	w.opened(now, s.Open)
+	w.confirmed = true
 	if w.draining && !s.Draining {
 		b.tellDraining(w)
 	}
--- a/cell/book_test.go
+++ b/cell/book_test.go
@@ -579,3 +579,37 @@
 		})
 	}
 }
+
+// The planner leaves or dies, and the next one is asked for workers by one process before
+// another has reported those that it holds. It saw no room at all and refused jobs for
+// which there was plenty; callers got "too busy" from an idle system.
+func TestNewPlannerWaitsForReports(t *testing.T) {
+	b := planning(t, 2, 4)
+	b.Report(ms(1), memberID(0), Report{Whole: true})
+	b.Ask(ms(1), memberID(0), ask("a", 2))
+	if _, refused := place(b, 2); len(refused) != 0 {
+		t.Fatalf("refused before all have reported: %+v", refused)
+	}
+	b.Report(ms(3), memberID(1), Report{Whole: true})
+	if _, refused := place(b, 20); len(refused) != 1 {
+		t.Errorf("%d refusals though there are no workers, want 1", len(refused))
+	}
+}
+
+// The holder of a worker leaves as planned. Until the next one has it, some milliseconds
+// later, nothing can be started there; jobs that came meanwhile were refused.
+func TestWorkerThatChangesHands(t *testing.T) {
+	b := allHeld(t, 2, 1)
+	w := b.workers["w0"]
+	b.Report(ms(700), w.holder, Report{States: []lease.State{{ID: w.ID, Fence: lease.NewFence(9), Gone: true}}})
+	b.Ask(ms(701), memberID(1), ask("a", 2))
+	if _, refused := place(b, 701); len(refused) != 0 {
+		t.Errorf("refused while the worker changes hands: %+v", refused)
+	}
+	a := ask("b", 2)
+	a.Aim = time.Hour
+	b.Ask(ms(2000), memberID(1), a)
+	if _, refused := place(b, 2000); len(refused) != 2 {
+		t.Errorf("%d refusals long after the worker was lost, want 2", len(refused))
+	}
+}
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -197,3 +197,38 @@
 		t.Errorf("%d jobs of two tasks fit, and %d places are free in time", fit, plain)
 	}
 }
+
+// A burst is refused: told the same second, all of it came back together as the next
+// one, and while what waits takes several seconds it came back in vain. Callers are told
+// when there is room, spread over a second.
+func TestRefusedCallersComeBackSpread(t *testing.T) {
+	refusals := func(work time.Duration) (after []time.Duration) {
+		b := crowded(t, 1, 0)
+		for i := range 600 {
+			a := ask(fmt.Sprintf("j%04d", i), 4)
+			a.Estimate, a.Aim = work, 2*work+200*time.Millisecond
+			b.Ask(ms(700), memberID(1), a)
+		}
+		_, refused := place(b, 700)
+		for _, r := range refused {
+			after = append(after, r.After)
+		}
+		return after
+	}
+	for _, tt := range []struct {
+		work        time.Duration
+		least, most time.Duration
+	}{
+		{100 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second},
+		{3 * time.Second, 500 * time.Millisecond, 9 * time.Second},
+	} {
+		after := refusals(tt.work)
+		if len(after) < 50 {
+			t.Fatalf("%v of work: %d refusals", tt.work, len(after))
+		}
+		early, late := slices.Min(after), slices.Max(after)
+		if early < tt.least || late > tt.most || late-early < max(900*time.Millisecond, tt.work) {
+			t.Errorf("%v of work: callers come back after %v to %v; want within %v to %v, over a second", tt.work, early, late, tt.least, tt.most)
+		}
+	}
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -242,15 +242,12 @@
 	b.drop(w)
 	b.counts.Refused[why]++
 	event.JobRefused.Log(b.log, "job", w.job, "queue", w.Queue, "why", why, "waited_ms", now.Sub(w.arrived).Milliseconds(), "aim_ms", w.aim.Sub(now).Milliseconds(), "waiting", len(b.waits))
-	b.act(Action{To: w.owner, Refusal: &Refusal{Job: w.job, Why: why, After: retryAfter}})
+	b.act(Action{To: w.owner, Refusal: &Refusal{Job: w.job, Why: why, After: b.retryAfter(w.job)}})
 }
 
 // hopelessWord is the reason of such a refusal.
 const hopelessWord = "no_room_in_time"
 
-// retryAfter is what refused callers are told to wait.
-const retryAfter = time.Second
-
 // fill grants workers to the tasks of one step.
 func (b *Book) fill(now time.Time, w *wait, seats []*seat, best float64) {
 	if len(seats) == 0 {
