--- /dev/null
+++ b/load/recovery.go
@@ -0,0 +1,79 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"snipehub.example/internal/program"
+	"snipehub.example/model"
+)
+
+// lossAt is when processes are lost, from the first request: any learning is over.
+const lossAt = 3 * time.Second
+
+func recoveryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "recovery",
+		Usage: "lose processes in virtual time and measure until placing goes on",
+		Description: "Each row is a loss, over the seeds: the median and the longest time without any start,\n" +
+			"the same for the workers of other holders, the time until half of the workers of\n" +
+			"the lost process had begun a task again, and the jobs of a whole day that were\n" +
+			"lost, refused and late, on average, less those of the same day without the loss.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "site", Value: "lakeshore", Usage: "lakeshore or teranga"},
+			&cli.IntFlag{Name: "seeds", Value: 20, Usage: "how many"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			site, ok := model.Sites[c.String("site")]
+			if !ok {
+				return cli.Exit(fmt.Sprintf("no site %q", c.String("site")), program.ExitUsage)
+			}
+			if n := tableRecovery(c.Root().Writer, site, c.Int("seeds")); n > 0 {
+				return cli.Exit(fmt.Sprintf("%d promises broken", n), 1)
+			}
+			return nil
+		},
+	}
+}
+
+// calmDay is a day at six tenths of the sheets' load.
+func calmDay(site func() model.Config, seed int) model.Config {
+	cfg := site()
+	cfg.Seed, cfg.Load = uint64(seed), 0.6
+	cfg.Length, cfg.Tail = 12*time.Second, 6*time.Second
+	return cfg
+}
+
+// tableRecovery writes the table and returns how many promises were broken.
+func tableRecovery(w io.Writer, site func() model.Config, seeds int) (broken int) {
+	nothing := model.Loss{Fault: func(int) func(*model.World) { return func(*model.World) {} }}
+	fmt.Fprintln(w, "| lost | no start for, median, longest | on other workers | half of its workers again | lost | refused | late |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- |")
+	for _, l := range model.Losses {
+		var gap, others, again []time.Duration
+		var lost, refused, late float64
+		for seed := 1; seed <= seeds; seed++ {
+			cfg := calmDay(site, seed)
+			plain := model.Recover(cfg, lossAt, nothing)
+			r := model.Recover(cfg, lossAt, l)
+			gap, others, again = append(gap, r.Gap), append(others, r.Others), append(again, r.Again)
+			lost += float64(r.Lost-plain.Lost) / float64(seeds)
+			refused += float64(r.Refused-plain.Refused) / float64(seeds)
+			late += float64(r.Late-plain.Late) / float64(seeds)
+			broken += len(r.Broken)
+		}
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %.1f | %.1f | %.1f |\n", l.Name, spread(gap), spread(others), spread(again), lost, refused, late)
+	}
+	return broken
+}
+
+// spread shows the median and the longest.
+func spread(d []time.Duration) string {
+	slices.Sort(d)
+	return fmt.Sprintf("%d, %d ms", d[len(d)/2].Milliseconds(), d[len(d)-1].Milliseconds())
+}
--- a/model/model.go
+++ b/model/model.go
@@ -126,7 +126,9 @@
 	jobs      []*job
 	byJob     map[string]*job
 	runs      map[string][]*span
-	result    Result
+	// begun are all starts, in order.
+	begun  []begun
+	result Result
 }
 
 // event is something that happens at a time.
--- a/model/score.go
+++ b/model/score.go
@@ -73,6 +73,7 @@
 	}
 	s := &span{worker: x.ID, run: r.Number, begin: w.now}
 	w.runs[r.Task] = append(w.runs[r.Task], s)
+	w.begun = append(w.begun, begun{w.now, x.ID})
 	return s
 }
 
