Processes that are gone for good stop counting; a planner that knows all takes over at once

Cause 1: a process counts towards the majority without which no worker is given to another holder, as long as the store lists it, and nobody took the record of a killed process back. After as many replacements at new addresses as there are processes, or after more than half were lost for good, workers of the next one that died would never have got a holder. Cause 2: a new planner waited half a second before it gave out the workers of the one before, for processes that might just be starting, though it had seen all for long.

Change: records are renewed about once a minute; one that missed more than three own renewals of a process (the store's proof that it takes records) does not count there any more, and the planner takes it back. After two seconds with a majority in sight a process takes those it sees for all that live.

Ruled out: time as the measure for 1 (an outage of the store would have everybody forgotten).

Another 2 calls of each process in two minutes.

--- a/event/table.go
+++ b/event/table.go
@@ -73,6 +73,7 @@
 	SettingsRead      ID = 811
 	SettingsUnusable  ID = 812
 	LogLinesDropped   ID = 813
+	MemberForgotten   ID = 814
 
 	PlannerChosen   ID = 900
 	PlannerBegan    ID = 901
@@ -159,6 +160,7 @@
 	{SettingsRead, slog.LevelInfo, "settings read", "The settings file was read, at the start or because it has changed.", "0.2"},
 	{SettingsUnusable, slog.LevelError, "settings can't be used", "The changed settings file can't be read or contradicts itself. The settings of before stay in force.", "0.2"},
 	{LogLinesDropped, slog.LevelWarn, "log lines dropped", "More lines were logged than could be written; the number given was dropped so that requests don't wait.", "0.2"},
+	{MemberForgotten, slog.LevelInfo, "process forgotten", "A process has not renewed its record for minutes in which the store took records, and no longer counts towards the majority; the planner takes the record back.", "0.2"},
 	{PlannerChosen, slog.LevelInfo, "planner chosen", "This process takes the one given for the planner of the cell, out of the members that it sees.", "0.2"},
 	{PlannerBegan, slog.LevelInfo, "planning begins", "This process plans for the cell from now on.", "0.2"},
 	{PlannerEnded, slog.LevelInfo, "planning ends", "Another process plans from now on.", "0.2"},
--- a/load/recovery.go
+++ b/load/recovery.go
@@ -21,8 +21,8 @@
 		Name:  "recovery",
 		Usage: "lose processes in virtual time and measure until placing goes on",
 		Description: "Each row is a loss, over the seeds: the median and the longest time without any start,\n" +
-			"the same for the workers of other holders, the time until half of the workers of\n" +
-			"the lost process had begun a task again, and the jobs of a whole day that were\n" +
+			"the same for the workers of other holders, the time until all workers of the lost\n" +
+			"process could be used again, and the jobs of a whole day that were\n" +
 			"lost, refused and late, on average, less those of the same day without the loss.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "site", Value: "lakeshore", Usage: "lakeshore or teranga"},
@@ -52,7 +52,7 @@
 // tableRecovery writes the table and returns how many promises were broken.
 func tableRecovery(w io.Writer, site func() model.Config, seeds int) (broken int) {
 	nothing := model.Loss{Fault: func(int) func(*model.World) { return func(*model.World) {} }}
-	fmt.Fprintln(w, "| lost | no start for, median, longest | on other workers | half of its workers again | lost | refused | late |")
+	fmt.Fprintln(w, "| lost | no start for, median, longest | on other workers | its workers in use again | lost | refused | late |")
 	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- |")
 	for _, l := range model.Losses {
 		var gap, others, again []time.Duration
--- a/model/recovery.go
+++ b/model/recovery.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"snipehub.example/mesh"
 )
 
 // Loss is a loss of processes in the middle of a calm day.
@@ -36,8 +38,8 @@
 	Gap time.Duration
 	// Others is the same for the workers whose holder was not lost.
 	Others time.Duration
-	// Again is the time from the loss until half of the workers of the lost process
-	// had started a task again.
+	// Again is the time from the loss until all of the workers of the lost process
+	// could be used again, by a planner that knows it.
 	Again time.Duration
 	// Lost counts the jobs without an answer, Refused those refused, Late those late,
 	// of the Asked of the whole day.
@@ -54,6 +56,7 @@
 // Recover plays a day with a loss at a time from the first request.
 func Recover(cfg Config, at time.Duration, l Loss) Recovery {
 	w := New(cfg)
+	r := Recovery{}
 	var lost []string
 	w.at(w.start.Add(at), func() {
 		n := w.victim(l.Planner)
@@ -61,9 +64,10 @@
 			lost = append(lost, s.ID)
 		}
 		l.Fault(n.index)(w)
+		w.await(n.id, lost, &r.Again)
 	})
 	res := w.Run()
-	r := Recovery{Broken: res.Broken}
+	r.Broken = res.Broken
 	for _, t := range res.Classes {
 		r.Asked += t.Asked
 		r.Lost += t.Unserved + t.Failed
@@ -80,11 +84,37 @@
 	return w.nodes[i]
 }
 
+// await sets how long it takes until all of the workers are open at a holder that is not
+// the one before.
+func (w *World) await(before mesh.ID, ids []string, took *time.Duration) {
+	const step = 5 * time.Millisecond
+	*took += step
+	w.after(step, func() {
+		if w.open(before, ids) < len(ids) {
+			w.await(before, ids, took)
+		}
+	})
+}
+
+// open counts the workers that a planner sees open at others than the holder before.
+func (w *World) open(before mesh.ID, ids []string) (n int) {
+	for _, vm := range w.nodes {
+		if !vm.up || vm.frozen || vm.id == before || !vm.core.Plans() {
+			continue
+		}
+		for _, h := range vm.core.Status(w.now).Cell.Holders {
+			if h.Open && h.Holder != before && slices.Contains(ids, h.Worker) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // starts works out the gaps between the starts around a loss.
 func (r *Recovery) starts(w *World, at time.Time, lost []string) {
 	last, lastOther := at, at
 	end := w.start.Add(w.cfg.Length)
-	again := make(map[string]bool)
 	for _, b := range w.begun {
 		if b.at.Before(at) || b.at.After(end) {
 			continue
@@ -94,11 +124,6 @@
 		if !slices.Contains(lost, b.worker) {
 			r.Others = max(r.Others, b.at.Sub(lastOther))
 			lastOther = b.at
-			continue
-		}
-		again[b.worker] = true
-		if r.Again == 0 && 2*len(again) >= len(lost) {
-			r.Again = b.at.Sub(at)
 		}
 	}
 }
--- a/node/core.go
+++ b/node/core.go
@@ -89,8 +89,9 @@
 	// lost are the entry processes out of sight and when they were last heard.
 	lost map[mesh.ID]time.Time
 	// met tells that more than half of the processes that the store lists are in
-	// sight.
+	// sight, metSince is since when.
 	met      bool
+	metSince time.Time
 	reported time.Time
 	out      []Output
 }
@@ -558,10 +559,21 @@
 	c.reader = c.electReader(up, best)
 	c.plan(now, best.ID == c.self.ID)
 	seen := c.seen(up)
-	c.met = 2*seen > len(c.known)
-	c.cell.Members(now, up, c.met, seen == len(c.known))
+	met := 2*seen > len(c.known)
+	if met && !c.met {
+		c.metSince = now
+	}
+	c.met = met
+	// Who starts together with this process may not have met it yet. Later, who lives
+	// is in sight.
+	whole := seen == len(c.known) || met && now.Sub(c.metSince) > meetWithin
+	c.cell.Members(now, up, met, whole)
 }
 
+// meetWithin is how long processes that start together take to meet, at the most: some
+// hundred milliseconds, a second on slow VMs.
+const meetWithin = 2 * time.Second
+
 // plan begins or ends the planning. Members that took this process for the planner
 // earlier than it did have told it things that it could not use: it says that it has
 // begun, and they tell it again.
@@ -646,6 +658,7 @@
 // Thawed takes note that the process did not run for a while: its jobs are given
 // up, and its leases are looked at before anything else is done.
 func (c *Core) Thawed(now time.Time) {
+	c.metSince = now
 	c.entry.Thawed(now)
 	for _, id := range c.heldIDs() {
 		c.held[id].Thawed(now)
--- a/node/node.go
+++ b/node/node.go
@@ -111,7 +111,7 @@
 	// is.
 	settling atomic.Bool
 	shut     chan struct{}
-	open             atomic.Int64
+	open     atomic.Int64
 	// met tells that most other processes are in sight; began is when this one
 	// started.
 	met   atomic.Bool
--- a/node/store.go
+++ b/node/store.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
+	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"snipehub.example/cell"
@@ -131,7 +130,7 @@
 }
 
 // memberRecord is what the store keeps of a process, under its address in the
-// mesh.
+// mesh. It is renewed now and then.
 type memberRecord struct {
 	Boot uint64 `json:"boot"`
 	VM   string `json:"vm"`
@@ -139,28 +138,28 @@
 
 // followMembers learns which processes there are.
 func (n *Node) followMembers() *registry.Follower {
-	known := make(map[netip.AddrPort]mesh.ID)
+	known := newRecords(n.cfg.Peers)
 	return n.follower(registry.Config{Name: topicMembers, Wait: membersWait}, n.platform.Members, nil, func(ctx context.Context, news registry.News) {
 		if news.Whole {
-			clear(known)
+			known.clear()
 		}
 		for _, r := range news.Records {
-			n.member(known, r)
+			n.member(ctx, known, r)
 		}
-		addrs := slices.Collect(maps.Keys(known))
+		addrs := known.list()
 		n.mesh.Learn(addrs...)
 		n.do(ctx, func(now time.Time, c *Core) { c.Known(now, addrs) })
 	})
 }
 
-func (n *Node) member(known map[netip.AddrPort]mesh.ID, r registry.Record) {
+func (n *Node) member(ctx context.Context, known *records, r registry.Record) {
 	a, err := netip.ParseAddrPort(r.Key)
 	if err != nil {
 		event.RecordUnreadable.Log(n.log, "topic", topicMembers, "key", r.Key, "error", err)
 		return
 	}
 	if r.Dropped {
-		delete(known, a)
+		known.dropped(a)
 		return
 	}
 	var m memberRecord
@@ -168,41 +167,79 @@
 		event.RecordUnreadable.Log(n.log, "topic", topicMembers, "key", r.Key, "error", err)
 		return
 	}
-	known[a] = mesh.ID{Address: a, Boot: m.Boot}
+	for _, gone := range known.renewed(a) {
+		n.forget(ctx, gone)
+	}
 }
 
-// keepRecord writes this process's record, and gets its number by that.
+// forget takes the record of a process back that is gone for good. The planner does it
+// for all; nothing depends on when.
+func (n *Node) forget(ctx context.Context, gone netip.AddrPort) {
+	event.MemberForgotten.Log(n.log, "address", gone)
+	if p := n.planner.Load(); p == nil || p.Address != n.cfg.Peers {
+		return
+	}
+	if _, err := n.putRecord(ctx, gone, nil); err != nil {
+		event.MemberNotRecorded.Log(n.log, "address", gone, "error", err)
+	}
+}
+
+// keepRecord writes this process's record, gets its number by that, and renews it.
 func (n *Node) keepRecord(ctx context.Context) error {
 	self := n.core.Self()
 	value, err := json.Marshal(memberRecord{Boot: self.ID.Boot, VM: self.VM})
 	if err != nil {
 		return err
 	}
-	for retry := recordRetry; ; retry = min(2*retry, recordRetryMost) {
+	numbered := false
+	for retry := recordRetry; ; {
+		pause := renewEvery/2 + rand.N(renewEvery)
+		if n.stopping.Load() {
+			// The stop takes the record back.
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		o, err := n.put(ctx, value)
-		if err == nil {
+		switch {
+		case err != nil:
+			event.MemberNotRecorded.Log(n.log, "error", err)
+			pause = retry
+			retry = min(2*retry, recordRetryMost)
+		case !numbered:
+			numbered = true
 			event.MemberRecorded.Log(n.log, "number", uint64(o)+1)
 			n.say(ctx, func(m *mesh.Member) { m.Number = uint64(o) + 1 })
-			<-ctx.Done()
-			return ctx.Err()
+			retry = recordRetry
+		default:
+			retry = recordRetry
 		}
-		event.MemberNotRecorded.Log(n.log, "error", err)
-		if !clock.Sleep(ctx, retry) {
+		if !clock.Sleep(ctx, pause) {
 			return ctx.Err()
 		}
 	}
 }
 
-// The pause after a failed attempt to write the own record.
 const (
+	// recordRetry and recordRetryMost bound the pause after a failed attempt to write
+	// the own record.
 	recordRetry     = 50 * time.Millisecond
 	recordRetryMost = 500 * time.Millisecond
+	// renewEvery is the average time between two renewals of it. Each wakes the readers
+	// of all processes; with one a minute a process that is gone for good counts for
+	// three to four.
+	renewEvery = time.Minute
 )
 
+// put writes the own record.
 func (n *Node) put(ctx context.Context, value []byte) (registry.Offset, error) {
+	return n.putRecord(ctx, n.cfg.Peers, value)
+}
+
+// putRecord writes the record of a process, or takes it back if there is no value.
+func (n *Node) putRecord(ctx context.Context, a netip.AddrPort, value []byte) (registry.Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return n.platform.Members.Put(ctx, n.cfg.Peers.String(), value)
+	return n.platform.Members.Put(ctx, a.String(), value)
 }
 
 // Learn names addresses of other processes.
