entry, node, mesh: large files split by what they are about

Membership and elections out of node/core.go, sessions out of mesh/mesh.go, lost holders and grants out of entry/book.go. No line of code changed.

--- a/entry/book.go
+++ b/entry/book.go
@@ -290,72 +290,6 @@
 	return out
 }
 
-// Grant takes workers for tasks. What isn't wanted any more is given back.
-func (b *Book) Grant(now time.Time, g cell.Grant) {
-	j := b.jobs[g.Job]
-	var unused []lease.Run
-	starts := make(map[mesh.ID]map[int]*Start)
-	for _, it := range g.Items {
-		t := b.wanted(j, it.Run)
-		if t == nil {
-			unused = append(unused, it.Run)
-			continue
-		}
-		b.place(j, t, it)
-		byStep := starts[it.Holder]
-		if byStep == nil {
-			byStep = make(map[int]*Start)
-			starts[it.Holder] = byStep
-		}
-		s := byStep[t.step]
-		if s == nil {
-			step := j.Steps[t.step]
-			s = &Start{Spec: j.Spec, Room: step.Room, Estimate: step.Estimate}
-			byStep[t.step] = s
-		}
-		s.Runs = append(s.Runs, Placed{Run: it.Run, Worker: it.Worker, Estimate: it.Estimate})
-	}
-	if len(unused) > 0 {
-		b.act(Action{Withdraw: &cell.Withdrawal{Job: g.Job, Runs: unused}})
-	}
-	b.sendStarts(starts)
-}
-
-// sendStarts sends in a fixed order, so that a run of the book can be repeated.
-func (b *Book) sendStarts(starts map[mesh.ID]map[int]*Start) {
-	var holders []mesh.ID
-	for h := range starts {
-		holders = append(holders, h)
-	}
-	slices.SortFunc(holders, mesh.ID.Compare)
-	for _, h := range holders {
-		for s := 0; len(starts[h]) > 0; s++ {
-			if start, ok := starts[h][s]; ok {
-				b.act(Action{To: h, Start: start})
-				delete(starts[h], s)
-			}
-		}
-	}
-}
-
-func (b *Book) wanted(j *job, r lease.Run) *task {
-	if j == nil || j.answer != nil {
-		return nil
-	}
-	for _, t := range j.tasks {
-		if t.state == waiting && j.name(t) == r {
-			return t
-		}
-	}
-	return nil
-}
-
-func (b *Book) place(j *job, t *task, it cell.Granted) {
-	t.state, t.worker, t.holder, t.fence, t.adrift = placed, it.Worker, it.Holder, it.Fence, time.Time{}
-	t.estimate = cmp.Or(it.Estimate, j.Steps[t.step].Estimate)
-	b.runs[it.Run] = placedTask{j, t}
-}
-
 // Refused takes the planner's word that a job gets no workers. A job of which
 // something has begun can't be refused truthfully; it goes on.
 func (b *Book) Refused(now time.Time, r cell.Refusal) {
@@ -544,77 +478,6 @@
 	return n
 }
 
-// HolderDown takes note that a holder is out of sight. What counts is when it is
-// noted here, not when the holder was last heard: a busy process notes it late, and
-// what it has placed in between may have reached the holder by a new session.
-func (b *Book) HolderDown(now time.Time, h mesh.ID) {
-	for _, p := range b.runs {
-		if p.t.holder == h && p.t.adrift.IsZero() {
-			p.t.adrift = now
-		}
-	}
-}
-
-// HolderUp claims the runs at a holder that is in sight again: it may have lost
-// the last messages.
-func (b *Book) HolderUp(h mesh.ID) {
-	workers := make(map[string][]placedTask)
-	for _, p := range b.runs {
-		if p.t.holder == h {
-			p.t.adrift = time.Time{}
-			workers[p.t.worker] = append(workers[p.t.worker], p)
-		}
-	}
-	for _, w := range sortedKeys(workers) {
-		b.claim(h, w, workers[w])
-	}
-}
-
-// Held claims the runs on a worker at its new holder. The announcement of one that
-// was replaced since can arrive late; it knows nothing of what was started under
-// its successor and would tell that it does not run.
-func (b *Book) Held(h mesh.ID, worker string, fence lease.Fence) {
-	var found []placedTask
-	for _, p := range b.runs {
-		if p.t.worker == worker && p.t.fence.Base() <= fence.Base() {
-			p.t.holder, p.t.fence, p.t.adrift = h, fence, time.Time{}
-			found = append(found, p)
-		}
-	}
-	if len(found) > 0 {
-		b.claim(h, worker, found)
-	}
-}
-
-// Unheld takes note that a process does not hold a worker any more. Its next holder
-// announces itself.
-func (b *Book) Unheld(now time.Time, h mesh.ID, worker string) {
-	for _, p := range b.runs {
-		if p.t.worker == worker && p.t.holder == h && p.t.adrift.IsZero() {
-			p.t.adrift = now
-		}
-	}
-}
-
-func (b *Book) claim(h mesh.ID, worker string, found []placedTask) {
-	c := &Claim{Worker: worker}
-	for _, p := range found {
-		room := p.j.Steps[p.t.step].Room
-		c.Runs = append(c.Runs, Claimed{Run: p.j.name(p.t), Room: room, Estimate: p.t.estimate, Fence: p.t.fence})
-	}
-	slices.SortFunc(c.Runs, func(x, y Claimed) int { return compareRuns(x.Run, y.Run) })
-	b.act(Action{To: h, Claim: c})
-	stop := &Stop{}
-	for _, p := range found {
-		if p.j.answer != nil {
-			stop.Runs = append(stop.Runs, Placed{Run: p.j.name(p.t), Worker: worker})
-		}
-	}
-	if len(stop.Runs) > 0 {
-		b.act(Action{To: h, Stop: stop})
-	}
-}
-
 // Tick gives up jobs whose time is over, and runs whose holder was lost for so
 // long that they have ended.
 func (b *Book) Tick(now time.Time) {
@@ -646,17 +509,6 @@
 	}
 }
 
-func (b *Book) adrift(now time.Time) []placedTask {
-	var out []placedTask
-	for _, p := range b.runs {
-		if !p.t.adrift.IsZero() && now.Sub(p.t.adrift) > forgetAfter {
-			out = append(out, p)
-		}
-	}
-	slices.SortFunc(out, func(x, y placedTask) int { return compareRuns(x.j.name(x.t), y.j.name(y.t)) })
-	return out
-}
-
 // Thawed gives up all jobs: this process did not run for so long that its callers
 // may be served by others.
 func (b *Book) Thawed(now time.Time) {
--- /dev/null
+++ b/mesh/session.go
@@ -0,0 +1,257 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"snipehub.example/event"
+)
+
+// session is one connection with one member.
+type session[M any] struct {
+	mesh   *Mesh[M]
+	number uint64
+	conn   *jsonrpc2.Conn
+	codec  codec
+	wake   chan struct{}
+	// done is closed when the end of the session has been told.
+	done chan struct{}
+	// id is set before the session is known to anybody else.
+	id ID
+	// told is the edition that the member was last told. Only the goroutine that
+	// writes uses it. It is compared with the newest before each message: news that
+	// came up between the greeting and the beginning of the session would else never
+	// be told, and the member would believe the old for as long as both live.
+	told uint64
+
+	// telling orders what is told: nothing before Up, nothing after Down. A
+	// session that ends while its beginning is told would else be taken for
+	// one that lasts.
+	telling  sync.Mutex
+	up, down bool
+
+	mu     sync.Mutex
+	member Member
+	over   bool
+	why    string
+	heard  time.Time
+	// taking tells that a message is being passed on, which may block.
+	taking bool
+	queue  []M
+}
+
+// handler handles notifications in the order in which they arrive, in the
+// goroutine that reads the connection.
+type handler func(*jsonrpc2.Request)
+
+// Handle handles one notification.
+func (h handler) Handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) { h(r) }
+
+// run greets the member, then writes what there is to write until the session
+// is over.
+func (s *session[M]) run(ctx context.Context) {
+	defer close(s.done)
+	defer s.mesh.forget(s)
+	defer func() { _ = s.conn.Close() }()
+	defer s.tellDown()
+	h, edition := s.mesh.hello()
+	s.told = edition
+	if err := s.notify(ctx, methodHello, h); err != nil {
+		s.end("greeting failed: " + err.Error())
+		return
+	}
+	t := time.NewTimer(BeatEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.end("this process stops")
+		case <-s.conn.DisconnectNotify():
+			s.end("connection closed")
+		case <-s.wake:
+		case <-t.C:
+		}
+		if s.ended(time.Now()) {
+			return
+		}
+		if err := s.flush(ctx); err != nil {
+			s.end("write failed: " + err.Error())
+		}
+		t.Reset(BeatEvery)
+	}
+}
+
+// ended tells whether the session is over, for instance by silence.
+func (s *session[M]) ended(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.over && !s.taking && now.Sub(s.heard) > DownAfter {
+		s.over, s.why = true, "silent"
+	}
+	return s.over
+}
+
+func (s *session[M]) tellUp(h hello) {
+	s.telling.Lock()
+	defer s.telling.Unlock()
+	if s.down {
+		return
+	}
+	s.up = true
+	event.SessionUp.Log(s.mesh.log, "member", h.From.VM, "id", h.From.ID, "number", h.From.Number)
+	s.mesh.deliver(Event[M]{Kind: Up, Member: h.From, Session: s.number})
+}
+
+func (s *session[M]) tellDown() {
+	s.telling.Lock()
+	defer s.telling.Unlock()
+	s.down = true
+	if !s.up {
+		return
+	}
+	s.mu.Lock()
+	member, why, heard := s.member, s.why, s.heard
+	s.mu.Unlock()
+	event.SessionDown.Log(s.mesh.log, "member", member.VM, "id", member.ID, "why", why, "silent_ms", time.Since(heard).Milliseconds())
+	s.mesh.deliver(Event[M]{Kind: Down, Member: member, Session: s.number, Heard: heard, Why: why})
+}
+
+// tell passes on what arrived while the session is up.
+func (s *session[M]) tell(e Event[M]) {
+	s.telling.Lock()
+	defer s.telling.Unlock()
+	if s.up && !s.down {
+		s.mesh.deliver(e)
+	}
+}
+
+// flush writes what waits, or a heartbeat. Nothing but the greeting is written
+// before the member has greeted.
+func (s *session[M]) flush(ctx context.Context) error {
+	s.mu.Lock()
+	if s.member.ID == (ID{}) {
+		s.mu.Unlock()
+		return nil
+	}
+	b := batch[M]{Mail: s.queue}
+	s.queue = nil
+	s.mu.Unlock()
+	if me, edition := s.mesh.me(); edition != s.told {
+		b.From, s.told = &me, edition
+	}
+	if b.From == nil && len(b.Mail) == 0 {
+		return s.notify(ctx, methodBeat, nil)
+	}
+	return s.notify(ctx, methodMail, b)
+}
+
+// notify writes a notification, with content if there is any.
+func (s *session[M]) notify(ctx context.Context, method string, v any) error {
+	if v != nil {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return errors.Wrap(err, "mesh: encode")
+		}
+		s.codec.out = b
+	}
+	return s.conn.Notify(ctx, method, nil)
+}
+
+func (s *session[M]) send(mail []M) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.queue)+len(mail) > ring {
+		s.over, s.why = true, "too many messages wait"
+	} else {
+		s.queue = append(s.queue, mail...)
+	}
+	s.poke()
+}
+
+func (s *session[M]) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// end marks the session as over; its goroutine tells it.
+func (s *session[M]) end(why string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.over {
+		s.over, s.why = true, why
+	}
+	s.poke()
+}
+
+// handle takes one notification of the member.
+func (s *session[M]) handle(r *jsonrpc2.Request) {
+	s.took(true)
+	defer s.took(false)
+	if err := s.take(r); err != nil {
+		event.PeerRefused.Log(s.mesh.log, "member", s.id, "error", err)
+		s.end("unreadable message")
+	}
+}
+
+func (s *session[M]) took(taking bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard, s.taking = time.Now(), taking
+}
+
+func (s *session[M]) take(r *jsonrpc2.Request) error {
+	switch r.Method {
+	case methodBeat:
+		return nil
+	case methodHello:
+		var h hello
+		if err := json.Unmarshal(s.codec.in, &h); err != nil {
+			return errors.Wrap(err, "mesh: decode")
+		}
+		s.greet(h)
+		return nil
+	case methodMail:
+		var b batch[M]
+		if err := json.Unmarshal(s.codec.in, &b); err != nil {
+			return errors.Wrap(err, "mesh: decode")
+		}
+		s.receive(b)
+		return nil
+	}
+	return errors.Errorf("mesh: unknown method %q", r.Method)
+}
+
+// greet begins the session. A process that reaches itself (a seed can be its
+// own address) ends it.
+func (s *session[M]) greet(h hello) {
+	if me, _ := s.mesh.me(); s.id != (ID{}) || h.From.ID.Address == me.ID.Address {
+		s.end("second greeting, or own address")
+		return
+	}
+	s.id = h.From.ID
+	s.mesh.begin(s, h)
+	s.tellUp(h)
+	s.mu.Lock()
+	s.member = h.From
+	s.mu.Unlock()
+	s.poke()
+}
+
+func (s *session[M]) receive(b batch[M]) {
+	if b.From != nil {
+		s.mu.Lock()
+		s.member = *b.From
+		s.mu.Unlock()
+		s.tell(Event[M]{Kind: Changed, Member: *b.From, Session: s.number})
+	}
+	if len(b.Mail) > 0 {
+		s.tell(Event[M]{Kind: Mail, Member: Member{ID: s.id}, Session: s.number, Mail: b.Mail})
+	}
+}
--- /dev/null
+++ b/node/members.go
@@ -0,0 +1,210 @@
+package node
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"snipehub.example/entry"
+	"snipehub.example/event"
+	"snipehub.example/mesh"
+)
+
+// MemberUp takes note of a session with a member.
+func (c *Core) MemberUp(now time.Time, m mesh.Member, session uint64) {
+	c.before(now, m.ID)
+	c.members[m.ID] = peerState{m, session}
+	c.elect(now)
+	delete(c.lost, m.ID)
+	c.entry.HolderUp(m.ID)
+	c.announce(now, m.ID)
+	c.wants(now, m)
+	if m.ID == c.planner {
+		c.greet(now)
+	}
+}
+
+// announce tells a member which workers are held here. It may have runs there and have
+// missed the announcement because there was no session yet: it would wait two seconds
+// until it takes them for lost.
+func (c *Core) announce(now time.Time, to mesh.ID) {
+	for _, id := range c.heldIDs() {
+		if b := c.held[id]; b.Known() {
+			c.send(now, to, Mail{Held: &entry.Held{Worker: id, Fence: b.Fence()}})
+		}
+	}
+}
+
+// before ends other lives at the same address: an address is bound by one process
+// at a time.
+func (c *Core) before(now time.Time, id mesh.ID) {
+	for _, o := range slices.SortedFunc(maps.Keys(c.members), mesh.ID.Compare) {
+		if o.Address == id.Address && o != id {
+			c.MemberDown(now, o, c.members[o].session, now)
+		}
+	}
+	for _, o := range slices.SortedFunc(maps.Keys(c.lost), mesh.ID.Compare) {
+		if o.Address == id.Address && o != id {
+			c.ownerLost(now, o)
+		}
+	}
+}
+
+// MemberDown takes note of the end of a session.
+func (c *Core) MemberDown(now time.Time, id mesh.ID, session uint64, heard time.Time) {
+	if m, ok := c.members[id]; !ok || m.session != session {
+		return
+	}
+	delete(c.members, id)
+	c.lost[id] = heard
+	c.entry.HolderDown(now, id)
+	c.elect(now)
+}
+
+// MemberChanged takes what a member says of itself.
+func (c *Core) MemberChanged(now time.Time, m mesh.Member) {
+	p, ok := c.members[m.ID]
+	if !ok {
+		return
+	}
+	before := c.planner
+	began := m.Plans != p.Plans
+	p.Member = m
+	c.members[m.ID] = p
+	c.wants(now, m)
+	c.elect(now)
+	if began && m.ID == before && m.ID == c.planner {
+		c.greet(now)
+	}
+}
+
+// Say changes what this process says of itself.
+func (c *Core) Say(now time.Time, change func(*mesh.Member)) {
+	before := c.self
+	change(&c.self)
+	if c.self != before {
+		c.out = append(c.out, Output{Say: &c.self})
+		c.elect(now)
+	}
+}
+
+// Known sets the processes that the platform's store lists.
+func (c *Core) Known(now time.Time, addrs []netip.AddrPort) {
+	c.known = make(map[netip.AddrPort]struct{}, len(addrs))
+	for _, a := range addrs {
+		c.known[a] = struct{}{}
+	}
+	c.elect(now)
+}
+
+// elect finds who plans: the largest VM, of equal ones the one that joined first,
+// so that a newcomer does not take over from a planner at work. Nobody has to
+// agree: two planners for a moment cost starts without room.
+func (c *Core) elect(now time.Time) {
+	up := c.up()
+	best := slices.MinFunc(up, c.rank)
+	if best.ID != c.planner {
+		event.PlannerChosen.Log(c.log, "planner", best.ID, "vm", best.VM, "number", best.Number, "members", len(up), "before", c.planner)
+		c.planner = best.ID
+		c.greet(now)
+	}
+	c.reader = c.electReader(up, best)
+	c.plan(now, best.ID == c.self.ID)
+	seen := c.seen(up)
+	met := 2*seen > len(c.known)
+	if met && !c.met {
+		c.metSince = now
+	}
+	c.met = met
+	// Who starts together with this process may not have met it yet. Later, who lives
+	// is in sight.
+	whole := seen == len(c.known) || met && now.Sub(c.metSince) > meetWithin
+	c.cell.Members(now, up, met, whole)
+}
+
+// meetWithin is how long processes that start together take to meet, at the most: some
+// hundred milliseconds, a second on slow VMs.
+const meetWithin = 2 * time.Second
+
+// plan begins or ends the planning. Members that took this process for the planner
+// earlier than it did have told it things that it could not use: it says that it has
+// begun, and they tell it again.
+func (c *Core) plan(now time.Time, self bool) {
+	switch {
+	case self == c.cell.Active():
+	case self:
+		c.cell.Begin(now)
+		c.self.Plans++
+		c.out = append(c.out, Output{Say: &c.self})
+	default:
+		c.cell.Stop()
+	}
+}
+
+// electReader finds who reads the platform's list of workers: the planner, or the
+// best other member while the store turns the planner away. Without that, tasks
+// would be started on workers that have long said that they leave.
+func (c *Core) electReader(up []mesh.Member, planner mesh.Member) mesh.ID {
+	if !planner.Blind {
+		return planner.ID
+	}
+	best := slices.MinFunc(up, func(x, y mesh.Member) int {
+		return cmp.Or(compareBool(x.Blind, y.Blind), c.rank(x, y))
+	})
+	return best.ID
+}
+
+// Reads tells whether this process reads the list of workers, and for whom.
+func (c *Core) Reads() (planner mesh.ID, ok bool) {
+	return c.planner, c.reader == c.self.ID
+}
+
+// greet tells a new planner everything: all workers held, all tasks that wait.
+func (c *Core) greet(now time.Time) {
+	c.reported = time.Time{}
+	c.entry.Planner(now, mesh.ID{})
+	c.entry.Planner(now, c.planner)
+}
+
+// rank orders members by who plans.
+func (c *Core) rank(x, y mesh.Member) int {
+	return cmp.Or(
+		-compareBool(eligible(x), eligible(y)),
+		-cmp.Compare(size(x), size(y)),
+		cmp.Compare(x.Number, y.Number),
+		x.ID.Compare(y.ID),
+	)
+}
+
+func eligible(m mesh.Member) bool { return !m.Leaving && m.Number != 0 }
+
+// size is the size of a VM in steps that small differences don't reach.
+func size(m mesh.Member) int { return int(m.Share * 10) }
+
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return 1
+	}
+	return -1
+}
+
+// seen counts the processes that the store lists and this one sees. Only with more
+// than half of them in sight are workers given to others than their holders: a process
+// that is cut off alone would else take the workers of all others from them.
+func (c *Core) seen(up []mesh.Member) int {
+	n := 0
+	for _, m := range up {
+		if _, ok := c.known[m.ID.Address]; ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Met tells whether more than half of the processes that the store lists are in sight.
+func (c *Core) Met() bool { return c.met && len(c.known) > 0 }
