A worker that nobody can hold does not go round; what members say is logged

Ruled out: fences (none was refused), balance (no relief before).

Change: from the second holder in a row that keeps a worker for less than a second, it stays without one for 0.1 s, doubling to 2 s. Event 815 for what a member newly says, which the incident of the restart lacked.

--- a/cell/book.go
+++ b/cell/book.go
@@ -48,8 +48,10 @@
 	// former is the holder before, letGo when it ended.
 	former mesh.ID
 	letGo  time.Time
-	fence  lease.Fence
-	open   bool
+	// brief counts the holders in a row that did not keep it.
+	brief int
+	fence lease.Fence
+	open  bool
 	// shut is when it last ceased to be open.
 	shut time.Time
 	// failures counts the holder's calls without an answer.
@@ -303,6 +305,7 @@
 
 // unhold takes note that nobody holds the worker.
 func (b *Book) unhold(now time.Time, w *worker) {
+	w.countBrief(now)
 	w.letGo = now
 	w.opened(now, false)
 	w.former, w.holder, w.confirmed = w.holder, mesh.ID{}, false
--- a/cell/book_test.go
+++ b/cell/book_test.go
@@ -613,3 +613,31 @@
 		t.Errorf("%d refusals long after the worker was lost, want 2", len(refused))
 	}
 }
+
+// A worker has started again and is still listed under its former life. Whoever is told to
+// hold it finds another life there and lets go at once, so that it was given to two members
+// in turns, 450 times in a second, which took a good part of the planner's processor.
+func TestWorkerThatNobodyCanHold(t *testing.T) {
+	b := allHeld(t, 2, 1)
+	w := testWorker(0)
+	given := 0
+	holder := b.workers["w0"].holder
+	for at := 5000; at < 7000; at += 2 {
+		if holder != (mesh.ID{}) {
+			b.Report(ms(at), holder, Report{States: []lease.State{{ID: w.ID, Fence: b.workers["w0"].fence + 1, Gone: true}}})
+			holder = mesh.ID{}
+		}
+		if at%50 == 0 {
+			b.Tick(ms(at))
+		}
+		for _, a := range b.Take() {
+			if a.Duty != nil {
+				given++
+				holder = a.To
+			}
+		}
+	}
+	if given < 2 || given > 8 {
+		t.Errorf("given %d times in two seconds, want 2 to 8", given)
+	}
+}
--- a/cell/duty.go
+++ b/cell/duty.go
@@ -88,9 +88,39 @@
 	return b.byID
 }
 
+const (
+	// keptLeast is how long a holder must keep a worker not to count as brief.
+	keptLeast = time.Second
+	// pauseLeast is the pause after the second brief holder in a row. It doubles up to
+	// pauseMost.
+	pauseLeast = 100 * time.Millisecond
+	pauseMost  = 2 * time.Second
+)
+
+// countBrief takes note that a worker is let go now. Holders that were asked to pass it on
+// don't count.
+func (w *worker) countBrief(now time.Time) {
+	switch {
+	case now.Sub(w.since) >= keptLeast:
+		w.brief = 0
+	case w.relieved.IsZero():
+		w.brief++
+	}
+}
+
+// pause is how long a worker stays without a holder. One that has started again, and is
+// listed under its former life, is let go by each member as soon as it looks; without a
+// pause it goes round hundreds of times a second.
+func (w *worker) pause() time.Duration {
+	if w.brief < 2 {
+		return 0
+	}
+	return min(pauseLeast<<min(w.brief-2, 8), pauseMost)
+}
+
 // give chooses the holder of a worker, and counts it there.
 func (b *Book) give(now time.Time, w *worker, load map[mesh.ID]float64) {
-	if !w.listed || w.draining && len(w.runs) == 0 {
+	if !w.listed || w.draining && len(w.runs) == 0 || now.Sub(w.letGo) < w.pause() {
 		return
 	}
 	m := b.choose(now, w, load)
--- a/event/table.go
+++ b/event/table.go
@@ -74,6 +74,7 @@
 	SettingsUnusable  ID = 812
 	LogLinesDropped   ID = 813
 	MemberForgotten   ID = 814
+	MemberNews        ID = 815
 
 	PlannerChosen   ID = 900
 	PlannerBegan    ID = 901
@@ -161,6 +162,7 @@
 	{SettingsUnusable, slog.LevelError, "settings can't be used", "The changed settings file can't be read or contradicts itself. The settings of before stay in force.", "0.2"},
 	{LogLinesDropped, slog.LevelWarn, "log lines dropped", "More lines were logged than could be written; the number given was dropped so that requests don't wait.", "0.2"},
 	{MemberForgotten, slog.LevelInfo, "process forgotten", "A process has not renewed its record for minutes in which the store took records, and no longer counts towards the majority; the planner takes the record back.", "0.2"},
+	{MemberNews, slog.LevelInfo, "member news", "A member says something new of itself: its number, that it leaves, that it does not reach the store, how often it began to plan, its version of the configuration.", "0.2"},
 	{PlannerChosen, slog.LevelInfo, "planner chosen", "This process takes the one given for the planner of the cell, out of the members that it sees.", "0.2"},
 	{PlannerBegan, slog.LevelInfo, "planning begins", "This process plans for the cell from now on.", "0.2"},
 	{PlannerEnded, slog.LevelInfo, "planning ends", "Another process plans from now on.", "0.2"},
--- a/node/members.go
+++ b/node/members.go
@@ -69,6 +69,7 @@
 	if !ok {
 		return
 	}
+	event.MemberNews.Log(c.log, "member", m.VM, "id", m.ID, "number", m.Number, "leaving", m.Leaving, "blind", m.Blind, "plans", m.Plans, "catalog", uint64(m.Catalog))
 	before := c.planner
 	began := m.Plans != p.Plans
 	p.Member = m
