--- a/cell/admit.go
+++ b/cell/admit.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// admitEvery is the least time between two looks ahead: they cost half a millisecond
+// admitEvery is the least time between two looks ahead: they cost about a millisecond
 // where 400 jobs wait for 350 workers (BenchmarkCrowded).
 const admitEvery = 10 * time.Millisecond
 
