--- a/load/recovery.go
+++ b/load/recovery.go
@@ -52,19 +52,21 @@
 // tableRecovery writes the table and returns how many promises were broken.
 func tableRecovery(w io.Writer, site func() model.Config, seeds int) (broken int) {
 	nothing := model.Loss{Fault: func(int) func(*model.World) { return func(*model.World) {} }}
+	plain := make([]model.Recovery, seeds)
+	for i := range plain {
+		plain[i] = model.Recover(calmDay(site, i+1), lossAt, nothing)
+	}
 	fmt.Fprintln(w, "| lost | no start for, median, longest | on other workers | its workers in use again | lost | refused | late |")
 	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- |")
 	for _, l := range model.Losses {
 		var gap, others, again []time.Duration
 		var lost, refused, late float64
-		for seed := 1; seed <= seeds; seed++ {
-			cfg := calmDay(site, seed)
-			plain := model.Recover(cfg, lossAt, nothing)
-			r := model.Recover(cfg, lossAt, l)
+		for i, p := range plain {
+			r := model.Recover(calmDay(site, i+1), lossAt, l)
 			gap, others, again = append(gap, r.Gap), append(others, r.Others), append(again, r.Again)
-			lost += float64(r.Lost-plain.Lost) / float64(seeds)
-			refused += float64(r.Refused-plain.Refused) / float64(seeds)
-			late += float64(r.Late-plain.Late) / float64(seeds)
+			lost += float64(r.Lost-p.Lost) / float64(seeds)
+			refused += float64(r.Refused-p.Refused) / float64(seeds)
+			late += float64(r.Late-p.Late) / float64(seeds)
 			broken += len(r.Broken)
 		}
 		fmt.Fprintf(w, "| %s | %s | %s | %s | %.1f | %.1f | %.1f |\n", l.Name, spread(gap), spread(others), spread(again), lost, refused, late)
--- a/node/status.go
+++ b/node/status.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"snipehub.example/catalog"
@@ -29,7 +27,7 @@
 // Status returns the state for operators.
 func (c *Core) Status(now time.Time) Status {
 	s := Status{Self: c.self, Planner: c.planner, Plans: c.Plans(), Members: c.up(), Jobs: c.entry.Len()}
-	for _, id := range slices.Sorted(maps.Keys(c.held)) {
+	for _, id := range c.heldIDs() {
 		s.Workers = append(s.Workers, c.held[id].Peek(now))
 	}
 	if c.Plans() {
