--- a/lease/book.go
+++ b/lease/book.go
@@ -132,6 +132,8 @@
 	// calls counts hold calls, poll and look are those without answer.
 	calls      int
 	poll, look int
+	// looked is when the last call that doesn't wait was made.
+	looked time.Time
 	// sound tells that the worker answers. look is due when something has to be
 	// known at once.
 	sound   bool
@@ -243,15 +245,17 @@
 
 func (b *Book) startTime(now time.Time) time.Duration {
 	if now.Before(b.lossy) {
-		return startShort
+		return b.habits.trip.limit(startShort)
 	}
-	return startAnswer
+	return b.habits.trip.limit(startAnswer)
 }
 
 // Started takes the answer to a start.
 func (b *Book) Started(now time.Time, c StartCall, r Result) {
 	if c.Sent.Before(b.thawed) {
 		r = Result{Verdict: NoAnswer}
+	} else {
+		b.habits.took(now.Sub(c.Sent), r)
 	}
 	b.learnClock(now, r)
 	e, ok := b.runs[c.Run]
@@ -472,8 +476,8 @@
 		}
 	}
 	// A lost poll hides ends until it is given up; while calls get lost, a second
-	// call looks now and then.
-	if len(b.runs) > 0 && now.Before(b.lossy) && b.look == 0 {
+	// call looks now and then, but not so often that the looks fill the link.
+	if len(b.runs) > 0 && now.Before(b.lossy) && b.look == 0 && now.Sub(b.looked) >= b.habits.trip.limit(0) {
 		b.lookDue = true
 	}
 	if !b.sound && len(b.runs) > 0 && b.clock != 0 && now.After(b.Lapse()) {
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -17,7 +17,7 @@
 	case b.poll == 0 && b.sound && b.failures == 0 && b.phase != looking && b.phase != claiming:
 		b.poll = b.call(now, b.pollTime(now))
 	case (!b.sound || b.lookDue) && b.look == 0:
-		b.lookDue = false
+		b.lookDue, b.looked = false, now
 		b.look = b.call(now, 0)
 	}
 }
@@ -34,7 +34,7 @@
 
 func (b *Book) call(now time.Time, wait time.Duration) int {
 	b.calls++
-	c := &HoldCall{Number: b.calls, Fence: b.fence, Seen: b.seen, Wait: wait, Timeout: wait + answerFor, Sent: now}
+	c := &HoldCall{Number: b.calls, Fence: b.fence, Seen: b.seen, Wait: wait, Timeout: wait + b.habits.trip.limit(answerFor), Sent: now}
 	// A call to a worker that does not answer renews nothing: its order may be
 	// carried out although the answer is lost, and the runs there would be in
 	// doubt for as long as it is tried. Nor does the first call after a pause.
@@ -61,6 +61,9 @@
 		b.Tick(now)
 		return
 	}
+	if c.Wait == 0 {
+		b.habits.took(now.Sub(c.Sent), r)
+	}
 	switch r.Verdict {
 	case OK:
 		b.list(now, c, r)
--- a/lease/speed.go
+++ b/lease/speed.go
@@ -80,6 +80,8 @@
 	// Progress tells that workers tell how far their runs are. Where none does,
 	// a run that shows no progress says nothing.
 	Progress bool
+	// trip is how long they take to answer this process.
+	trip trip
 }
 
 // progress learns from how far a run is. A worker whose tasks stand still looks
