--- a/cell/place.go
+++ b/cell/place.go
@@ -256,10 +256,10 @@
 	// Once it is late, any worker will do.
 	late := now.Add(scaled(w.Estimate, best)).After(w.aim)
 	var g *Grant
-	near := b.nearness(w)
+	h := b.holders(w)
 	rest := w.Tasks
 	for _, r := range w.Tasks {
-		s := b.pick(now, w, seats, late, near)
+		s := b.pick(now, w, seats, late, h)
 		if s == nil {
 			// The tasks of a step are alike: what is no seat for one is none for
 			// the others.
@@ -269,7 +269,7 @@
 		if g == nil {
 			g = &Grant{Job: w.job}
 		}
-		near.use(s.holder)
+		h.use(s.holder)
 		s.left = s.left.Minus(w.Room)
 		if s.probe {
 			s.left = lease.Room{}
@@ -298,38 +298,13 @@
 	b.act(Action{To: w.owner, Grant: g})
 }
 
-// nearness tells how far the holders of workers are from a job.
-type nearness struct {
-	owner mesh.ID
-	// used are the holders that have tasks of the step already.
-	used []mesh.ID
-}
-
-func (b *Book) nearness(w *wait) *nearness { return &nearness{owner: w.owner} }
-
-func (n *nearness) use(h mesh.ID) {
-	if !slices.Contains(n.used, h) {
-		n.used = append(n.used, h)
-	}
-}
-
-// to returns how many copies of a job's text a task costs that goes to a holder: none if
-// that is the process that took the job in, or has a task of the step already.
-func (n *nearness) to(h mesh.ID) int {
-	if h == n.owner || slices.Contains(n.used, h) {
-		return 0
-	}
-	return 1
-}
-
-// pick returns the seat for a task: of the fastest workers with room, which differ by less
-// than their estimates are wrong, one that costs no further copy of the job's text, and
-// then the one with the least room left over.
-func (b *Book) pick(now time.Time, w *wait, seats []*seat, late bool, near *nearness) *seat {
+// pick returns the seat for a task: one of the fastest workers with room. They differ by
+// less than their estimates are wrong, so what decides between them is who holds them.
+func (b *Book) pick(now time.Time, w *wait, seats []*seat, late bool, h *holders) *seat {
 	if w.Rack != "" {
 		return b.pickNear(now, w, seats, late)
 	}
-	var best *seat
+	h.open = h.open[:0]
 	for _, s := range seats {
 		if !b.fits(w, s) {
 			continue
@@ -340,20 +315,17 @@
 		if !late && b.policy.WaitForFaster.on() && now.Add(scaled(w.Estimate, s.factor)).After(w.aim) {
 			break
 		}
-		if best == nil {
-			best = s
-			continue
-		}
-		if s.factor > best.factor*1.1 {
+		if len(h.open) > 0 && s.factor > h.open[0].factor*alike {
 			break
 		}
-		if cmp.Or(cmp.Compare(near.to(s.holder), near.to(best.holder)), cmp.Compare(s.left.CPU, best.left.CPU)) < 0 {
-			best = s
-		}
+		h.open = append(h.open, s)
 	}
-	return best
+	return h.best(w)
 }
 
+// alike is the factor by which the times of workers differ that are taken as equally fast.
+const alike = 1.1
+
 // pickNear is pick for tasks whose data is on a rack: a slower worker there may be
 // faster for them than any other.
 func (b *Book) pickNear(now time.Time, w *wait, seats []*seat, late bool) *seat {
--- a/cell/policy.go
+++ b/cell/policy.go
@@ -20,6 +20,8 @@
 	// before them. Margin scales the objective that counts for it.
 	LookAhead Choice
 	Margin    float64
+	// Gather puts the tasks of a job on few holders, of workers that are equally fast.
+	Gather Choice
 	// Order is how what waits is ordered.
 	Order Order
 	// Far is the time that tasks take on a rack without their data, over the time
--- a/lease/speed.go
+++ b/lease/speed.go
@@ -110,7 +110,9 @@
 		return
 	}
 	if !e.sampled && percent >= sampleAt {
-		e.sampled, e.reported, b.dirty = true, false, true
+		// The next tick tells the planner: this is not urgent, and each hold call may
+		// bring one.
+		e.sampled, e.reported = true, false
 		b.speed.add(now.Sub(e.began)*100/time.Duration(percent), e.Estimate)
 	}
 	still := max(stuckAfter, time.Duration(stuckShare*float64(e.Estimate)))
--- a/lease/state.go
+++ b/lease/state.go
@@ -48,10 +48,15 @@
 	if !b.dirty {
 		return State{}, false
 	}
+	return b.Part(now), true
+}
+
+// Part returns what has changed of the state, and at least that there is one.
+func (b *Book) Part(now time.Time) State {
 	if !b.stated {
 		s := b.State(now)
 		s.Worker = nil
-		return s, true
+		return s
 	}
 	s := b.brief()
 	s.Part = true
@@ -69,7 +74,7 @@
 		}
 	}
 	b.dirty, b.gone = false, nil
-	return s, true
+	return s
 }
 
 // note keeps what the planner is told now.
--- a/load/model.go
+++ b/load/model.go
@@ -26,6 +26,7 @@
 	{"nothing put aside", cell.Policy{AsideAfter: -1}},
 	{"no waiting for faster", cell.Policy{WaitForFaster: cell.Off}},
 	{"no looking ahead", cell.Policy{LookAhead: cell.Off}},
+	{"any holder", cell.Policy{Gather: cell.Off}},
 	{"margin 0.8", cell.Policy{Margin: 0.8}},
 	{"by objective", cell.Policy{Order: cell.ByAim}},
 	{"by work", cell.Policy{Order: cell.ByWork}},
--- a/node/core.go
+++ b/node/core.go
@@ -63,12 +63,12 @@
 	// back over another process, which the platform lets it do after 1,300 ms;
 	// it leaves a process whose connection broke time to connect again.
 	stopOrphans = 900 * time.Millisecond
-	// reportEvery is how often a holder tells the planner the whole state of all of its
-	// workers, in case the two have come to differ. Messages of a session are not lost,
-	// and a new planner is told all at once, so this repairs what should not happen.
+	// reportEvery is how often a holder tells the planner which workers it holds, in case
+	// the two have come to differ.
 	reportEvery = time.Second
-	// describeEvery is how often it also tells what the workers are, which never
-	// changes: half of such a report.
+	// describeEvery is how often it tells all about them. Messages of a session are not
+	// lost, and a new planner is told all at once, so this repairs what should not
+	// happen; once a second it was a third of what a planner took in.
 	describeEvery = 5 * time.Second
 )
 
@@ -97,8 +97,8 @@
 	// sight, metSince is since when.
 	met      bool
 	metSince time.Time
-	// reported is when the planner was last told all, zero while it still has to be;
-	// described when it was told what the workers are.
+	// reported is when the planner was last told which workers are held, zero while it
+	// still has to be; described when it was told all about them.
 	reported, described time.Time
 	out                 []Output
 }
@@ -372,7 +372,7 @@
 	describe := c.reported.IsZero() || r.Whole && now.Sub(c.described) >= describeEvery
 	for _, id := range c.heldIDs() {
 		b := c.held[id]
-		if s, ok := c.stateOf(now, b, r.Whole, describe); ok {
+		if s, ok := stateOf(now, b, r.Whole, describe); ok {
 			r.States = append(r.States, s)
 		}
 		if b.Closed() {
@@ -395,16 +395,16 @@
 	}
 }
 
-// stateOf returns what to tell of a worker: all, or what has changed.
-func (c *Core) stateOf(now time.Time, b *lease.Book, whole, describe bool) (lease.State, bool) {
-	if !whole {
-		return b.Changed(now)
-	}
-	s := b.State(now)
-	if !describe {
-		s.Worker = nil
+// stateOf returns what to tell of a worker: all, what has changed and that it is held, or
+// what has changed if anything has.
+func stateOf(now time.Time, b *lease.Book, whole, describe bool) (lease.State, bool) {
+	switch {
+	case describe:
+		return b.State(now), true
+	case whole:
+		return b.Part(now), true
 	}
-	return s, true
+	return b.Changed(now)
 }
 
 // Submit takes in a job of a caller.
