--- a/cell/gather.go
+++ b/cell/gather.go
@@ -20,28 +20,33 @@
 	// dc is the owner's data centre.
 	dc string
 	of map[mesh.ID]*member
-	// used have tasks of the step already.
-	used []mesh.ID
+	// tasks counts the tasks of the step that holders were just given.
+	tasks map[mesh.ID]int
 	// open are the seats to choose from.
 	open []*seat
 }
 
 func (b *Book) holders(w *wait) *holders {
-	h := &holders{gather: b.policy.Gather.on(), owner: w.owner, of: b.members}
+	h := &holders{gather: b.policy.Gather.on(), owner: w.owner, of: b.members, tasks: make(map[mesh.ID]int)}
 	if m := b.members[w.owner]; m != nil {
 		h.dc = m.DataCenter
 	}
 	return h
 }
 
-func (h *holders) use(id mesh.ID) {
-	if !h.has(id) {
-		h.used = append(h.used, id)
-	}
+func (h *holders) use(id mesh.ID) { h.tasks[id]++ }
+
+// has tells that a holder has the job's text, because it took the job in or has a task of
+// it, and not many tasks yet.
+func (h *holders) has(id mesh.ID) bool {
+	n := h.tasks[id]
+	return n < gatherMost && (n > 0 || id == h.owner)
 }
 
-// has tells that a holder has the job's text: it took the job in, or has a task of it.
-func (h *holders) has(id mesh.ID) bool { return id == h.owner || slices.Contains(h.used, id) }
+// gatherMost is how many tasks of a step one holder is given before another one is looked
+// for. It sends the text to the worker for each of them, one after the other: for a job of
+// eight tasks, four holders with two each are done first.
+const gatherMost = 2
 
 // best returns the seat with the least room left over, on a holder that has the job's text
 // or else on the one that can take most of the tasks; nil if there are no seats.
@@ -67,8 +72,8 @@
 	return best
 }
 
-// roomiest returns the holder whose seats take most of the step's tasks, of equal ones one
-// in the owner's data centre.
+// roomiest returns the holder with the fewest tasks of the step whose seats take most of
+// it, of equal ones one in the owner's data centre.
 func (h *holders) roomiest(w *wait) mesh.ID {
 	var ids []mesh.ID
 	room := make(map[mesh.ID]int)
@@ -76,13 +81,17 @@
 		if _, ok := room[s.holder]; !ok {
 			ids = append(ids, s.holder)
 		}
-		room[s.holder] = min(room[s.holder]+s.left.CPU/max(w.Room.CPU, 1), len(w.Tasks))
+		room[s.holder] = min(room[s.holder]+s.left.CPU/max(w.Room.CPU, 1), len(w.Tasks), gatherMost)
 	}
 	if len(ids) == 0 {
 		return mesh.ID{}
 	}
 	return slices.MaxFunc(ids, func(x, y mesh.ID) int {
-		return cmp.Or(cmp.Compare(room[x], room[y]), compareBool(h.near(x), h.near(y)))
+		return cmp.Or(
+			cmp.Compare(h.tasks[y], h.tasks[x]),
+			cmp.Compare(room[x], room[y]),
+			compareBool(h.near(x), h.near(y)),
+		)
 	})
 }
 
--- /dev/null
+++ b/entry/text_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+func letters(n int) string {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	var b strings.Builder
+	for range n {
+		b.WriteByte('a' + byte(rnd.IntN(16)))
+	}
+	return b.String()
+}
+
+// A job's text is packed between processes. A worker must get what the caller sent, to
+// the byte: with another text it would do other work.
+func TestTextIsReadAsWritten(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		most       int
+	}{
+		{"none", "", 1},
+		{"short", "1", 2},
+		{"below the least", letters(packLeast - 1), packLeast},
+		{"letters", letters(2000), 1100},
+		{"one letter", strings.Repeat("x", 4000), 600},
+		{"all bytes", strings.Repeat("\x00\xff\x80 ü", 300), 2100},
+	} {
+		b, err := Text(c.text).MarshalBinary()
+		var got Text
+		if err != nil || len(b) > c.most || got.UnmarshalBinary(b) != nil || string(got) != c.text {
+			t.Errorf("%s: %d bytes of %d, %v, the same: %t", c.name, len(b), len(c.text), err, string(got) == c.text)
+		}
+	}
+}
+
+// What can't be unpacked ends the session with who sent it, and starts nothing.
+func TestTextThatIsNoText(t *testing.T) {
+	for _, b := range [][]byte{nil, {7}, {packedText, 0xff, 0xff}} {
+		var got Text
+		if err := got.UnmarshalBinary(b); err == nil {
+			t.Errorf("%x is read as %q", b, got)
+		}
+	}
+}
+
+func BenchmarkText(b *testing.B) {
+	text := Text(letters(2000))
+	var size int
+	for b.Loop() {
+		packed, _ := text.MarshalBinary()
+		size = len(packed)
+		var got Text
+		_ = got.UnmarshalBinary(packed)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
--- a/node/core.go
+++ b/node/core.go
@@ -334,7 +334,7 @@
 			c.send(now, from, Mail{Ended: &entry.Ended{Worker: r.Worker, End: end}})
 			continue
 		}
-		b.Start(now, from, lease.Order{Run: r.Run, Spec: s.Spec, Room: s.Room, Estimate: cmp.Or(r.Estimate, s.Estimate)})
+		b.Start(now, from, lease.Order{Run: r.Run, Spec: string(s.Spec), Room: s.Room, Estimate: cmp.Or(r.Estimate, s.Estimate)})
 	}
 }
 
