--- a/cell/book.go
+++ b/cell/book.go
@@ -111,6 +111,8 @@
 	key
 	owner             mesh.ID
 	arrived, aim, end time.Time
+	// asked is when the planner was last asked.
+	asked time.Time
 }
 
 // Action is what a book asks its shell to do. One of the pointers is set.
--- a/cell/message.go
+++ b/cell/message.go
@@ -41,6 +41,8 @@
 type Grant struct {
 	Job   string    `cbor:"1,keyasint,omitzero"`
 	Items []Granted `cbor:"2,keyasint,omitzero"`
+	// Waited is how long the planner had been asked for them.
+	Waited time.Duration `cbor:"3,keyasint,omitzero"`
 }
 
 // Granted is a worker for one run, and the process that holds it.
--- a/cell/place.go
+++ b/cell/place.go
@@ -21,12 +21,12 @@
 		if w != nil {
 			b.line.remove(w)
 		}
-		w = &wait{Ask: a, key: k, owner: from, arrived: now.Add(-a.Age), aim: now.Add(a.Aim), end: now.Add(a.Limit)}
+		w = &wait{Ask: a, key: k, owner: from, arrived: now.Add(-a.Age), aim: now.Add(a.Aim), end: now.Add(a.Limit), asked: now}
 		b.waits[k] = w
 		b.line.add(w)
 	} else {
 		b.line.change(w, func() {
-			w.Begun, w.Avoid = a.Begun, a.Avoid
+			w.Begun, w.Avoid, w.asked = a.Begun, a.Avoid, now
 			w.Tasks = merge(w.Tasks, a.Tasks)
 		})
 	}
@@ -267,7 +267,7 @@
 		}
 		rest = rest[1:]
 		if g == nil {
-			g = &Grant{Job: w.job}
+			g = &Grant{Job: w.job, Waited: now.Sub(w.asked)}
 		}
 		h.use(s.holder)
 		s.left = s.left.Minus(w.Room)
@@ -366,4 +366,3 @@
 	}
 	return n
 }
-
--- a/entry/book.go
+++ b/entry/book.go
@@ -55,6 +55,8 @@
 	estimate time.Duration
 	// avoid is the worker that did not start the last run.
 	avoid string
+	// placedAt is when it was placed.
+	placedAt time.Time
 	// adrift is since when the holder is out of sight, zero while it isn't.
 	adrift time.Time
 }
@@ -64,6 +66,8 @@
 	arrived, aim, limit time.Time
 	tasks               []*task
 	waiters             []Waiter
+	// asked is when the planner was asked for tasks of which none was granted yet.
+	asked time.Time
 	// ran tells that a run has ended that had begun.
 	ran bool
 	// answer is set when the job is over; until then it is nil.
@@ -80,6 +84,7 @@
 	// runs finds the task of a run that is placed.
 	runs    map[lease.Run]placedTask
 	planner mesh.ID
+	delay   delay
 	acts    []Action
 	counts  Counts
 }
@@ -169,7 +174,7 @@
 	b.waiters[w] = j
 	event.JobAdmitted.Log(b.log, "job", r.ID, "queue", r.Queue.Name, "tasks", len(j.tasks), "steps", len(r.Steps),
 		"estimate_ms", r.Steps[0].Estimate.Milliseconds(), "cpu", r.Steps[0].Room.CPU, "patience_ms", r.Patience.Milliseconds(),
-		"aim_ms", j.aim.Sub(now).Milliseconds(), "planner", b.planner)
+		"aim_ms", j.aim.Sub(now).Milliseconds(), "delay_ms", b.delay.total().Milliseconds(), "planner", b.planner)
 	b.release(now, j)
 }
 
@@ -228,7 +233,7 @@
 		Room:     s.Room,
 		Estimate: s.Estimate,
 		Age:      now.Sub(j.arrived),
-		Aim:      j.aim.Sub(now),
+		Aim:      j.aim.Sub(now) - b.delay.total(),
 		Limit:    j.limit.Sub(now),
 		Begun:    j.begun(),
 		Label:    s.Label,
@@ -245,6 +250,7 @@
 			a.Avoid = append(a.Avoid, t.avoid)
 		}
 	}
+	j.asked = now
 	b.act(Action{Ask: a})
 }
 
@@ -300,12 +306,17 @@
 	b.finish(now, j, Answer{Status: Refused, Why: r.Why, After: r.After})
 }
 
-// Ended takes the end of a run.
-func (b *Book) Ended(now time.Time, e Ended) {
+// Ended takes the end of a run. That a run is lost is a conclusion, from a lease that has
+// run out, and only its holder can draw it: a former one that was frozen does not know who
+// has renewed the lease since.
+func (b *Book) Ended(now time.Time, from mesh.ID, e Ended) {
 	p, ok := b.runs[e.End.Run]
 	if !ok || p.t.worker != e.Worker {
 		return
 	}
+	if e.End.How == lease.Lost && from != p.t.holder {
+		return
+	}
 	b.over(now, p.j, p.t, e.End)
 }
 
@@ -317,6 +328,7 @@
 	switch end.How {
 	case lease.Done:
 		t.state = done
+		b.delay.ran(now, now.Sub(t.placedAt)-end.Took)
 	case lease.Failed:
 		t.failures++
 		t.state = blocked
@@ -481,6 +493,7 @@
 // Tick gives up jobs whose time is over, and runs whose holder was lost for so
 // long that they have ended.
 func (b *Book) Tick(now time.Time) {
+	b.delay.tick(now)
 	for _, p := range b.adrift(now) {
 		b.over(now, p.j, p.t, lease.End{Run: p.j.name(p.t), How: lease.Lost})
 	}
--- a/entry/book_test.go
+++ b/entry/book_test.go
@@ -105,7 +105,7 @@
 }
 
 func end(b *Book, at int, r lease.Run, how lease.How) took {
-	b.Ended(ms(at), Ended{Worker: "w", End: lease.End{Run: r, How: how}})
+	b.Ended(ms(at), holder, Ended{Worker: "w", End: lease.End{Run: r, How: how}})
 	return take(b)
 }
 
@@ -285,6 +285,25 @@
 	}
 }
 
+// A holder froze and was replaced; the run goes on under its successor. When it wakes up
+// it takes the run for lost, by its own clock. Believing it would start the task a second
+// time beside the first. What it has seen itself is believed: that is so whoever holds the
+// worker now.
+func TestFormerHolderTellsOfARun(t *testing.T) {
+	for _, c := range []struct {
+		how  lease.How
+		asks int
+	}{{lease.Lost, 0}, {lease.Stopped, 1}} {
+		b, a := running(t, request(1))
+		b.HolderDown(ms(100), holder)
+		b.Held(other, "w", lease.NewFence(5))
+		take(b)
+		if got := end(b, 200, a.Tasks[0], c.how); len(got.asks) != c.asks {
+			t.Errorf("%v: asks %+v, want %d", c.how, got.asks, c.asks)
+		}
+	}
+}
+
 // A busy process notes late that it has lost a holder, and what it has placed there in
 // between arrived over a new session. Counted from when the holder was last heard, the
 // run would be given up at once and placed again while it runs.
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -13,6 +13,10 @@
 // Grant takes workers for tasks. What isn't wanted any more is given back.
 func (b *Book) Grant(now time.Time, g cell.Grant) {
 	j := b.jobs[g.Job]
+	if j != nil && !j.asked.IsZero() {
+		b.delay.asked(now, now.Sub(j.asked)-g.Waited)
+		j.asked = time.Time{}
+	}
 	var unused []lease.Run
 	starts := make(map[mesh.ID]map[int]*Start)
 	for _, it := range g.Items {
@@ -21,7 +25,7 @@
 			unused = append(unused, it.Run)
 			continue
 		}
-		b.place(j, t, it)
+		b.place(now, j, t, it)
 		byStep := starts[it.Holder]
 		if byStep == nil {
 			byStep = make(map[int]*Start)
@@ -70,7 +74,8 @@
 	return nil
 }
 
-func (b *Book) place(j *job, t *task, it cell.Granted) {
+func (b *Book) place(now time.Time, j *job, t *task, it cell.Granted) {
+	t.placedAt = now
 	t.state, t.worker, t.holder, t.fence, t.adrift = placed, it.Worker, it.Holder, it.Fence, time.Time{}
 	t.estimate = cmp.Or(it.Estimate, j.Steps[t.step].Estimate)
 	b.runs[it.Run] = placedTask{j, t}
--- /dev/null
+++ b/internal/quantile/quantile_test.go
@@ -0,0 +1,57 @@
+package quantile
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func TestFollows(t *testing.T) {
+	r := Range{Share: 0.75, Step: 0.1, Least: time.Millisecond, Most: time.Second}
+	for _, c := range []struct {
+		name        string
+		lost        float64
+		least, most time.Duration
+	}{
+		{"none lost", 0, 60 * time.Millisecond, 90 * time.Millisecond},
+		{"a tenth lost", 0.1, 65 * time.Millisecond, 100 * time.Millisecond},
+		{"half lost", 0.5, time.Second, time.Second},
+	} {
+		rnd := rand.New(rand.NewPCG(1, 2))
+		var v Tracker
+		var sum time.Duration
+		for i := range 2000 {
+			if rnd.Float64() < c.lost {
+				v.Longer(r)
+			} else {
+				v.Add(r, time.Duration(rnd.IntN(100))*time.Millisecond)
+			}
+			if i >= 1000 {
+				sum += v.Value(r) / 1000
+			}
+		}
+		if sum < c.least*95/100 || sum > c.most {
+			t.Errorf("%s: %v on average, want %v to %v", c.name, sum, c.least, c.most)
+		}
+	}
+}
+
+func TestBounds(t *testing.T) {
+	r := Range{Share: 0.5, Step: 0.5, Least: 2 * time.Millisecond, Most: 9 * time.Millisecond}
+	var v Tracker
+	if v.Value(r) != r.Least {
+		t.Errorf("begins with %v", v.Value(r))
+	}
+	for range 50 {
+		v.Longer(r)
+	}
+	if v.Value(r) != r.Most {
+		t.Errorf("%v, want %v", v.Value(r), r.Most)
+	}
+	for range 50 {
+		v.Add(r, 0)
+	}
+	if v.Value(r) != r.Least {
+		t.Errorf("%v, want %v", v.Value(r), r.Least)
+	}
+}
--- a/lease/book.go
+++ b/lease/book.go
@@ -161,7 +161,7 @@
 		Fence Fence
 		Speed Speed
 	}
-	acts          []Action
+	acts []Action
 }
 
 // NewBook begins to hold a worker with a fence above the floor, and with what its
@@ -217,7 +217,7 @@
 	if why != "" {
 		b.tell(owner, End{Run: o.Run, How: Never, Why: why})
 		b.gone = append(b.gone, o.Run)
-		b.dirty = true
+		b.misjudged()
 		return
 	}
 	e := &run{Order: o, owner: owner, state: starting, sent: now}
@@ -250,9 +250,9 @@
 
 func (b *Book) startTime(now time.Time) time.Duration {
 	if now.Before(b.lossy) {
-		return b.habits.trip.limit(startShort)
+		return b.habits.limit(startShort)
 	}
-	return b.habits.trip.limit(startAnswer)
+	return b.habits.limit(startAnswer)
 }
 
 // Started takes the answer to a start.
@@ -316,11 +316,17 @@
 // next list nothing is started: the planner would give the room that seems to be free
 // to one task after the other.
 func (b *Book) surprised(now time.Time) {
-	b.full, b.lookDue, b.dirty = true, true, true
+	b.full, b.lookDue = true, true
+	b.misjudged()
 	b.nextHold = now
 	b.Tick(now)
 }
 
+// misjudged has the planner told all again: it has given the worker a task that could not
+// be started there. Told only of the refused run, a new planner that does not know the
+// others gave the same room away every two milliseconds.
+func (b *Book) misjudged() { b.dirty, b.stated = true, false }
+
 // doubt begins to find out what became of a start without an answer. The order
 // may still be on the way. A hold call with a higher fence settles it: the
 // worker refuses the order from then on, so the list that comes with the answer
@@ -482,7 +488,7 @@
 	}
 	// A lost poll hides ends until it is given up; while calls get lost, a second
 	// call looks now and then, but not so often that the looks fill the link.
-	if len(b.runs) > 0 && now.Before(b.lossy) && b.look == 0 && now.Sub(b.looked) >= b.habits.trip.limit(0) {
+	if len(b.runs) > 0 && now.Before(b.lossy) && b.look == 0 && now.Sub(b.looked) >= b.habits.limit(0) {
 		b.lookDue = true
 	}
 	if !b.sound && len(b.runs) > 0 && b.clock != 0 && now.After(b.Lapse()) {
--- a/lease/book_test.go
+++ b/lease/book_test.go
@@ -437,6 +437,27 @@
 	}
 }
 
+// A holder freezes for longer than its lease. Another one takes the worker over, and the
+// run goes on there. When the first one wakes up it can't tell by its own lease that the
+// run is over: it would be started a second time beside the first.
+func TestThawedHolderDoesNotTellRunsLost(t *testing.T) {
+	b, poll := opened(t)
+	b.Start(ms(10), alice, order("a", 1))
+	s := take(b).starts[0]
+	b.Started(ms(11), s, Result{Verdict: OK, Clock: 5011})
+	b.Answered(ms(20), poll, listed(ms(20), []Run{s.Run}))
+	take(b)
+	for at := 1400; at < 2390; at += 50 {
+		if at == 1400 {
+			b.Thawed(ms(at))
+		}
+		b.Tick(ms(at))
+		if got := take(b).tells; len(got) != 0 {
+			t.Fatalf("at %d ms told %+v", at, got)
+		}
+	}
+}
+
 // A worker starts again under its old id just when a start reaches it; the new life
 // accepts it. Told to be lost with all that ran before, its task would be started a
 // second time beside it.
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -34,7 +34,7 @@
 
 func (b *Book) call(now time.Time, wait time.Duration) int {
 	b.calls++
-	c := &HoldCall{Number: b.calls, Fence: b.fence, Seen: b.seen, Wait: wait, Timeout: wait + b.habits.trip.limit(answerFor), Sent: now}
+	c := &HoldCall{Number: b.calls, Fence: b.fence, Seen: b.seen, Wait: wait, Timeout: wait + b.habits.limit(answerFor), Sent: now}
 	// A call to a worker that does not answer renews nothing: its order may be
 	// carried out although the answer is lost, and the runs there would be in
 	// doubt for as long as it is tried. Nor does the first call after a pause.
--- a/lease/speed.go
+++ b/lease/speed.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"snipehub.example/internal/quantile"
 )
 
 // Speed is what a holder learns of a worker from the ends of its runs.
@@ -95,7 +97,7 @@
 	// a run that shows no progress says nothing.
 	Progress bool
 	// trip is how long they take to answer this process.
-	trip trip
+	trip quantile.Tracker
 }
 
 // progress learns from how far a run is. A worker whose tasks stand still looks
--- a/lease/state.go
+++ b/lease/state.go
@@ -146,9 +146,11 @@
 func (b *Book) Fence() Fence { return b.fence }
 
 // Thawed makes the book look at the worker before anything is started: another
-// holder may have taken over while this process did not run.
+// holder may have taken over while this process did not run, and have renewed the lease
+// until just now.
 func (b *Book) Thawed(now time.Time) {
 	b.thawed = now
+	b.lease = max(b.lease, b.at(now)+leaseFor.Milliseconds())
 	b.sound, b.poll, b.look = false, 0, 0
 	b.dirty = true
 	b.nextHold = now
--- a/node/core.go
+++ b/node/core.go
@@ -259,7 +259,7 @@
 	case m.Refusal != nil:
 		c.entry.Refused(now, *m.Refusal)
 	case m.Ended != nil:
-		c.entry.Ended(now, *m.Ended)
+		c.entry.Ended(now, from, *m.Ended)
 	case m.Held != nil:
 		c.entry.Held(from, m.Held.Worker, m.Held.Fence)
 	case m.Unheld != nil:
