--- a/entry/book.go
+++ b/entry/book.go
@@ -174,7 +174,7 @@
 	b.waiters[w] = j
 	event.JobAdmitted.Log(b.log, "job", r.ID, "queue", r.Queue.Name, "tasks", len(j.tasks), "steps", len(r.Steps),
 		"estimate_ms", r.Steps[0].Estimate.Milliseconds(), "cpu", r.Steps[0].Room.CPU, "patience_ms", r.Patience.Milliseconds(),
-		"aim_ms", j.aim.Sub(now).Milliseconds(), "delay_ms", b.delay.total().Milliseconds(), "planner", b.planner)
+		"aim_ms", j.aim.Sub(now).Milliseconds(), "delay_ms", b.delay.total(len(j.tasks)).Milliseconds(), "planner", b.planner)
 	b.release(now, j)
 }
 
@@ -233,7 +233,7 @@
 		Room:     s.Room,
 		Estimate: s.Estimate,
 		Age:      now.Sub(j.arrived),
-		Aim:      j.aim.Sub(now) - b.delay.total(),
+		Aim:      j.aim.Sub(now) - b.delay.total(len(tasks)),
 		Limit:    j.limit.Sub(now),
 		Begun:    j.begun(),
 		Label:    s.Label,
--- a/entry/delay.go
+++ b/entry/delay.go
@@ -17,7 +17,7 @@
 // taken off, the planner refuses at once whoever would be late because of it, first those
 // with the shortest objectives, and the links empty.
 type delay struct {
-	ask, run quantile.Tracker
+	ask, run, slow quantile.Tracker
 	// seen is when the last sample came in.
 	seen time.Time
 }
@@ -27,9 +27,14 @@
 	// of a small cell asks some twenty times a second and follows a change in two
 	// seconds.
 	asks = quantile.Range{Share: 0.5, Step: 0.2, Least: time.Millisecond, Most: 300 * time.Millisecond}
-	runs = quantile.Range{Share: 0.5, Step: 0.1, Least: time.Millisecond, Most: 500 * time.Millisecond}
+	runs = quantile.Range{Share: 0.5, Step: 0.2, Least: time.Millisecond, Most: 500 * time.Millisecond}
+	// slowRuns is what one run in ten takes at least: the last of a wide job's.
+	slowRuns = quantile.Range{Share: 0.9, Step: 0.2, Least: time.Millisecond, Most: 500 * time.Millisecond}
 )
 
+// wide is the number of tasks of which the last takes as long as one run in ten.
+const wide = 8
+
 // delayFades is when what was seen begins to count less because nothing new is seen:
 // nothing is, when all jobs are refused for it.
 const delayFades = 500 * time.Millisecond
@@ -43,6 +48,7 @@
 // ran takes the time from a grant to the end of the run, less its time on the worker.
 func (d *delay) ran(now time.Time, took time.Duration) {
 	d.run.Add(runs, took)
+	d.slow.Add(slowRuns, took)
 	d.seen = now
 }
 
@@ -51,8 +57,13 @@
 	if now.Sub(d.seen) > delayFades {
 		d.ask.Add(asks, 0)
 		d.run.Add(runs, 0)
+		d.slow.Add(slowRuns, 0)
 	}
 }
 
-// total is what messages will take for a task that is asked for now.
-func (d *delay) total() time.Duration { return d.ask.Value(asks) + d.run.Value(runs) }
+// total is what messages will take for the last of some tasks that are asked for now.
+func (d *delay) total(tasks int) time.Duration {
+	one, slow := d.run.Value(runs), d.slow.Value(slowRuns)
+	last := one + max(slow-one, 0)*time.Duration(min(tasks-1, wide-1))/(wide-1)
+	return d.ask.Value(asks) + last
+}
