--- a/cell/admit.go
+++ b/cell/admit.go
@@ -71,7 +71,13 @@
 // that depends on the job.
 func (b *Book) retryAfter(job string) time.Duration {
 	wait := min(max(b.late, retryLeast), retryMost)
-	return wait + time.Duration(xxhash.Sum64String(job)%uint64(retrySpread))
+	return wait + Spread(job)
+}
+
+// Spread is a part of a second that depends on the job, for those that are refused
+// together not to come back together.
+func Spread(job string) time.Duration {
+	return time.Duration(xxhash.Sum64String(job) % uint64(retrySpread))
 }
 
 // lateWord is the reason of a refusal because of what waits before it.
--- a/cell/book.go
+++ b/cell/book.go
@@ -29,7 +29,7 @@
 const (
 	// grantFor is how long a grant counts as used that no holder reports: the
 	// entry process got it and sends the start, two messages, or it died.
-	grantFor = 400 * time.Millisecond
+	grantFor = 550 * time.Millisecond
 )
 
 // worker is what the planner knows of one worker.
--- a/cell/message.go
+++ b/cell/message.go
@@ -64,6 +64,8 @@
 	Why string `cbor:"2,keyasint,omitzero"`
 	// After is when it may be worth coming back.
 	After time.Duration `cbor:"3,keyasint,omitzero"`
+	// Waited is how long the planner had been asked.
+	Waited time.Duration `cbor:"4,keyasint,omitzero"`
 }
 
 // Withdrawal takes back what was asked for a job, and grants that won't be used.
--- a/cell/place.go
+++ b/cell/place.go
@@ -242,7 +242,7 @@
 	b.drop(w)
 	b.counts.Refused[why]++
 	event.JobRefused.Log(b.log, "job", w.job, "queue", w.Queue, "why", why, "waited_ms", now.Sub(w.arrived).Milliseconds(), "aim_ms", w.aim.Sub(now).Milliseconds(), "waiting", len(b.waits))
-	b.act(Action{To: w.owner, Refusal: &Refusal{Job: w.job, Why: why, After: b.retryAfter(w.job)}})
+	b.act(Action{To: w.owner, Refusal: &Refusal{Job: w.job, Why: why, After: b.retryAfter(w.job), Waited: now.Sub(w.asked)}})
 }
 
 // hopelessWord is the reason of such a refusal.
--- a/entry/book.go
+++ b/entry/book.go
@@ -111,6 +111,9 @@
 	NotStarted map[lease.Reason]int64
 }
 
+// PlannerDelay is how long the planner has taken to answer, beside its wait for room.
+func (b *Book) PlannerDelay() time.Duration { return b.delay.ask.Value(asks) }
+
 // Counts returns the counts, which the book goes on to change.
 func (b *Book) Counts() Counts { return b.counts }
 
@@ -175,7 +178,9 @@
 	event.JobAdmitted.Log(b.log, "job", r.ID, "queue", r.Queue.Name, "tasks", len(j.tasks), "steps", len(r.Steps),
 		"estimate_ms", r.Steps[0].Estimate.Milliseconds(), "cpu", r.Steps[0].Room.CPU, "patience_ms", r.Patience.Milliseconds(),
 		"aim_ms", j.aim.Sub(now).Milliseconds(), "delay_ms", b.delay.total(len(j.tasks)).Milliseconds(), "planner", b.planner)
-	b.release(now, j)
+	if !b.slow(now, j) {
+		b.release(now, j)
+	}
 }
 
 // objective is the time in which the job should be answered: the longest chain of
@@ -300,7 +305,11 @@
 // something has begun can't be refused truthfully; it goes on.
 func (b *Book) Refused(now time.Time, r cell.Refusal) {
 	j := b.jobs[r.Job]
-	if j == nil || j.answer != nil || j.begun() {
+	if j == nil || j.answer != nil {
+		return
+	}
+	b.heard(now, j, r.Waited)
+	if j.begun() {
 		return
 	}
 	b.finish(now, j, Answer{Status: Refused, Why: r.Why, After: r.After})
@@ -518,10 +527,36 @@
 func (b *Book) silence(now time.Time, j *job) {
 	least := time.Duration(leastFactor * float64(j.Steps[0].Estimate))
 	if !j.begun() && now.After(j.aim.Add(plannerSlack-least)) {
-		b.finish(now, j, Answer{Status: Refused, Why: "planner_silent", After: time.Second})
+		b.delay.unheard(now)
+		b.finish(now, j, Answer{Status: Refused, Why: "planner_silent", After: silentRetry + cell.Spread(j.ID)})
 	}
 }
 
+// silentRetry is what callers are told to wait at least where the planner is out of reach
+// or its link is full: another one is found within a second.
+const silentRetry = time.Second
+
+// heard takes note that the planner has answered for a job.
+func (b *Book) heard(now time.Time, j *job, waited time.Duration) {
+	if !j.asked.IsZero() {
+		b.delay.asked(now, now.Sub(j.asked)-waited)
+		j.asked = time.Time{}
+	}
+}
+
+// slow refuses a job at once that can't be in time because of what messages take. Asking
+// the planner would only make its link fuller: at twice what the links bore, asks for jobs
+// that were late when they arrived kept it half a second behind for good.
+func (b *Book) slow(now time.Time, j *job) bool {
+	least := time.Duration(leastFactor * float64(j.Steps[0].Estimate))
+	objective := j.aim.Sub(now)
+	if objective == 0 || b.delay.total(j.Steps[0].Count)+least <= objective {
+		return false
+	}
+	b.finish(now, j, Answer{Status: Refused, Why: "messages_slow", After: silentRetry + cell.Spread(j.ID)})
+	return true
+}
+
 // Thawed gives up all jobs: this process did not run for so long that its callers
 // may be served by others.
 func (b *Book) Thawed(now time.Time) {
--- a/entry/delay.go
+++ b/entry/delay.go
@@ -45,6 +45,12 @@
 	d.seen = now
 }
 
+// unheard takes note that the planner has not answered in time.
+func (d *delay) unheard(now time.Time) {
+	d.ask.Longer(asks)
+	d.seen = now
+}
+
 // ran takes the time from a grant to the end of the run, less its time on the worker.
 func (d *delay) ran(now time.Time, took time.Duration) {
 	d.run.Add(runs, took)
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -13,9 +13,8 @@
 // Grant takes workers for tasks. What isn't wanted any more is given back.
 func (b *Book) Grant(now time.Time, g cell.Grant) {
 	j := b.jobs[g.Job]
-	if j != nil && !j.asked.IsZero() {
-		b.delay.asked(now, now.Sub(j.asked)-g.Waited)
-		j.asked = time.Time{}
+	if j != nil {
+		b.heard(now, j, g.Waited)
 	}
 	var unused []lease.Run
 	starts := make(map[mesh.ID]map[int]*Start)
--- a/lease/book.go
+++ b/lease/book.go
@@ -49,9 +49,10 @@
 	fenceTries = 20
 	// retryHold is the pause between hold calls that fail.
 	retryHold = 60 * time.Millisecond
-	// reportAfter is when the planner is told of a run that has not ended. It is
-	// well below the time for which a grant counts without a report.
-	reportAfter = 150 * time.Millisecond
+	// reportAfter is when the planner is told of a run that has not ended: with that, two
+	// tasks in three of the users' jobs are reported once, at their end. It is well below
+	// the time for which a grant counts without a report.
+	reportAfter = 250 * time.Millisecond
 	// stopAgain is when a stop without effect is repeated.
 	stopAgain = 150 * time.Millisecond
 )
--- a/model/caller.go
+++ b/model/caller.go
@@ -169,7 +169,10 @@
 		w.resend(j, try)
 		return
 	}
-	w.after(w.cfg.Caller, func() { w.arrive(j, n, try) })
+	w.after(w.cfg.Caller, func() {
+		size := callerBytes + w.cfg.Classes[j.class].Text
+		w.after(w.pass(&n.in, size), func() { w.arrive(j, n, try) })
+	})
 }
 
 func (w *World) arrive(j *job, n *vm, try int) {
@@ -185,7 +188,7 @@
 	r := entry.Request{
 		ID:       j.id,
 		Queue:    q,
-		Spec:     "spec",
+		Spec:     w.text[:cl.Text],
 		Patience: j.until.Sub(w.now),
 		Steps:    []entry.Step{{Count: j.width, Room: lease.Room{CPU: j.cpu, Memory: cl.Memory}, Estimate: j.est}},
 	}
--- a/model/link.go
+++ b/model/link.go
@@ -100,10 +100,13 @@
 	}
 	id := from.id
 	w.result.Messages++
-	w.after(w.delay(from.dc, n.dc), func() {
-		if !l.over {
-			n.on(l, func(now time.Time) { n.core.Receive(now, id, l.session, []node.Mail{m}) })
-		}
+	size := w.mailSize(m)
+	w.after(w.pass(&from.out, size)+w.delay(from.dc, n.dc), func() {
+		w.after(w.pass(&n.in, size), func() {
+			if !l.over {
+				n.on(l, func(now time.Time) { n.core.Receive(now, id, l.session, []node.Mail{m}) })
+			}
+		})
 	})
 }
 
--- a/model/model.go
+++ b/model/model.go
@@ -7,7 +7,8 @@
 // checks while it plays is what callers and workers see: whether two runs of a task
 // overlap, whether a refusal is true, whether every caller gets an answer.
 //
-// Limits: processor time is free; messages have a fixed delay and keep their order;
+// Limits: processor time is free; messages have a fixed delay and keep their order, and
+// take time on links if these are bounded;
 // the platform's store is reduced to the lists that it serves. So it says nothing
 // about costs, and the ranking of policies must be checked against real processes.
 package model
@@ -41,6 +42,8 @@
 	Load   float64
 	Bursts []Burst
 	Faults []Fault
+	// Link is what a VM's link carries each way, in bytes a second; 0 is no bound.
+	Link int
 	// Policy is how the planner decides; the zero value is the default one.
 	Policy cell.Policy
 	// Log takes what the processes log; nil drops it.
@@ -75,6 +78,8 @@
 	// CPU is what a task takes, in thousandths of a core.
 	CPU, CPUMost int
 	Memory       int
+	// Text is the length of a job's text, if links are bounded.
+	Text int
 	// Spread is the standard deviation of the logarithm of work, width and
 	// estimate.
 	Spread float64
@@ -121,6 +126,8 @@
 	byID    map[string]*worker
 	number  uint64
 	catalog *catalog.Catalog
+	// text is the longest job's text.
+	text string
 	// storeDown tells that no process reaches the store.
 	storeDown bool
 	jobs      []*job
@@ -194,6 +201,11 @@
 	w.log = slog.New(slog.NewTextHandler(cfg.Log, &slog.HandlerOptions{ReplaceAttr: w.stamp}))
 	w.start = w.now.Add(cfg.Lead)
 	w.catalog = w.makeCatalog()
+	for _, cl := range cfg.Classes {
+		if cl.Text > len(w.text) {
+			w.text = w.makeText(cl.Text)
+		}
+	}
 	w.makeWorkers()
 	w.makeNodes()
 	w.makeJobs()
--- a/model/vm.go
+++ b/model/vm.go
@@ -32,6 +32,8 @@
 	waiters    map[entry.Waiter]func(entry.Answer)
 	last       entry.Waiter
 	reading    mesh.ID
+	// in and out are the two directions of its link.
+	in, out wire
 }
 
 const (
@@ -187,7 +189,7 @@
 
 // call carries a call to a worker and its answer back. A call that is lost, or
 // carried out late, gets no answer.
-func (n *vm) call(id string, timeout time.Duration, do func(x *worker, to func(lease.Result)), back func(now time.Time, r lease.Result)) {
+func (n *vm) call(id string, timeout time.Duration, size int, do func(x *worker, to func(lease.Result)), back func(now time.Time, r lease.Result)) {
 	w := n.world
 	x := w.byID[id]
 	boots, answered := n.boots, false
@@ -200,6 +202,7 @@
 	}
 	w.after(timeout, func() { reply(lease.Result{Verdict: lease.NoAnswer}) })
 	d := w.delay(n.dc, x.DataCenter)
+	sent := w.pass(&n.out, size)
 	if x.lose > 0 && w.rnd.Float64() < x.lose {
 		w.after(time.Duration(2+w.rnd.IntN(10))*time.Second, func() {
 			if x.up {
@@ -208,14 +211,14 @@
 		})
 		return
 	}
-	w.after(d, func() {
+	w.after(sent+d, func() {
 		if !x.up || !x.reachable {
 			return
 		}
 		do(x, func(r lease.Result) {
 			w.after(d, func() {
 				if x.reachable {
-					reply(r)
+					w.after(w.pass(&n.in, answerBytes), func() { reply(r) })
 				}
 			})
 		})
@@ -223,19 +226,19 @@
 }
 
 func (n *vm) hold(id string, c lease.HoldCall) {
-	n.call(id, c.Timeout,
+	n.call(id, c.Timeout, holdBytes,
 		func(x *worker, to func(lease.Result)) { x.hold(c, to) },
 		func(now time.Time, r lease.Result) { n.core.Held(now, id, c, r) })
 }
 
 func (n *vm) start(id string, c lease.StartCall) {
-	n.call(id, c.Timeout,
+	n.call(id, c.Timeout, startBytes+len(c.Spec),
 		func(x *worker, to func(lease.Result)) { to(x.start(c)) },
 		func(now time.Time, r lease.Result) { n.core.Started(now, id, c, r) })
 }
 
 func (n *vm) stop(id string, c lease.StopCall) {
-	n.call(id, stopTimeout,
+	n.call(id, stopTimeout, startBytes,
 		func(x *worker, to func(lease.Result)) { to(x.stop(c)) },
 		func(time.Time, lease.Result) {})
 }
--- a/node/core.go
+++ b/node/core.go
@@ -70,6 +70,11 @@
 	// lost, and a new planner is told all at once, so this repairs what should not
 	// happen; once a second it was a third of what a planner took in.
 	describeEvery = 5 * time.Second
+	// reportsADelay is how many reports are sent in the time that the planner takes to
+	// answer. More of them tell it little that is newer and fill its link, of which
+	// single reports were two fifths; a planner that answers in 4 ms is told each change
+	// at once, since changes are further apart.
+	reportsADelay = 4
 )
 
 // Core is the decisions of one process: the entry, the holder, the planner and
@@ -100,6 +105,8 @@
 	// reported is when the planner was last told which workers are held, zero while it
 	// still has to be; described when it was told all about them.
 	reported, described time.Time
+	// changed is when the planner was last told what has changed.
+	changed time.Time
 	out                 []Output
 }
 
@@ -365,7 +372,7 @@
 // report tells the planner of the workers whose state has changed, and of all
 // now and then.
 func (c *Core) report(now time.Time) {
-	if c.planner == (mesh.ID{}) {
+	if c.planner == (mesh.ID{}) || now.Sub(c.changed) < c.entry.PlannerDelay()/reportsADelay {
 		return
 	}
 	r := &cell.Report{Whole: now.Sub(c.reported) >= reportEvery}
@@ -391,6 +398,7 @@
 		c.described = now
 	}
 	if r.Whole || len(r.States) > 0 {
+		c.changed = now
 		c.send(now, c.planner, Mail{Report: r})
 	}
 }
