--- /dev/null
+++ b/load/losslog.go
@@ -0,0 +1,63 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipehub.example/event"
+)
+
+// lineMost bounds a line of a log.
+const lineMost = 1 << 20
+
+// logLine is what the account of losses needs of a line. Each event sets some of it.
+type logLine struct {
+	Time    time.Time `json:"time"`
+	Event   event.ID  `json:"event"`
+	Job     string    `json:"job"`
+	Queue   string    `json:"queue"`
+	Task    string    `json:"task"`
+	Run     int       `json:"run"`
+	Tasks   int       `json:"tasks"`
+	CPU     int       `json:"cpu"`
+	Status  string    `json:"status"`
+	Why     string    `json:"why"`
+	How     string    `json:"how"`
+	Worker  string    `json:"worker"`
+	Place   string    `json:"data_center"`
+	AgeMS   int64     `json:"age_ms"`
+	AimMS   int64     `json:"aim_ms"`
+	TookMS  int64     `json:"took_ms"`
+	GuessMS int64     `json:"estimate_ms"`
+}
+
+// readLog reads lines of several processes, whatever stands before their JSON: tools that
+// merge logs put the process's name there. source is the last word of that.
+func readLog(r io.Reader, take func(source string, l logLine)) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 64<<10), lineMost)
+	for s.Scan() {
+		before, text, ok := bytes.Cut(s.Bytes(), []byte("{"))
+		if !ok {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal(append([]byte("{"), text...), &l) != nil || l.Event == 0 {
+			continue
+		}
+		source := ""
+		if words := bytes.Fields(before); len(words) > 0 {
+			source = string(words[len(words)-1])
+		}
+		take(source, l)
+	}
+	if err := s.Err(); err != nil {
+		return errors.Wrap(err, "load: log")
+	}
+	return nil
+}
