--- /dev/null
+++ b/cell/gather_test.go
@@ -0,0 +1,77 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"snipehub.example/lease"
+	"snipehub.example/mesh"
+)
+
+// A job of eight tasks comes to a process while workers of twelve holders are free and
+// equally fast. Each holder needs the job's text; with the tasks on eight holders, the
+// texts alone kept a thin link busy for longer than the tasks took.
+func TestTasksOfAJobAreOnFewHolders(t *testing.T) {
+	for _, c := range []struct {
+		gather  Choice
+		holders int
+	}{{On, 4}, {Off, 8}} {
+		b := planning(t, 12, 48)
+		b.policy.Gather = c.gather
+		b.Tick(ms(600))
+		for _, a := range b.Take() {
+			if a.Duty != nil {
+				w := a.Duty.Worker
+				b.Report(ms(610), a.To, Report{States: []lease.State{{ID: w.ID, Worker: &w, Fence: lease.NewFence(9), Open: true}}})
+			}
+		}
+		a := ask("a", 8)
+		a.Room = lease.Room{CPU: 60}
+		b.Ask(ms(700), memberID(3), a)
+		grants, _ := place(b, 700)
+		on := make(map[mesh.ID]int)
+		for _, g := range grants {
+			on[g.Holder]++
+		}
+		if len(grants) != 8 || len(on) > c.holders && c.gather == On || len(on) <= 4 && c.gather == Off {
+			t.Errorf("gather %v: %d tasks on %d holders, want %d", c.gather, len(grants), len(on), c.holders)
+		}
+		if c.gather == On && on[memberID(3)] == 0 {
+			t.Error("none with the process that has the text already")
+		}
+	}
+}
+
+// A new planner does not know what a worker runs and gives its room away. The holder turns
+// the task down; told no more than that, the planner gave the same room away again, five
+// hundred times a second.
+func TestRoomThatIsNotThereIsGivenOnce(t *testing.T) {
+	now := func(at int) time.Time { return ms(at) }
+	h := lease.NewBook(now(0), testWorker(0), lease.NewFence(9), 0, lease.Speed{}, &lease.Habits{})
+	look := h.Take()[0].Hold
+	h.Answered(now(1), *look, lease.Result{Verdict: lease.OK, Clock: 1000, Born: 1})
+	h.State(now(1))
+	for i := range 2 {
+		r := lease.Run{Task: lease.Task(fmt.Sprintf("old.0.0.%d", i)), Number: 1}
+		h.Start(now(595), memberID(1), lease.Order{Run: r, Room: lease.Room{CPU: 30}})
+	}
+	b := planning(t, 1, 1)
+	b.Report(ms(601), memberID(0), Report{States: []lease.State{{ID: "w0", Fence: h.Fence(), Open: true}}})
+	granted := 0
+	for at := 602; at < 640; at += 2 {
+		a := ask(fmt.Sprint("job", at), 1)
+		b.Ask(ms(at), memberID(0), a)
+		grants, _ := place(b, at)
+		for _, g := range grants {
+			granted++
+			h.Start(now(at), memberID(0), lease.Order{Run: g.Run, Room: a.Room})
+		}
+		if s, ok := h.Changed(now(at)); ok {
+			b.Report(ms(at+1), memberID(0), Report{States: []lease.State{s}})
+		}
+	}
+	if granted != 1 {
+		t.Errorf("granted %d times, want once", granted)
+	}
+}
--- a/entry/book.go
+++ b/entry/book.go
@@ -527,7 +527,9 @@
 func (b *Book) silence(now time.Time, j *job) {
 	least := time.Duration(leastFactor * float64(j.Steps[0].Estimate))
 	if !j.begun() && now.After(j.aim.Add(plannerSlack-least)) {
-		b.delay.unheard(now)
+		if !j.asked.IsZero() {
+			b.delay.unheard(now, now.Sub(j.asked))
+		}
 		b.finish(now, j, Answer{Status: Refused, Why: "planner_silent", After: silentRetry + cell.Spread(j.ID)})
 	}
 }
--- a/entry/delay.go
+++ b/entry/delay.go
@@ -45,9 +45,9 @@
 	d.seen = now
 }
 
-// unheard takes note that the planner has not answered in time.
-func (d *delay) unheard(now time.Time) {
-	d.ask.Longer(asks)
+// unheard takes note that the planner has not answered for a while.
+func (d *delay) unheard(now time.Time, waited time.Duration) {
+	d.ask.Add(asks, waited)
 	d.seen = now
 }
 
--- a/internal/quantile/quantile.go
+++ b/internal/quantile/quantile.go
@@ -25,13 +25,25 @@
 // Value returns the quantile.
 func (t Tracker) Value(r Range) time.Duration { return max(time.Duration(t), r.Least) }
 
+const (
+	// far is how many times the value a time is that tells of a change, and farSteps how
+	// many steps it moves the value: from one millisecond to a hundred takes some twenty
+	// times then, in place of fifty.
+	far      = 4
+	farSteps = 4
+)
+
 // Add takes a time into account.
 func (t *Tracker) Add(r Range, d time.Duration) {
-	if d > t.Value(r) {
+	v := t.Value(r)
+	switch {
+	case d > far*v:
+		t.move(r, farSteps*r.Share)
+	case d > v:
 		t.move(r, r.Share)
-		return
+	default:
+		t.move(r, r.Share-1)
 	}
-	t.move(r, r.Share-1)
 }
 
 // Longer takes a time into account of which nothing is known but that it is long.
--- a/load/losses.go
+++ b/load/losses.go
@@ -22,7 +22,9 @@
 		ArgsUsage: "[FILE ...] (standard input without any)",
 		Description: "Each job counts by its estimated work, at least three tenths of its queue's mean, and\n" +
 			"has one cause, so the parts add up to the whole. A late job's cause is what held its\n" +
-			"last task up longest. Jobs that reached no process are not in the logs.",
+			"last task up longest. A job's objective follows the work that its tasks turned out to\n" +
+			"be, on workers of the speed that the planner knew, where it is longer than estimated.\n" +
+			"Jobs that reached no process are not in the logs.",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "windows", Value: 6, Usage: "how many of the worst windows of two seconds to show"},
 		},
@@ -48,10 +50,11 @@
 type lostJob struct {
 	queue, place string
 	first        time.Time
-	aim, age     time.Duration
-	work         float64
-	tasks        int
-	status, why  string
+	// aim and guess are the objective and the estimate of a task that it comes from.
+	aim, guess  time.Duration
+	work        float64
+	tasks       int
+	status, why string
 	// answered is when it had its last answer.
 	answered time.Time
 	runs     map[string]*lostRun
@@ -62,9 +65,15 @@
 
 // lostRun is the last run of a task.
 type lostRun struct {
-	granted, ended time.Time
-	took           time.Duration
-	guess          time.Duration
+	granted time.Time
+	took    time.Duration
+	// factor is the time that tasks were known to take on the worker, over the estimate.
+	factor float64
+}
+
+// worked is the work of a run at ordinary speed.
+func (r *lostRun) worked() time.Duration {
+	return time.Duration(float64(r.took) / max(r.factor, 0.1))
 }
 
 // account is the jobs of a day.
@@ -93,7 +102,8 @@
 	case event.JobAdmitted:
 		a.admitted(source, l)
 	case event.TaskGranted:
-		a.run(l).granted = l.Time
+		r := a.run(l)
+		r.granted, r.factor = l.Time, l.Factor
 	case event.RunEnded:
 		a.ended(l)
 	case event.JobAnswered:
@@ -120,7 +130,7 @@
 		return
 	}
 	j.queue, j.place, j.first = l.Queue, a.places[source], l.Time
-	j.aim = time.Duration(l.AimMS) * time.Millisecond
+	j.aim, j.guess = time.Duration(l.AimMS)*time.Millisecond, time.Duration(l.GuessMS)*time.Millisecond
 	j.tasks = l.Tasks
 	j.work = float64(l.Tasks) * float64(l.GuessMS) * float64(l.CPU)
 }
@@ -137,7 +147,7 @@
 
 func (a *account) ended(l logLine) {
 	j, r := a.job(l.Job), a.run(l)
-	r.ended, r.took = l.Time, time.Duration(l.TookMS)*time.Millisecond
+	r.took = time.Duration(l.TookMS) * time.Millisecond
 	if l.How == "done" {
 		j.last = r
 		return
@@ -164,6 +174,55 @@
 // have gone elsewhere.
 const lateRefusal = 0.25
 
+// objective returns how an objective follows from the work of the longest task, by the
+// least and the longest estimate of a queue's jobs: both are on a straight line.
+type objective struct {
+	least, most *lostJob
+}
+
+func (o *objective) see(j *lostJob) {
+	if o.least == nil || j.guess < o.least.guess {
+		o.least = j
+	}
+	if o.most == nil || j.guess > o.most.guess {
+		o.most = j
+	}
+}
+
+// stretch is the slope of the line.
+func (o *objective) stretch() float64 {
+	rise := o.most.guess - o.least.guess
+	if rise <= 0 {
+		return 0
+	}
+	return float64(o.most.aim-o.least.aim) / float64(rise)
+}
+
+// stretchAims gives each job whose tasks turned out longer than estimated the objective
+// of that work.
+func (a *account) stretchAims() {
+	lines := make(map[string]*objective)
+	for _, j := range a.jobs {
+		if j.first.IsZero() {
+			continue
+		}
+		if lines[j.queue] == nil {
+			lines[j.queue] = &objective{}
+		}
+		lines[j.queue].see(j)
+	}
+	for _, j := range a.jobs {
+		var longest time.Duration
+		for _, r := range j.runs {
+			longest = max(longest, r.worked())
+		}
+		if l := lines[j.queue]; l != nil && longest > j.guess {
+			j.aim += time.Duration(l.stretch() * float64(longest-j.guess))
+			j.guess = longest
+		}
+	}
+}
+
 // cause returns the one cause of what became of a job.
 func (j *lostJob) cause() string {
 	age := j.answered.Sub(j.first)
@@ -256,6 +315,7 @@
 }
 
 func (a *account) print(w io.Writer, windows int) {
+	a.stretchAims()
 	all := func(*lostJob) string { return "all" }
 	a.table(w, "whole", all, 1, byName)
 	a.table(w, "queue", func(j *lostJob) string { return j.queue }, 20, byName)
--- a/load/losslog.go
+++ b/load/losslog.go
@@ -28,7 +28,7 @@
 	Status  string    `json:"status"`
 	Why     string    `json:"why"`
 	How     string    `json:"how"`
-	Worker  string    `json:"worker"`
+	Factor  float64   `json:"factor"`
 	Place   string    `json:"data_center"`
 	AgeMS   int64     `json:"age_ms"`
 	AimMS   int64     `json:"aim_ms"`
--- a/node/core.go
+++ b/node/core.go
@@ -107,7 +107,7 @@
 	reported, described time.Time
 	// changed is when the planner was last told what has changed.
 	changed time.Time
-	out                 []Output
+	out     []Output
 }
 
 // peerState is a member in sight and the session with it.
--- /dev/null
+++ b/node/mail_test.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"snipehub.example/cell"
+	"snipehub.example/lease"
+)
+
+func task(i int) lease.Run {
+	return lease.Run{Task: lease.Task(fmt.Sprintf("c121f3f705348587.0.0.%d", i)), Number: 1}
+}
+
+// A planner on a thin link takes in an ask for each job and the end of each task, and gives
+// out a grant. On a link of 2 Mbit/s, half of which carries the planner's own callers and
+// workers, 840 tasks a second leave 148 bytes for a task each way; at more, everybody waits
+// for the planner.
+func TestMessagesAreSmall(t *testing.T) {
+	const tasks = 4
+	ask := &cell.Ask{
+		Job: "c121f3f705348587", Queue: "r-c6mb5cq", Pool: "vono82a", Rank: 2, Room: lease.Room{CPU: 14000, Memory: 64},
+		Estimate: 900 * time.Millisecond, Age: 3 * time.Millisecond, Aim: 1463 * time.Millisecond, Limit: 4100 * time.Millisecond,
+	}
+	grant := &cell.Grant{Job: ask.Job, Waited: 1234567}
+	b := lease.NewBook(ms(0), lease.Worker{ID: "i-0b47f04fe8", Pool: ask.Pool, Room: lease.Room{CPU: 64000, Memory: 1000}}, lease.NewFence(1234), 0, lease.Speed{Factor: 0.61, Ends: 9}, &lease.Habits{})
+	b.Answered(ms(1), *b.Take()[0].Hold, lease.Result{Verdict: lease.OK, Clock: 5000, Born: 7})
+	b.State(ms(1))
+	var reports int
+	for i := range tasks {
+		ask.Tasks = append(ask.Tasks, task(i))
+		grant.Items = append(grant.Items, cell.Granted{Run: task(i), Worker: "i-0b47f04fe8", Holder: member(1).ID, Fence: b.Fence()})
+		b.Start(ms(2), member(1).ID, lease.Order{Run: task(i), Room: ask.Room, Estimate: ask.Estimate})
+		b.Answered(ms(100+i), holdOf(t, b), lease.Result{Verdict: lease.OK, Clock: 5100, Born: 7, Ended: []lease.ListedEnd{{Number: int64(i + 1), Run: task(i), How: lease.Done}}})
+		s, _ := b.Changed(ms(101 + i))
+		reports += mailSize(t, Mail{Report: &cell.Report{States: []lease.State{s}}})
+	}
+	const most = 148
+	if in := (mailSize(t, Mail{Ask: ask}) + reports) / tasks; in > most {
+		t.Errorf("%d bytes in for a task, want %d at the most", in, most)
+	}
+	if out := mailSize(t, Mail{Grant: grant}) / tasks; out > most {
+		t.Errorf("%d bytes out for a task, want %d at the most", out, most)
+	}
+}
+
+// holdOf returns the hold call that the book has under way.
+func holdOf(t *testing.T, b *lease.Book) lease.HoldCall {
+	t.Helper()
+	call := lease.HoldCall{Number: -1, Sent: ms(2), Wait: time.Second}
+	for _, a := range b.Take() {
+		if a.Hold != nil {
+			call = *a.Hold
+		}
+	}
+	return call
+}
+
+// mailSize returns the bytes of a message, which must be read as it was written.
+func mailSize(t *testing.T, m Mail) int {
+	t.Helper()
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got Mail
+	if err := cbor.Unmarshal(b, &got); err != nil || !reflect.DeepEqual(got, m) {
+		t.Errorf("%+v is read as %+v, %v", m, got, err)
+	}
+	return len(b)
+}
