A new planner is not taken for as slow as the one before

Cause: while a planner is dead, every unanswered ask raises what this process takes its answers to need, up to 300 ms; the next planner inherited that, and short jobs were refused as messages_slow until new answers had brought it down, about a second.

Change: it begins anew with each planner, and so do the pauses between reports.

Red first: TestNewPlannerIsNotTakenForSlow, "a new planner is taken to need 300ms".

--- a/entry/book.go
+++ b/entry/book.go
@@ -178,7 +178,7 @@
 	event.JobAdmitted.Log(b.log, "job", r.ID, "queue", r.Queue.Name, "tasks", len(j.tasks), "steps", len(r.Steps),
 		"estimate_ms", r.Steps[0].Estimate.Milliseconds(), "cpu", r.Steps[0].Room.CPU, "patience_ms", r.Patience.Milliseconds(),
 		"aim_ms", j.aim.Sub(now).Milliseconds(), "delay_ms", b.delay.total(len(j.tasks)).Milliseconds(), "planner", b.planner)
-	if !b.slow(now, j) {
+	if !b.tooSlow(now, j) {
 		b.release(now, j)
 	}
 }
@@ -273,6 +273,8 @@
 	if id == (mesh.ID{}) {
 		return
 	}
+	// How long the one before took says nothing of this one.
+	b.delay.ask = 0
 	for _, j := range b.sorted() {
 		if j.answer == nil {
 			b.askAgain(now, j)
@@ -546,10 +548,10 @@
 	}
 }
 
-// slow refuses a job at once that can't be in time because of what messages take. Asking
+// tooSlow refuses a job at once that can't be in time because of what messages take. Asking
 // the planner would only make its link fuller: at twice what the links bore, asks for jobs
 // that were late when they arrived kept it half a second behind for good.
-func (b *Book) slow(now time.Time, j *job) bool {
+func (b *Book) tooSlow(now time.Time, j *job) bool {
 	least := time.Duration(leastFactor * float64(j.Steps[0].Estimate))
 	objective := j.aim.Sub(now)
 	if objective == 0 || b.delay.total(j.Steps[0].Count)+least <= objective {
--- a/entry/delay_test.go
+++ b/entry/delay_test.go
@@ -9,7 +9,7 @@
 	"snipehub.example/lease"
 )
 
-// jobs sends jobs through a book, one after the other, with the times that messages take.
+// through sends jobs through a book, one after the other, with the times that messages take.
 func through(b *Book, at, n int, ask, run time.Duration) (last int) {
 	for i := range n {
 		r := request(1)
@@ -73,3 +73,17 @@
 	}
 	t.Error("after three seconds without an answer the planner is still asked for all jobs")
 }
+
+// The planner dies, and for a while nobody answers. That says nothing of the next one:
+// short jobs were refused for a second after it had begun.
+func TestNewPlannerIsNotTakenForSlow(t *testing.T) {
+	b := New(slog.New(slog.DiscardHandler))
+	b.Planner(ms(0), holder)
+	for i := range 60 {
+		b.delay.unheard(ms(i), 500*time.Millisecond)
+	}
+	b.Planner(ms(100), other)
+	if d := b.PlannerDelay(); d > time.Millisecond {
+		t.Errorf("a new planner is taken to need %v", d)
+	}
+}
--- a/node/members.go
+++ b/node/members.go
@@ -164,7 +164,7 @@
 
 // greet tells a new planner everything: all workers held, all tasks that wait.
 func (c *Core) greet(now time.Time) {
-	c.reported = time.Time{}
+	c.reported, c.changed = time.Time{}, time.Time{}
 	c.entry.Planner(now, mesh.ID{})
 	c.entry.Planner(now, c.planner)
 }
