--- a/load/model.go
+++ b/load/model.go
@@ -40,7 +40,7 @@
 		Description: "Each row is a policy: the part of all worth that callers earned over the seeds with\n" +
 			"its standard error, that of the two worst windows, and what was late and refused.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "site", Value: "lakeshore", Usage: "lakeshore or teranga"},
+			&cli.StringFlag{Name: "site", Value: "lakeshore", Usage: "lakeshore, teranga or kioskopskrba"},
 			&cli.StringFlag{Name: "day", Value: "busy", Usage: "calm, busy, full or lossy"},
 			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "how many"},
 			&cli.StringFlag{Name: "plots", Usage: "write a plot of the worth by seed into this directory"},
--- a/load/recovery.go
+++ b/load/recovery.go
@@ -25,7 +25,7 @@
 			"process could be used again, and the jobs of a whole day that were\n" +
 			"lost, refused and late, on average, less those of the same day without the loss.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "site", Value: "lakeshore", Usage: "lakeshore or teranga"},
+			&cli.StringFlag{Name: "site", Value: "lakeshore", Usage: "lakeshore, teranga or kioskopskrba"},
 			&cli.IntFlag{Name: "seeds", Value: 20, Usage: "how many"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
--- a/model/day.go
+++ b/model/day.go
@@ -52,4 +52,4 @@
 }
 
 // Sites are the deployments by name.
-var Sites = map[string]func() Config{"lakeshore": Lakeshore, "teranga": Teranga}
+var Sites = map[string]func() Config{"lakeshore": Lakeshore, "teranga": Teranga, "kioskopskrba": Kioskopskrba}
--- a/model/site.go
+++ b/model/site.go
@@ -49,7 +49,27 @@
 	return c
 }
 
-// classes are the three kinds of request that both users have: a check of many
+// Kioskopskrba is the deployment of the station kiosks' restocking service.
+func Kioskopskrba() Config {
+	c := Lakeshore()
+	c.DataCenters = []DataCenter{
+		{Name: "kolodvor", VMs: 4, Workers: 16, Callers: 42.6},
+		{Name: "luka", VMs: 2, Workers: 16, Callers: 55.3},
+		{Name: "bus", VMs: 2, Workers: 16, Callers: 42.7},
+	}
+	c.Kinds = []Kind{
+		{Name: "a", Speed: 0.6, Room: lease.Room{CPU: 32000, Memory: 65536}},
+		{Name: "a", Speed: 1.0, Room: lease.Room{CPU: 32000, Memory: 65536}},
+		{Name: "b", Speed: 1.6, Room: lease.Room{CPU: 48000, Memory: 98304}},
+	}
+	c.Classes = classes("shelf-check", "van-route", "price-tag", 14000, 21000)
+	for i := range c.Classes {
+		c.Classes[i].Attempts = []int{2, 2, 4}[i]
+	}
+	return c
+}
+
+// classes are the three kinds of request that all users have: a check of many
 // short tasks, a heavy request of few long ones, and a small frequent one. Load 1
 // is the sum of the rates in their sheets.
 func classes(check, heavy, confirm string, cpu, most int) []Class {
