--- a/node/mail_test.go
+++ b/node/mail_test.go
@@ -39,6 +39,7 @@
 		s, _ := b.Changed(ms(101 + i))
 		reports += mailSize(t, Mail{Report: &cell.Report{States: []lease.State{s}}})
 	}
+	t.Logf("a job of four tasks: ask %d, reports %d, grant %d bytes", mailSize(t, Mail{Ask: ask}), reports, mailSize(t, Mail{Grant: grant}))
 	const most = 148
 	if in := (mailSize(t, Mail{Ask: ask}) + reports) / tasks; in > most {
 		t.Errorf("%d bytes in for a task, want %d at the most", in, most)
