A process's id is read from a place that nobody writes

Cause: the line "process started" and the process's record were made from what the core says of itself, read by two other goroutines while the core's own changes it. The id and the name never change, so nothing wrong was ever written.

Change: the id is kept in Node, where it is set once.

--- a/node/node.go
+++ b/node/node.go
@@ -91,13 +91,16 @@
 type Node struct {
 	cfg      Config
 	platform Platform
-	log      *slog.Logger
-	clock    *clock.Service
-	meter    *meter.Meter
-	shelf    *catalog.Shelf
-	mesh     *mesh.Mesh[Mail]
-	core     *Core
-	ln       listeners
+	// id names this life of the process. What else it says of itself changes, and only
+	// the core's goroutine may read it there.
+	id    mesh.ID
+	log   *slog.Logger
+	clock *clock.Service
+	meter *meter.Meter
+	shelf *catalog.Shelf
+	mesh  *mesh.Mesh[Mail]
+	core  *Core
+	ln    listeners
 
 	// work are the events for the core, in the order of their arrival.
 	work chan work
@@ -149,6 +152,7 @@
 	n := &Node{
 		cfg:      cfg,
 		platform: p,
+		id:       self.ID,
 		log:      log,
 		ln:       ln,
 		clock:    clock.New(),
@@ -198,7 +202,7 @@
 	defer cancel()
 	n.root = root
 	done := n.tree().ServeBackground(root)
-	event.ProcessStarted.Log(n.log, "vm", n.cfg.VM, "data_center", n.cfg.DataCenter, "callers", n.cfg.Callers, "peers", n.cfg.Peers, "share", n.cfg.Share, "id", n.core.Self().ID)
+	event.ProcessStarted.Log(n.log, "vm", n.cfg.VM, "data_center", n.cfg.DataCenter, "callers", n.cfg.Callers, "peers", n.cfg.Peers, "share", n.cfg.Share, "id", n.id)
 	n.mesh.Learn(n.cfg.Seeds...)
 	<-ctx.Done()
 	n.stop(root)
--- a/node/store.go
+++ b/node/store.go
@@ -186,8 +186,7 @@
 
 // keepRecord writes this process's record, gets its number by that, and renews it.
 func (n *Node) keepRecord(ctx context.Context) error {
-	self := n.core.Self()
-	value, err := json.Marshal(memberRecord{Boot: self.ID.Boot, VM: self.VM})
+	value, err := json.Marshal(memberRecord{Boot: n.id.Boot, VM: n.cfg.VM})
 	if err != nil {
 		return err
 	}
