A claim does not take the text from a start that may have to be sent again

A claim carries room and estimate but no text, and the book took all three over. If the start of the claimed run is then turned down because another start had raised the round, it is sent again: without a text.

Ruled out: packing of texts (one lock, lengths checked, TestTextIsReadAsWritten), names of tasks (TestTaskIsReadAsWritten).

Red first: TestClaimedStartKeepsItsText, sent again with an empty text.

--- a/lease/book.go
+++ b/lease/book.go
@@ -406,7 +406,8 @@
 func (b *Book) claim(owner Owner, o Order) {
 	if e, ok := b.runs[o.Run]; ok {
 		e.owner, e.orphan = owner, false
-		e.Room, e.Estimate, e.Spec = o.Room, o.Estimate, o.Spec
+		// A claim has no text. That of a run whose start may have to be sent again stays.
+		e.Room, e.Estimate = o.Room, o.Estimate
 		e.reported, b.dirty = false, true
 		return
 	}
--- a/lease/book_test.go
+++ b/lease/book_test.go
@@ -476,6 +476,26 @@
 	}
 }
 
+// A start gets lost, and another one for the same worker raises the round; meanwhile the
+// owner's session ends and begins again, so it claims its runs, without their text. The
+// worker turns the first order down, and the start is sent anew: it must carry the text
+// that the caller sent, or the worker does some other work, or none.
+func TestClaimedStartKeepsItsText(t *testing.T) {
+	b, _ := opened(t)
+	o := order("a", 1)
+	o.Spec = "text"
+	b.Start(ms(10), alice, o)
+	first := take(b).starts[0]
+	b.Start(ms(11), alice, order("b", 1))
+	b.Started(ms(60), take(b).starts[0], Result{Verdict: NoAnswer})
+	b.Claim(ms(61), alice, []Order{order("a", 1)})
+	b.Started(ms(62), first, Result{Verdict: Refused, Reason: Fenced, Clock: 5062})
+	again := take(b).starts
+	if len(again) != 1 || again[0].Spec != "text" {
+		t.Errorf("sent again %+v", again)
+	}
+}
+
 // A holder freezes before its first call is answered, so it does not know the worker's
 // clock. Reckoned from no clock at all, the end of the lease is beyond all times and comes
 // out as past: a run that the holder before has just renewed would be told lost at once,
