load, model: one choice of a deployment, one weight of a job

Cause, found by reading the change again: three verbs of snipeload wrote the flag for the deployment, its names and its look-up again; the bound wrote the weight of a job again, and with the repeated part of failing tasks in it, where what is earned has it without; the log reader had two fields that nobody reads; a comment on a type spoke of a function.

Change: siteFlag and siteOf, whose help lists the table's names; Class.weight for both sides.

--- a/load/bound.go
+++ b/load/bound.go
@@ -6,7 +6,6 @@
 
 	"github.com/urfave/cli/v3"
 
-	"snipehub.example/internal/program"
 	"snipehub.example/model"
 )
 
@@ -18,13 +17,13 @@
 			"planner can surpass, even one that knows all times and the future; the part that was\n" +
 			"earned; and the distance. Processes' own faults are no part of the bound.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "site", Value: "lakeshore", Usage: "lakeshore, teranga or kioskopskrba"},
+			siteFlag(),
 			&cli.IntFlag{Name: "seeds", Value: 5, Usage: "how many"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			site, ok := model.Sites[c.String("site")]
-			if !ok {
-				return cli.Exit(fmt.Sprintf("no site %q", c.String("site")), program.ExitUsage)
+			site, err := siteOf(c)
+			if err != nil {
+				return err
 			}
 			w := c.Root().Writer
 			fmt.Fprintln(w, "| day | bound | earned | distance |")
--- a/load/losses.go
+++ b/load/losses.go
@@ -174,8 +174,8 @@
 // have gone elsewhere.
 const lateRefusal = 0.25
 
-// objective returns how an objective follows from the work of the longest task, by the
-// least and the longest estimate of a queue's jobs: both are on a straight line.
+// objective is how a queue's objectives follow from the work of the longest task: on a
+// straight line through the jobs with the least and the longest estimate.
 type objective struct {
 	least, most *lostJob
 }
--- a/load/losslog.go
+++ b/load/losslog.go
@@ -22,7 +22,6 @@
 	Job     string    `json:"job"`
 	Queue   string    `json:"queue"`
 	Task    string    `json:"task"`
-	Run     int       `json:"run"`
 	Tasks   int       `json:"tasks"`
 	CPU     int       `json:"cpu"`
 	Status  string    `json:"status"`
@@ -30,7 +29,6 @@
 	How     string    `json:"how"`
 	Factor  float64   `json:"factor"`
 	Place   string    `json:"data_center"`
-	AgeMS   int64     `json:"age_ms"`
 	AimMS   int64     `json:"aim_ms"`
 	TookMS  int64     `json:"took_ms"`
 	GuessMS int64     `json:"estimate_ms"`
--- a/load/model.go
+++ b/load/model.go
@@ -40,15 +40,15 @@
 		Description: "Each row is a policy: the part of all worth that callers earned over the seeds with\n" +
 			"its standard error, that of the two worst windows, and what was late and refused.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "site", Value: "lakeshore", Usage: "lakeshore, teranga or kioskopskrba"},
+			siteFlag(),
 			&cli.StringFlag{Name: "day", Value: "busy", Usage: "calm, busy, full or lossy"},
 			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "how many"},
 			&cli.StringFlag{Name: "plots", Usage: "write a plot of the worth by seed into this directory"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			site, ok := model.Sites[c.String("site")]
-			if !ok {
-				return cli.Exit(fmt.Sprintf("no site %q", c.String("site")), program.ExitUsage)
+			site, err := siteOf(c)
+			if err != nil {
+				return err
 			}
 			i := slices.IndexFunc(model.Days, func(d model.Day) bool { return d.Name == c.String("day") })
 			if i < 0 {
--- a/load/recovery.go
+++ b/load/recovery.go
@@ -9,7 +9,6 @@
 
 	"github.com/urfave/cli/v3"
 
-	"snipehub.example/internal/program"
 	"snipehub.example/model"
 )
 
@@ -25,13 +24,13 @@
 			"process could be used again, and the jobs of a whole day that were\n" +
 			"lost, refused and late, on average, less those of the same day without the loss.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "site", Value: "lakeshore", Usage: "lakeshore, teranga or kioskopskrba"},
+			siteFlag(),
 			&cli.IntFlag{Name: "seeds", Value: 20, Usage: "how many"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			site, ok := model.Sites[c.String("site")]
-			if !ok {
-				return cli.Exit(fmt.Sprintf("no site %q", c.String("site")), program.ExitUsage)
+			site, err := siteOf(c)
+			if err != nil {
+				return err
 			}
 			if n := tableRecovery(c.Root().Writer, site, c.Int("seeds")); n > 0 {
 				return cli.Exit(fmt.Sprintf("%d promises broken", n), 1)
--- /dev/null
+++ b/load/site.go
@@ -0,0 +1,28 @@
+package load
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"snipehub.example/internal/program"
+	"snipehub.example/model"
+)
+
+// siteFlag chooses one of the model's deployments.
+func siteFlag() cli.Flag {
+	names := slices.Sorted(maps.Keys(model.Sites))
+	return &cli.StringFlag{Name: "site", Value: "lakeshore", Usage: "one of " + strings.Join(names, ", ")}
+}
+
+// siteOf returns the deployment that siteFlag names.
+func siteOf(c *cli.Command) (func() model.Config, error) {
+	site, ok := model.Sites[c.String("site")]
+	if !ok {
+		return nil, cli.Exit(fmt.Sprintf("no site %q", c.String("site")), program.ExitUsage)
+	}
+	return site, nil
+}
--- a/model/bound.go
+++ b/model/bound.go
@@ -88,8 +88,7 @@
 		total += d + d/2*time.Duration(j.fails[i])
 		longest = max(longest, d)
 	}
-	mean := float64(cl.Work) * float64(cl.Width) * float64(cl.CPU)
-	weight := min(0.3+0.7*float64(total)*float64(j.cpu)/mean, 4)
+	weight := cl.weight(j)
 	l := &load{
 		demand: float64(j.cpu) * float64(total/time.Microsecond) / 1000,
 		worth:  cl.Worth * weight,
--- a/model/score.go
+++ b/model/score.go
@@ -107,18 +107,23 @@
 	r.Worst = worst(earned, owed)
 }
 
+// weight is what a job is worth over the mean of its class, by its work.
+func (c Class) weight(j *job) float64 {
+	total := time.Duration(0)
+	for _, d := range j.work {
+		total += d
+	}
+	mean := float64(c.Work) * float64(c.Width) * float64(c.CPU)
+	return min(0.3+0.7*float64(total)*float64(j.cpu)/mean, 4)
+}
+
 func (w *World) count(t *Tally, j *job) (earned, owed float64) {
 	cl := w.cfg.Classes[j.class]
 	t.Asked++
 	if !j.leaves.IsZero() && !j.over {
 		return 0, 0
 	}
-	total := time.Duration(0)
-	for _, d := range j.work {
-		total += d
-	}
-	mean := float64(cl.Work) * float64(cl.Width) * float64(cl.CPU)
-	weight := min(0.3+0.7*float64(total)*float64(j.cpu)/mean, 4)
+	weight := cl.weight(j)
 	owed = cl.Worth * weight
 	switch {
 	case !j.over:
