mesh, node, model: heartbeats only between processes that have something of each other

Change: a session beats each 200 ms and is given up after 650 ms only while one side watches the other: the planner watches all and is watched by all, the owner of runs and the holder of their workers watch each other from the start on. Other sessions beat each 2 s and are given up after 6.5 s. A member that is watched from now on has to show itself from now on, at once. When the planner's heartbeat is late by 100 ms, all members are watched for a second, so that nobody who was lost with it is elected before its silence is noticed.

An address is not dialled again while a greeting with it is under way (at 50 to 150 ms, slow VMs threw each other's greetings away), and of two connections that both sides open at once both keep the one of the lower address.

The model has the watch too: a silent session ends for a side when that side would notice, and goes on if nobody has.

--- a/entry/holders.go
+++ b/entry/holders.go
@@ -79,6 +79,15 @@
 	}
 }
 
+// Holders returns the processes that hold the workers of this process's runs.
+func (b *Book) Holders() map[mesh.ID]struct{} {
+	out := make(map[mesh.ID]struct{})
+	for _, p := range b.runs {
+		out[p.t.holder] = struct{}{}
+	}
+	return out
+}
+
 // adrift returns the runs whose holder was lost for so long that they have ended.
 func (b *Book) adrift(now time.Time) []placedTask {
 	var out []placedTask
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -29,6 +29,7 @@
 	cut       map[[2]netip.Addr]bool
 	frozen    map[netip.Addr]bool
 	conns     map[*conn]struct{}
+	written   map[netip.Addr]int64
 }
 
 // New makes a network whose links have the delay.
@@ -40,9 +41,17 @@
 		cut:       make(map[[2]netip.Addr]bool),
 		frozen:    make(map[netip.Addr]bool),
 		conns:     make(map[*conn]struct{}),
+		written:   make(map[netip.Addr]int64),
 	}
 }
 
+// Written returns how many bytes a host has sent.
+func (n *Net) Written(h netip.Addr) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.written[h]
+}
+
 // Host is the network as one host sees it.
 type Host struct {
 	net  *Net
@@ -281,6 +290,9 @@
 		buf := make([]byte, 32<<10)
 		for {
 			k, err := src.Read(buf)
+			n.mu.Lock()
+			n.written[from] += int64(k)
+			n.mu.Unlock()
 			if k > 0 {
 				select {
 				case queue <- append([]byte(nil), buf[:k]...):
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -23,10 +23,12 @@
 	methodHello = "hello"
 	methodMail  = "mail"
 	methodBeat  = "beat"
+	// methodWatch is a heartbeat that asks for frequent ones in return.
+	methodWatch = "watch"
 )
 
 // methods numbers the methods on the wire, from 0.
-var methods = []string{methodHello, methodMail, methodBeat}
+var methods = []string{methodHello, methodMail, methodBeat, methodWatch}
 
 // envelopes are the JSON-RPC notifications of the methods, in their order.
 var envelopes = makeEnvelopes()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -19,13 +19,27 @@
 )
 
 const (
-	// BeatEvery is the longest silence of a process on a session.
+	// BeatEvery is the longest silence of a process on a session that either side
+	// watches.
 	BeatEvery = 200 * time.Millisecond
-	// DownAfter is the silence after which a session is given up: three lost
+	// DownAfter is the silence after which a watched session is given up: three lost
 	// heartbeats. It bounds how long a frozen process holds up others, and must
 	// leave time to stop its runs before a caller's repetition can start them
 	// again somewhere else.
 	DownAfter = 650 * time.Millisecond
+	// QuietAfter is the silence of a watched member that is told: a heartbeat is late.
+	QuietAfter = 300 * time.Millisecond
+	// IdleBeatEvery and IdleDownAfter are the same for a session that nobody watches.
+	// Most sessions of a large cell are such, and their heartbeats were most of what a
+	// process with a hundred members did.
+	IdleBeatEvery = 2 * time.Second
+	IdleDownAfter = 6500 * time.Millisecond
+	// greetFor bounds the greeting on a new connection. On a small VM that meets a
+	// hundred members at once it takes far longer than a heartbeat.
+	greetFor = 2 * time.Second
+	// crossFor is how close together two sessions with a member begin if both sides
+	// have dialled at once.
+	crossFor = time.Second
 	// dialTimeout bounds the opening of a connection: some hundred round trips
 	// between data centres.
 	dialTimeout = 300 * time.Millisecond
@@ -58,6 +72,8 @@
 	Changed
 	// Mail: messages of the member have arrived.
 	Mail
+	// Quiet: a watched member is late with its heartbeat.
+	Quiet
 )
 
 // Event is what the mesh tells its owner.
@@ -82,10 +98,11 @@
 }
 
 // batch is what a notification carries. From is set when something of it has
-// changed.
+// changed, Watch while the sender watches the receiver.
 type batch[M any] struct {
-	From *Member `cbor:"1,keyasint,omitzero"`
-	Mail []M     `cbor:"2,keyasint,omitzero"`
+	From  *Member `cbor:"1,keyasint,omitzero"`
+	Mail  []M     `cbor:"2,keyasint,omitzero"`
+	Watch bool    `cbor:"3,keyasint,omitzero"`
 }
 
 // Mesh is the sessions of one process. It may be used from any goroutine.
@@ -100,8 +117,10 @@
 	// edition counts what this process has said of itself.
 	edition  uint64
 	sessions map[netip.AddrPort]*session[M]
-	known    map[netip.AddrPort]*address
-	last     uint64
+	// watch are the members whose silence must be noticed soon.
+	watch map[ID]struct{}
+	known map[netip.AddrPort]*address
+	last  uint64
 	// changed tells that an address was learned or a session has ended.
 	changed chan struct{}
 	wg      sync.WaitGroup
@@ -125,6 +144,7 @@
 		deliver:  deliver,
 		self:     self,
 		sessions: make(map[netip.AddrPort]*session[M]),
+		watch:    make(map[ID]struct{}),
 		known:    make(map[netip.AddrPort]*address),
 		changed:  make(chan struct{}, 1),
 	}
@@ -179,6 +199,23 @@
 	}
 }
 
+// Watch begins or ends the watch over a member: its silence is noticed after DownAfter,
+// counted from now at the earliest, in place of IdleDownAfter. The other side needs no
+// watch of its own for that.
+func (m *Mesh[M]) Watch(id ID, on bool) {
+	m.mu.Lock()
+	if on {
+		m.watch[id] = struct{}{}
+	} else {
+		delete(m.watch, id)
+	}
+	s := m.sessions[id.Address]
+	m.mu.Unlock()
+	if s != nil && s.id == id {
+		s.watch(on)
+	}
+}
+
 // Serve accepts and opens connections until ctx ends.
 func (m *Mesh[M]) Serve(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -194,7 +231,7 @@
 		if err != nil {
 			return errors.Wrap(err, "mesh: accept")
 		}
-		m.connect(ctx, c)
+		m.connect(ctx, c, false)
 	}
 }
 
@@ -249,12 +286,18 @@
 	}
 }
 
+// dial tries an address until a session has begun there or the try has failed. Another try
+// before that would replace the connection that is about to become a session.
 func (m *Mesh[M]) dial(ctx context.Context, a netip.AddrPort) {
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	c, err := m.open(bounded, "tcp", a.String())
 	if err == nil {
-		m.connect(ctx, c)
+		s := m.connect(ctx, c, true)
+		select {
+		case <-s.met:
+		case <-s.done:
+		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -267,29 +310,46 @@
 }
 
 // connect begins a session on a new connection, on which both sides greet.
-func (m *Mesh[M]) connect(ctx context.Context, c net.Conn) {
+func (m *Mesh[M]) connect(ctx context.Context, c net.Conn, dialed bool) *session[M] {
 	m.mu.Lock()
 	m.last++
-	s := &session[M]{mesh: m, number: m.last, heard: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{})}
+	s := &session[M]{
+		mesh:   m,
+		number: m.last,
+		dialed: dialed,
+		heard:  time.Now(),
+		wake:   make(chan struct{}, 1),
+		met:    make(chan struct{}),
+		done:   make(chan struct{}),
+	}
 	m.mu.Unlock()
 	stream := jsonrpc2.NewBufferedStream(peer.Patient(c, DownAfter), &s.codec)
 	s.conn = jsonrpc2.NewConn(ctx, stream, handler(s.handle), jsonrpc2.SetLogger(quiet))
 	m.wg.Go(func() { s.run(ctx) })
+	return s
 }
 
 // quiet takes what the library logs by itself: that a connection has ended, which
 // the end of the session tells as well.
 var quiet = log.New(io.Discard, "", 0)
 
-// begin makes a session the one with its member. An older session with the same
-// address is over: whoever connects anew has none in its own eyes.
-func (m *Mesh[M]) begin(s *session[M], h hello) {
+// begin makes a session the one with its member, and tells whether it is. An older session
+// with the same address is over: whoever connects anew has none in its own eyes, unless
+// both have connected at once.
+func (m *Mesh[M]) begin(s *session[M], h hello) bool {
 	m.mu.Lock()
 	now := time.Now()
-	old := m.sessions[h.From.ID.Address]
-	m.sessions[h.From.ID.Address] = s
-	m.learn(now, h.From.ID.Address)
-	if k := m.known[h.From.ID.Address]; k != nil {
+	a := h.From.ID.Address
+	old := m.sessions[a]
+	if old != nil && m.crossed(now, old, s, h.From.ID) {
+		m.mu.Unlock()
+		return false
+	}
+	s.began = now
+	m.sessions[a] = s
+	_, watch := m.watch[h.From.ID]
+	m.learn(now, a)
+	if k := m.known[a]; k != nil {
 		k.pause = redialLeast
 	}
 	for _, a := range h.Known {
@@ -300,6 +360,19 @@
 		old.end("replaced by a new connection")
 		<-old.done
 	}
+	s.watch(watch)
+	return true
+}
+
+// crossed tells whether a new session gives way to one that began just before: both sides
+// have dialled at once, and both keep the connection that the lower address has opened.
+// Would each keep the one that it saw last, both could be closed, and the next two too.
+func (m *Mesh[M]) crossed(now time.Time, old, s *session[M], id ID) bool {
+	if old.id != id || old.dialed == s.dialed || now.Sub(old.began) > crossFor {
+		return false
+	}
+	lower := m.self.ID.Address.Compare(id.Address) < 0
+	return old.dialed == lower
 }
 
 // forget removes a session that is over.
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -18,6 +18,12 @@
 	conn   *jsonrpc2.Conn
 	codec  codec
 	wake   chan struct{}
+	// dialed tells that this side opened the connection; began is when it became the
+	// session with its member.
+	dialed bool
+	began  time.Time
+	// met is closed when the member has greeted.
+	met chan struct{}
 	// done is closed when the end of the session has been told.
 	done chan struct{}
 	// id is set before the session is known to anybody else.
@@ -41,7 +47,13 @@
 	heard  time.Time
 	// taking tells that a message is being passed on, which may block.
 	taking bool
-	queue  []M
+	// since is when this side began to watch the member, zero while it doesn't; watched
+	// tells that the member watches this side.
+	since   time.Time
+	watched bool
+	// quiet tells that the silence of a watched member has been told.
+	quiet bool
+	queue []M
 }
 
 // handler handles notifications in the order in which they arrive, in the
@@ -75,26 +87,90 @@
 		case <-s.wake:
 		case <-t.C:
 		}
-		if s.ended(time.Now()) {
+		now := time.Now()
+		if s.ended(now) {
 			return
 		}
+		if s.late(now) {
+			s.tell(Event[M]{Kind: Quiet, Member: Member{ID: s.id}, Session: s.number})
+		}
 		if err := s.flush(ctx); err != nil {
 			s.end("write failed: " + err.Error())
 		}
-		t.Reset(BeatEvery)
+		t.Reset(s.pause())
+	}
+}
+
+// pause is how long this side may be silent now.
+func (s *session[M]) pause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.member.ID != (ID{}) && s.since.IsZero() && !s.watched:
+		return IdleBeatEvery
+	case s.quiet || s.since.IsZero():
+		return BeatEvery
+	}
+	return min(BeatEvery, max(time.Until(s.due()), 0)+lateSlack)
+}
+
+// lateSlack keeps the look at a late heartbeat behind the time at which it is late.
+const lateSlack = time.Millisecond
+
+// due is when a watched member must have shown itself.
+func (s *session[M]) due() time.Time {
+	if s.since.After(s.heard) {
+		return s.since.Add(QuietAfter)
+	}
+	return s.heard.Add(QuietAfter)
+}
+
+// late tells, once for each silence, that a watched member is late.
+func (s *session[M]) late(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.quiet || s.taking || s.since.IsZero() || s.member.ID == (ID{}) || now.Before(s.due()) {
+		return false
 	}
+	s.quiet = true
+	return true
 }
 
 // ended tells whether the session is over, for instance by silence.
 func (s *session[M]) ended(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.over && !s.taking && now.Sub(s.heard) > DownAfter {
+	if !s.over && !s.taking && now.Sub(s.heard) > s.patience() {
 		s.over, s.why = true, "silent"
 	}
 	return s.over
 }
 
+// patience is how long the member may have been silent. A member that was not watched
+// until now has to show itself only from now on.
+func (s *session[M]) patience() time.Duration {
+	switch {
+	case s.member.ID == (ID{}):
+		return greetFor
+	case s.since.IsZero():
+		return IdleDownAfter
+	}
+	return min(IdleDownAfter, DownAfter+max(0, s.since.Sub(s.heard)))
+}
+
+// watch begins or ends the watch over the member.
+func (s *session[M]) watch(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !on:
+		s.since = time.Time{}
+	case s.since.IsZero():
+		s.since = time.Now()
+		s.poke()
+	}
+}
+
 func (s *session[M]) tellUp(h hello) {
 	s.telling.Lock()
 	defer s.telling.Unlock()
@@ -137,16 +213,19 @@
 		s.mu.Unlock()
 		return nil
 	}
-	b := batch[M]{Mail: s.queue}
+	b := batch[M]{Mail: s.queue, Watch: !s.since.IsZero()}
 	s.queue = nil
 	s.mu.Unlock()
 	if me, edition := s.mesh.me(); edition != s.told {
 		b.From, s.told = &me, edition
 	}
-	if b.From == nil && len(b.Mail) == 0 {
-		return s.notify(ctx, methodBeat, nil)
+	switch {
+	case b.From != nil || len(b.Mail) > 0:
+		return s.notify(ctx, methodMail, b)
+	case b.Watch:
+		return s.notify(ctx, methodWatch, nil)
 	}
-	return s.notify(ctx, methodMail, b)
+	return s.notify(ctx, methodBeat, nil)
 }
 
 // notify writes a notification, with content if there is any.
@@ -198,12 +277,16 @@
 func (s *session[M]) took(taking bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heard, s.taking = time.Now(), taking
+	s.heard, s.taking, s.quiet = time.Now(), taking, false
 }
 
 func (s *session[M]) take(r *jsonrpc2.Request) error {
 	switch r.Method {
 	case methodBeat:
+		s.watchedBy(false)
+		return nil
+	case methodWatch:
+		s.watchedBy(true)
 		return nil
 	case methodHello:
 		var h hello
@@ -217,6 +300,7 @@
 		if err := s.codec.decode(&b); err != nil {
 			return errors.Wrap(err, "mesh: decode")
 		}
+		s.watchedBy(b.Watch)
 		s.receive(b)
 		return nil
 	}
@@ -231,7 +315,11 @@
 		return
 	}
 	s.id = h.From.ID
-	s.mesh.begin(s, h)
+	if !s.mesh.begin(s, h) {
+		s.end("both sides have connected at once")
+		return
+	}
+	close(s.met)
 	s.tellUp(h)
 	s.mu.Lock()
 	s.member = h.From
@@ -239,6 +327,17 @@
 	s.poke()
 }
 
+// watchedBy takes note whether the member watches this side. It waits for a sign of life
+// from when it began to, so that goes out at once.
+func (s *session[M]) watchedBy(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on && !s.watched {
+		s.poke()
+	}
+	s.watched = on
+}
+
 func (s *session[M]) receive(b batch[M]) {
 	if b.From != nil {
 		s.mu.Lock()
--- a/model/outage.go
+++ b/model/outage.go
@@ -30,7 +30,7 @@
 		switch {
 		case n.boots != boots || !n.up:
 		case n.core.Idle() || !w.now.Before(last):
-			w.kill(n, down, resetAfter)
+			w.kill(n, down, reset)
 		default:
 			n.endWhenIdle(boots, last, down)
 		}
@@ -65,16 +65,16 @@
 // from the store; its callers still reach its processes. If it is loud, connections are
 // reset and processes notice at once, else they hear silence.
 func CutDataCenter(name string, loud bool, d time.Duration) func(*World) {
-	noticed := downAfter
+	how := silent
 	if loud {
-		noticed = resetAfter
+		how = reset
 	}
 	return func(w *World) {
 		w.apart[name] = true
 		for _, a := range w.nodes {
 			for _, b := range w.nodes {
 				if a.index < b.index && w.severed(a.dc, b.dc) {
-					w.part(a, b, noticed)
+					w.part(a, b, how)
 				}
 			}
 		}
--- a/node/core.go
+++ b/node/core.go
@@ -48,7 +48,8 @@
 	Mail   *Mail
 	Answer *entry.Answered
 	// Say is what the members are told of this process.
-	Say *mesh.Member
+	Say   *mesh.Member
+	Watch *Watch
 	// Worker is whom Hold, Start or Stop goes to.
 	Worker lease.Worker
 	Hold   *lease.HoldCall
@@ -102,6 +103,9 @@
 	spent lease.Fence
 	// lost are the entry processes out of sight and when they were last heard.
 	lost map[mesh.ID]time.Time
+	// watched are the members that are watched; alarm is until when all are.
+	watched map[mesh.ID]struct{}
+	alarm   time.Time
 	// met tells that more than half of the processes that the store lists are in
 	// sight, metSince is since when.
 	met      bool
@@ -133,6 +137,7 @@
 		held:    make(map[string]*lease.Book),
 		habits:  make(map[string]*lease.Habits),
 		lost:    make(map[mesh.ID]time.Time),
+		watched: make(map[mesh.ID]struct{}),
 	}
 }
 
@@ -194,10 +199,12 @@
 	case a.Withdraw != nil:
 		c.send(now, c.planner, Mail{Withdraw: a.Withdraw})
 	case a.Start != nil:
+		c.watch(a.To)
 		c.send(now, a.To, Mail{Start: a.Start})
 	case a.Stop != nil:
 		c.send(now, a.To, Mail{Stop: a.Stop})
 	case a.Claim != nil:
+		c.watch(a.To)
 		c.send(now, a.To, Mail{Claim: a.Claim})
 	}
 }
@@ -295,10 +302,12 @@
 	case m.Relief != nil:
 		c.release(now, m.Relief.Worker)
 	case m.Start != nil:
+		c.watch(from)
 		c.start(now, from, *m.Start)
 	case m.Stop != nil:
 		c.stop(now, *m.Stop)
 	case m.Claim != nil:
+		c.watch(from)
 		c.claim(now, from, *m.Claim)
 	}
 }
@@ -413,6 +422,7 @@
 	}
 	c.cell.Tick(now)
 	c.entry.Tick(now)
+	c.review(now)
 }
 
 func (c *Core) ownerLost(now time.Time, id mesh.ID) {
--- a/node/members.go
+++ b/node/members.go
@@ -24,6 +24,7 @@
 	c.entry.HolderUp(m.ID)
 	c.announce(now, m.ID)
 	c.wants(now, m)
+	c.review(now)
 	if m.ID == c.planner {
 		c.greet(now)
 	}
@@ -61,12 +62,17 @@
 		return
 	}
 	delete(c.members, id)
+	c.unwatch(id)
+	if id == c.planner {
+		c.alarm = now.Add(alarmFor)
+	}
 	c.lost[id] = heard
 	for _, w := range c.heldIDs() {
 		c.held[w].OwnerAway(id, heard.Add(callersReturn))
 	}
 	c.entry.HolderDown(now, id)
 	c.elect(now)
+	c.review(now)
 }
 
 // MemberChanged takes what a member says of itself.
@@ -115,6 +121,7 @@
 	if best.ID != c.planner {
 		event.PlannerChosen.Log(c.log, "planner", best.ID, "vm", best.VM, "number", best.Number, "members", len(up), "before", c.planner)
 		c.planner = best.ID
+		c.watch(best.ID)
 		c.greet(now)
 	}
 	c.reader = c.electReader(up, best)
@@ -145,6 +152,7 @@
 		c.cell.Begin(now)
 		c.self.Plans++
 		c.out = append(c.out, Output{Say: &c.self})
+		c.review(now)
 	default:
 		c.cell.Stop()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -346,6 +346,8 @@
 			n.answer(*o.Answer)
 		case o.Say != nil:
 			n.mesh.Say(*o.Say)
+		case o.Watch != nil:
+			n.mesh.Watch(o.Watch.Member, o.Watch.On)
 		case o.Hold != nil:
 			n.calls.Go(func() { n.hold(o.Worker, *o.Hold) })
 		case o.Start != nil:
@@ -369,6 +371,8 @@
 			c.MemberDown(now, e.Member.ID, e.Session, e.Heard)
 		case mesh.Changed:
 			c.MemberChanged(now, e.Member)
+		case mesh.Quiet:
+			c.MemberQuiet(now, e.Member.ID, e.Session)
 		case mesh.Mail:
 			c.Receive(now, e.Member.ID, e.Session, e.Mail)
 		}
