cell: the planner looks at sixty-four workers for a task, not at all that are equally fast

Cause: at 1,100 workers hundreds are equally fast, and each task was compared on all of them, with maps by the 40 bytes of a process's id; each burst of events built and sorted all seats anew.

Change: at most 32 seats in the owner's data centre and 32 elsewhere are chosen from, holders are told apart by pointer, seats are kept in one piece of memory and sorted only if their order has changed.

--- a/cell/book.go
+++ b/cell/book.go
@@ -138,6 +138,8 @@
 	line    line
 	// bySpeed is the workers, fastest first, as of the last tick.
 	bySpeed []*worker
+	// room is the memory for the seats of one Place.
+	room []seat
 	// byID is the workers in the order of their names.
 	byID []*worker
 	// admitted is when it was last looked ahead.
--- a/cell/book_test.go
+++ b/cell/book_test.go
@@ -355,11 +355,18 @@
 // BenchmarkPlace plans jobs of four tasks for 350 workers of 41 members, with as many
 // ends of runs, as in a cell of today's largest size at its busiest.
 func BenchmarkPlace(b *testing.B) {
+	sizes := []struct{ members, workers, running int }{{41, 350, 600}, {147, 1100, 1500}}
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n.workers), func(b *testing.B) { benchmarkPlace(b, n.members, n.workers, n.running) })
+	}
+}
+
+func benchmarkPlace(b *testing.B, n, workers, most int) {
 	book := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
 	book.Begin(ms(0))
-	book.Members(ms(0), members(41), true, false)
+	book.Members(ms(0), members(n), true, false)
 	l := Listing{Whole: true}
-	for i := range 350 {
+	for i := range workers {
 		l.Listed = append(l.Listed, Listed{Worker: testWorker(i)})
 	}
 	book.Workers(ms(0), l)
@@ -380,14 +387,14 @@
 		now = now.Add(time.Millisecond)
 		a := ask(fmt.Sprint(i), 4)
 		a.Limit, a.Aim = time.Hour, time.Hour
-		book.Ask(now, memberID(i%41), a)
+		book.Ask(now, memberID(i%n), a)
 		book.Place(now)
 		for _, a := range book.Take() {
 			if a.Grant != nil {
 				running = append(running, a.Grant.Items...)
 			}
 		}
-		for len(running) > 600 {
+		for len(running) > most {
 			g := running[0]
 			running = running[1:]
 			book.Report(now, g.Holder, Report{States: []lease.State{{ID: g.Worker, Fence: lease.NewFence(9), Open: true, Ended: []lease.Run{g.Run}}}})
--- a/cell/gather.go
+++ b/cell/gather.go
@@ -16,31 +16,64 @@
 // 40% of what a process sent, and its calls to workers waited behind them.
 type holders struct {
 	gather bool
-	owner  mesh.ID
+	owner  *member
 	// dc is the owner's data centre.
 	dc string
 	of map[mesh.ID]*member
 	// tasks counts the tasks of the step that holders were just given.
-	tasks map[mesh.ID]int
-	// open are the seats to choose from.
+	tasks map[*member]int
+	// order is the holders of the open seats, room how many tasks these take.
+	order []*member
+	room  map[*member]int
+	// open are the seats to choose from; near counts those in the owner's data centre.
 	open []*seat
+	near int
 }
 
+// nearMost and farMost bound the seats that are chosen from for a task, in the owner's data
+// centre and elsewhere. In a cell of a thousand workers hundreds are equally fast, and to
+// compare all of them for each task takes most of what a planner does.
+const nearMost, farMost = 32, 32
+
+func (h *holders) clear() { h.open, h.near = h.open[:0], 0 }
+
+// consider adds a seat to choose from if it is among the first of its kind.
+func (h *holders) consider(s *seat) {
+	far := len(h.open) - h.near
+	switch {
+	case s.DataCenter == h.dc && h.near < nearMost:
+		h.near++
+	case s.DataCenter == h.dc || far >= farMost:
+		return
+	}
+	s.by = h.of[s.holder]
+	h.open = append(h.open, s)
+}
+
+// full tells that no further seat will be considered.
+func (h *holders) full() bool { return len(h.open) == nearMost+farMost }
+
 func (b *Book) holders(w *wait) *holders {
-	h := &holders{gather: b.policy.Gather.on(), owner: w.owner, of: b.members, tasks: make(map[mesh.ID]int)}
-	if m := b.members[w.owner]; m != nil {
-		h.dc = m.DataCenter
+	h := &holders{
+		gather: b.policy.Gather.on(),
+		owner:  b.members[w.owner],
+		of:     b.members,
+		tasks:  make(map[*member]int),
+		room:   make(map[*member]int),
+	}
+	if h.owner != nil {
+		h.dc = h.owner.DataCenter
 	}
 	return h
 }
 
-func (h *holders) use(id mesh.ID) { h.tasks[id]++ }
+func (h *holders) use(s *seat) { h.tasks[h.of[s.holder]]++ }
 
 // has tells that a holder has the job's text, because it took the job in or has a task of
 // it, and not many tasks yet.
-func (h *holders) has(id mesh.ID) bool {
-	n := h.tasks[id]
-	return n < gatherMost && (n > 0 || id == h.owner)
+func (h *holders) has(m *member) bool {
+	n := h.tasks[m]
+	return n < gatherMost && (n > 0 || m == h.owner)
 }
 
 // gatherMost is how many tasks of a step one holder is given before another one is looked
@@ -54,11 +87,11 @@
 	if !h.gather {
 		return leastLeft(h.open, func(*seat) bool { return true })
 	}
-	if s := leastLeft(h.open, func(s *seat) bool { return h.has(s.holder) }); s != nil {
+	if s := leastLeft(h.open, func(s *seat) bool { return h.has(s.by) }); s != nil {
 		return s
 	}
-	id := h.roomiest(w)
-	return leastLeft(h.open, func(s *seat) bool { return s.holder == id })
+	m := h.roomiest(w)
+	return leastLeft(h.open, func(s *seat) bool { return s.by == m })
 }
 
 // leastLeft returns the first of the seats that are meant with the least room.
@@ -74,29 +107,27 @@
 
 // roomiest returns the holder with the fewest tasks of the step whose seats take most of
 // it, of equal ones one in the owner's data centre.
-func (h *holders) roomiest(w *wait) mesh.ID {
-	var ids []mesh.ID
-	room := make(map[mesh.ID]int)
+func (h *holders) roomiest(w *wait) *member {
+	clear(h.room)
+	h.order = h.order[:0]
 	for _, s := range h.open {
-		if _, ok := room[s.holder]; !ok {
-			ids = append(ids, s.holder)
+		room, ok := h.room[s.by]
+		if !ok {
+			h.order = append(h.order, s.by)
 		}
-		room[s.holder] = min(room[s.holder]+s.left.CPU/max(w.Room.CPU, 1), len(w.Tasks), gatherMost)
+		h.room[s.by] = min(room+s.left.CPU/max(w.Room.CPU, 1), len(w.Tasks), gatherMost)
 	}
-	if len(ids) == 0 {
-		return mesh.ID{}
+	if len(h.order) == 0 {
+		return nil
 	}
-	return slices.MaxFunc(ids, func(x, y mesh.ID) int {
+	return slices.MaxFunc(h.order, func(x, y *member) int {
 		return cmp.Or(
 			cmp.Compare(h.tasks[y], h.tasks[x]),
-			cmp.Compare(room[x], room[y]),
-			compareBool(h.near(x), h.near(y)),
+			cmp.Compare(h.room[x], h.room[y]),
+			compareBool(h.isNear(x), h.isNear(y)),
 		)
 	})
 }
 
-// near tells that a holder is in the owner's data centre.
-func (h *holders) near(id mesh.ID) bool {
-	m := h.of[id]
-	return m != nil && m.DataCenter == h.dc
-}
+// isNear tells that a holder is in the owner's data centre.
+func (h *holders) isNear(m *member) bool { return m != nil && m.DataCenter == h.dc }
--- a/cell/place.go
+++ b/cell/place.go
@@ -75,6 +75,8 @@
 	*worker
 	left   lease.Room
 	factor float64
+	// by is the holder, once the seat is considered for a task.
+	by *member
 	// probe tells that it takes a single task, to be tried.
 	probe bool
 }
@@ -162,7 +164,8 @@
 	if len(b.bySpeed) != len(b.workers) {
 		b.sortSeats()
 	}
-	var out, probes []*seat
+	b.room = slices.Grow(b.room[:0], len(b.bySpeed))
+	var probes []*seat
 	for _, w := range b.bySpeed {
 		left := w.left()
 		switch {
@@ -170,11 +173,18 @@
 		case w.probes(now):
 			probes = append(probes, &seat{worker: w, left: left, factor: b.factor(w), probe: true})
 		case !w.aside:
-			out = append(out, &seat{worker: w, left: left, factor: b.factor(w)})
+			b.room = append(b.room, seat{worker: w, left: left, factor: b.factor(w)})
 		}
 	}
-	slices.SortStableFunc(out, func(x, y *seat) int { return cmp.Compare(x.factor, y.factor) })
-	return append(probes, out...)
+	out := probes
+	for i := range b.room {
+		out = append(out, &b.room[i])
+	}
+	byFactor := func(x, y *seat) int { return cmp.Compare(x.factor, y.factor) }
+	if rest := out[len(probes):]; !slices.IsSortedFunc(rest, byFactor) {
+		slices.SortStableFunc(rest, byFactor)
+	}
+	return out
 }
 
 // bestFactor is the factor of the fastest worker that takes tasks, 0 for none. The
@@ -269,7 +279,7 @@
 		if g == nil {
 			g = &Grant{Job: w.job, Waited: now.Sub(w.asked)}
 		}
-		h.use(s.holder)
+		h.use(s)
 		s.left = s.left.Minus(w.Room)
 		if s.probe {
 			s.left = lease.Room{}
@@ -304,7 +314,7 @@
 	if w.Rack != "" {
 		return b.pickNear(now, w, seats, late)
 	}
-	h.open = h.open[:0]
+	h.clear()
 	for _, s := range seats {
 		if !b.fits(w, s) {
 			continue
@@ -315,10 +325,10 @@
 		if !late && b.policy.WaitForFaster.on() && now.Add(scaled(w.Estimate, s.factor)).After(w.aim) {
 			break
 		}
-		if len(h.open) > 0 && s.factor > h.open[0].factor*alike {
+		if len(h.open) > 0 && s.factor > h.open[0].factor*alike || h.full() {
 			break
 		}
-		h.open = append(h.open, s)
+		h.consider(s)
 	}
 	return h.best(w)
 }
