node: no lease beyond the return of callers of an owner that is late with its heartbeat

What the holder had renewed just before runs on for a second, beyond the 1.3 s after which the owner's callers come back: a task runs twice at once.

Change: a member that is watched and silent for 250 ms is told as late; from then on no lease is renewed beyond 1.25 s after it was last heard, and what was renewed before is over by then by itself. When it shows itself the bound goes.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -28,7 +28,7 @@
 	// again somewhere else.
 	DownAfter = 650 * time.Millisecond
 	// QuietAfter is the silence of a watched member that is told: a heartbeat is late.
-	QuietAfter = 300 * time.Millisecond
+	QuietAfter = 250 * time.Millisecond
 	// IdleBeatEvery and IdleDownAfter are the same for a session that nobody watches.
 	// Most sessions of a large cell are such, and their heartbeats were most of what a
 	// process with a hundred members did.
@@ -74,6 +74,8 @@
 	Mail
 	// Quiet: a watched member is late with its heartbeat.
 	Quiet
+	// Back: a member that was quiet has shown itself.
+	Back
 )
 
 // Event is what the mesh tells its owner.
@@ -84,7 +86,7 @@
 	// is over must be ignored.
 	Session uint64
 	Mail    []M
-	// Heard is, with Down, when the member was last heard.
+	// Heard is, with Quiet and Down, when the member was last heard.
 	Heard time.Time
 	// Why is, with Down, the cause.
 	Why string
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -271,6 +271,20 @@
 	})
 }
 
+// A heartbeat is late, and the member shows itself before it is given up: who has prepared
+// for its loss is told that, too.
+func TestMemberIsBack(t *testing.T) {
+	two(t, func(t *testing.T, n *memnet.Net, a, b *process) {
+		a.mesh.Watch(b.member.ID, true)
+		time.Sleep(2 * time.Second)
+		n.SetCut(b.member.ID.Address.Addr(), a.member.ID.Address.Addr(), true)
+		time.Sleep(QuietAfter + BeatEvery)
+		n.SetCut(b.member.ID.Address.Addr(), a.member.ID.Address.Addr(), false)
+		time.Sleep(time.Second)
+		wantKinds(t, "a", a.kinds(), []Kind{Up, Quiet, Back})
+	})
+}
+
 // Two hundred idle members cost a process a beat each in two seconds, not five a second:
 // on a small VM the latter was half of its processor before the first job.
 func TestIdleSessionsBeatSeldom(t *testing.T) {
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -91,8 +91,8 @@
 		if s.ended(now) {
 			return
 		}
-		if s.late(now) {
-			s.tell(Event[M]{Kind: Quiet, Member: Member{ID: s.id}, Session: s.number})
+		if heard, late := s.late(now); late {
+			s.tell(Event[M]{Kind: Quiet, Member: Member{ID: s.id}, Session: s.number, Heard: heard})
 		}
 		if err := s.flush(ctx); err != nil {
 			s.end("write failed: " + err.Error())
@@ -125,15 +125,16 @@
 	return s.heard.Add(QuietAfter)
 }
 
-// late tells, once for each silence, that a watched member is late.
-func (s *session[M]) late(now time.Time) bool {
+// late tells, once for each silence, that a watched member is late, and when it was last
+// heard.
+func (s *session[M]) late(now time.Time) (heard time.Time, late bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.quiet || s.taking || s.since.IsZero() || s.member.ID == (ID{}) || now.Before(s.due()) {
-		return false
+		return time.Time{}, false
 	}
 	s.quiet = true
-	return true
+	return s.heard, true
 }
 
 // ended tells whether the session is over, for instance by silence.
@@ -266,7 +267,9 @@
 
 // handle takes one notification of the member.
 func (s *session[M]) handle(r *jsonrpc2.Request) {
-	s.took(true)
+	if s.took(true) {
+		s.tell(Event[M]{Kind: Back, Member: Member{ID: s.id}, Session: s.number})
+	}
 	defer s.took(false)
 	if err := s.take(r); err != nil {
 		event.PeerRefused.Log(s.mesh.log, "member", s.id, "error", err)
@@ -274,10 +277,13 @@
 	}
 }
 
-func (s *session[M]) took(taking bool) {
+// took takes note of a message, and tells whether that ends a silence that was told.
+func (s *session[M]) took(taking bool) (back bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	back = s.quiet
 	s.heard, s.taking, s.quiet = time.Now(), taking, false
+	return back
 }
 
 func (s *session[M]) take(r *jsonrpc2.Request) error {
--- a/model/link.go
+++ b/model/link.go
@@ -114,19 +114,19 @@
 	w.after(listenEvery, func() {
 		l.aOver = l.aOver || !l.a.up || l.a.boots != l.aBoots
 		l.bOver = l.bOver || !l.b.up || l.b.boots != l.bBoots
-		if !l.aOver && l.a.givesUp(l.b.id, l.quiet) {
+		if !l.aOver && l.a.givesUp(lifeOf(l.b.index, l.bBoots), l.quiet) {
 			l.tellA(w)
 		}
-		if !l.bOver && l.b.givesUp(l.a.id, l.quiet) {
+		if !l.bOver && l.b.givesUp(lifeOf(l.a.index, l.aBoots), l.quiet) {
 			l.tellB(w)
 		}
-		if !l.aLate && !l.aOver && l.a.waits(l.b.id, l.quiet, mesh.QuietAfter) {
+		if !l.aLate && !l.aOver && l.a.waits(lifeOf(l.b.index, l.bBoots), l.quiet, mesh.QuietAfter) {
 			l.aLate = true
-			l.a.on(l, func(now time.Time) { l.a.core.MemberQuiet(now, l.b.id, l.session) })
+			l.a.on(l, func(now time.Time) { l.a.core.MemberQuiet(now, lifeOf(l.b.index, l.bBoots), l.session, l.quiet) })
 		}
-		if !l.bLate && !l.bOver && l.b.waits(l.a.id, l.quiet, mesh.QuietAfter) {
+		if !l.bLate && !l.bOver && l.b.waits(lifeOf(l.a.index, l.aBoots), l.quiet, mesh.QuietAfter) {
 			l.bLate = true
-			l.b.on(l, func(now time.Time) { l.b.core.MemberQuiet(now, l.a.id, l.session) })
+			l.b.on(l, func(now time.Time) { l.b.core.MemberQuiet(now, lifeOf(l.a.index, l.aBoots), l.session, l.quiet) })
 		}
 		switch {
 		case l.aOver && l.bOver:
@@ -135,6 +135,12 @@
 		case l.over():
 			w.tellDown(l)
 		default:
+			if l.aLate {
+				l.a.on(l, func(time.Time) { l.a.core.MemberBack(l.b.id, l.session) })
+			}
+			if l.bLate {
+				l.b.on(l, func(time.Time) { l.b.core.MemberBack(l.a.id, l.session) })
+			}
 			l.quiet, l.aLate, l.bLate = time.Time{}, false, false
 			stalled := l.stalled
 			l.stalled = nil
--- a/node/node.go
+++ b/node/node.go
@@ -372,7 +372,9 @@
 		case mesh.Changed:
 			c.MemberChanged(now, e.Member)
 		case mesh.Quiet:
-			c.MemberQuiet(now, e.Member.ID, e.Session)
+			c.MemberQuiet(now, e.Member.ID, e.Session, e.Heard)
+		case mesh.Back:
+			c.MemberBack(e.Member.ID, e.Session)
 		case mesh.Mail:
 			c.Receive(now, e.Member.ID, e.Session, e.Mail)
 		}
--- a/node/watch.go
+++ b/node/watch.go
@@ -20,14 +20,32 @@
 // before its silence is noticed.
 const alarmFor = time.Second
 
-// MemberQuiet takes note that a member that is watched is late with its heartbeat.
-func (c *Core) MemberQuiet(now time.Time, id mesh.ID, session uint64) {
-	if id == c.planner && c.members[id].session == session {
+// MemberQuiet takes note that a member that is watched is late with its heartbeat. It may
+// be lost, and this process too before it notices: what runs here for the member must be
+// over when its callers come back, so no lease is renewed beyond.
+func (c *Core) MemberQuiet(now time.Time, id mesh.ID, session uint64, heard time.Time) {
+	if c.members[id].session != session {
+		return
+	}
+	for _, w := range c.heldIDs() {
+		c.held[w].OwnerAway(id, heard.Add(callersReturn))
+	}
+	if id == c.planner {
 		c.alarm = now.Add(alarmFor)
 		c.review(now)
 	}
 }
 
+// MemberBack takes note that a member that was late has shown itself.
+func (c *Core) MemberBack(id mesh.ID, session uint64) {
+	if c.members[id].session != session {
+		return
+	}
+	for _, w := range c.heldIDs() {
+		c.held[w].OwnerBack(id)
+	}
+}
+
 // watch begins to watch a member at once: it has just been given a run, or has given one.
 func (c *Core) watch(id mesh.ID) {
 	if _, ok := c.members[id]; !ok {
