cell: balance compares workers with the members of their data centre only

Cause: whether a move may pay was told by the least load anywhere, so where data centres differ in load each worker was compared with all members twenty times a second, for no move: a worker does not leave its data centre for balance.

--- a/cell/duty.go
+++ b/cell/duty.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -217,7 +216,7 @@
 		abroad := from.DataCenter != w.DataCenter
 		// Choosing compares all members, for each worker twenty times a second, so
 		// it is done only where a move may come of it.
-		if !stuck && !abroad && load[from.ID]/from.Share-least < gap {
+		if !stuck && !abroad && load[from.ID]/from.Share-least[from.DataCenter] < gap {
 			continue
 		}
 		m := b.choose(now, w, load)
@@ -233,11 +232,15 @@
 	}
 }
 
-// leastLoad is the lowest load for its size of any member.
-func (b *Book) leastLoad(load map[mesh.ID]float64) float64 {
-	least := math.Inf(1)
+// leastLoad is the lowest load for its size of any member, by data centre: a worker does
+// not leave its own for balance.
+func (b *Book) leastLoad(load map[mesh.ID]float64) map[string]float64 {
+	least := make(map[string]float64)
 	for id, m := range b.members {
-		least = min(least, load[id]/max(m.Share, 0.01))
+		l := load[id] / max(m.Share, 0.01)
+		if have, ok := least[m.DataCenter]; !ok || l < have {
+			least[m.DataCenter] = l
+		}
 	}
 	return least
 }
