node: workers on which nothing is found are announced together

Cause: when all processes start, 1,100 workers get a holder within a second, and each was announced to all 147 members in a message of its own: 161,700 messages in that second, a thousand in and out of each process.

--- a/lease/state.go
+++ b/lease/state.go
@@ -159,6 +159,9 @@
 	b.Tick(now)
 }
 
+// Claiming tells that runs of unknown owners were found, who may claim them now.
+func (b *Book) Claiming() bool { return b.phase == claiming }
+
 // Known tells that the worker has accepted this holder and has told what it runs.
 func (b *Book) Known() bool { return b.phase != looking && b.phase != closed }
 
--- a/node/core.go
+++ b/node/core.go
@@ -99,6 +99,8 @@
 	// are gone through after each event.
 	order  []string
 	habits map[string]*lease.Habits
+	// fresh are the workers held since the members were last told.
+	fresh []string
 	// spent is the highest fence of the holdings that have ended here.
 	spent lease.Fence
 	// lost are the entry processes out of sight and when they were last heard.
@@ -229,8 +231,9 @@
 		c.send(now, a.Tell.Owner, Mail{Ended: &entry.Ended{Worker: w.ID, End: a.Tell.End}})
 	case a.Held:
 		event.WorkerHeld.Log(c.log, "worker", w.ID, "fence", uint64(b.Fence()))
-		for _, m := range c.up() {
-			c.send(now, m.ID, Mail{Held: &entry.Held{Worker: w.ID, Fence: b.Fence()}})
+		c.fresh = append(c.fresh, w.ID)
+		if b.Claiming() {
+			c.announceFresh(now)
 		}
 	}
 }
@@ -422,6 +425,7 @@
 	}
 	c.cell.Tick(now)
 	c.entry.Tick(now)
+	c.announceFresh(now)
 	c.review(now)
 }
 
--- a/node/members.go
+++ b/node/members.go
@@ -33,9 +33,26 @@
 // announce tells a member which workers are held here. It may have runs there and have
 // missed the announcement because there was no session yet: it would wait two seconds
 // until it takes them for lost.
-func (c *Core) announce(now time.Time, to mesh.ID) {
-	for _, id := range c.heldIDs() {
-		if b := c.held[id]; b.Known() {
+func (c *Core) announce(now time.Time, to mesh.ID) { c.tellHeld(now, to, c.heldIDs()) }
+
+// announceFresh tells all members of the workers held since it last did. Those on which
+// runs were found wait for their owners, and are told at once; the others with the next
+// tick, together: when all processes start, a thousand workers get a holder each within a
+// second, and each message about one goes to all processes.
+func (c *Core) announceFresh(now time.Time) {
+	if len(c.fresh) == 0 {
+		return
+	}
+	fresh := c.fresh
+	c.fresh = nil
+	for _, m := range c.up() {
+		c.tellHeld(now, m.ID, fresh)
+	}
+}
+
+func (c *Core) tellHeld(now time.Time, to mesh.ID, workers []string) {
+	for _, id := range workers {
+		if b := c.held[id]; b != nil && b.Known() {
 			c.send(now, to, Mail{Held: &entry.Held{Worker: id, Fence: b.Fence()}})
 		}
 	}
