node: a planned stop waits until nobody connects any more, and for callers who are slow to write

Change: the address is closed when twice in a row nobody has connected for 60 ms, within a second; callers have 250 ms for a last request on a connection that they have open.

--- a/node/callers.go
+++ b/node/callers.go
@@ -104,44 +104,65 @@
 // serveCallers serves callers with the limits of the catalog. When these change,
 // new connections are served by a new server; the old one keeps those that it has.
 func (n *Node) serveCallers(ctx context.Context) error {
-	handler := n.platform.Callers(n)
-	var servers sync.WaitGroup
-	defer servers.Wait()
-	var feed *feed
-	var limits catalog.Limits
+	in := &intake{node: n, handler: n.platform.Callers(n)}
+	defer in.servers.Wait()
 	context.AfterFunc(ctx, func() { _ = n.ln.callers.Close() })
 	for {
-		c, err := n.ln.callers.Accept()
+		err := in.accept(ctx)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if err != nil && n.settling.Load() {
-			close(n.shut)
+		if n.settling.Load() {
+			n.lastAccepts(func() error { return in.accept(ctx) })
 			<-ctx.Done()
 			return ctx.Err()
 		}
 		if err != nil {
 			return errors.Wrap(err, "callers")
 		}
-		if l := n.shelf.Current().Limits; feed == nil || l != limits {
-			limits = l
-			feed = newFeed(n.ln.callers.Addr())
-			s := &http.Server{
-				Handler:           handler,
-				MaxHeaderBytes:    l.HeaderBytes,
-				ReadHeaderTimeout: l.HeaderTimeout,
-				IdleTimeout:       l.IdleTimeout,
-			}
-			n.mu.Lock()
-			n.servers = append(n.servers, s)
-			n.mu.Unlock()
-			servers.Go(func() { _ = s.Serve(feed) })
-			context.AfterFunc(ctx, func() { _ = s.Close() })
-		}
-		feed.c <- c
 	}
 }
 
+// intake passes new connections of callers to the server with the limits in force.
+type intake struct {
+	node    *Node
+	handler http.Handler
+	servers sync.WaitGroup
+	feed    *feed
+	limits  catalog.Limits
+}
+
+// accept takes in one connection.
+func (i *intake) accept(ctx context.Context) error {
+	c, err := i.node.ln.callers.Accept()
+	if err != nil {
+		return err
+	}
+	if l := i.node.shelf.Current().Limits; i.feed == nil || l != i.limits {
+		i.serve(ctx, l)
+	}
+	i.feed.c <- c
+	return nil
+}
+
+// serve begins a server with the limits.
+func (i *intake) serve(ctx context.Context, l catalog.Limits) {
+	n := i.node
+	f := newFeed(n.ln.callers.Addr())
+	i.feed, i.limits = f, l
+	s := &http.Server{
+		Handler:           i.handler,
+		MaxHeaderBytes:    l.HeaderBytes,
+		ReadHeaderTimeout: l.HeaderTimeout,
+		IdleTimeout:       l.IdleTimeout,
+	}
+	n.mu.Lock()
+	n.servers = append(n.servers, s)
+	n.mu.Unlock()
+	i.servers.Go(func() { _ = s.Serve(f) })
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+}
+
 // feed is a listener that is handed its connections.
 type feed struct {
 	addr net.Addr
--- a/node/stop.go
+++ b/node/stop.go
@@ -15,10 +15,18 @@
 	// lingerFor is how long a process that stops takes in new jobs. The balancer
 	// asks once a second and needs two answers to send callers elsewhere.
 	lingerFor = 3000 * time.Millisecond
-	// settleFor is how long callers may keep their connections before the address is
-	// closed, and have for a last answer after that: many times what a request takes
-	// to be read.
+	// settleFor is how long nobody must have connected before the address is closed: many
+	// times what a request takes to be read.
 	settleFor = 60 * time.Millisecond
+	// lastFor is what callers have after that to write on a connection that they have open.
+	// One that is closed while they do ends without an answer, and a busy caller takes
+	// long from an answer to its next request.
+	lastFor = 250 * time.Millisecond
+	// quietAccepts is how many times in a row nobody must have connected for so long: on
+	// a busy machine one may pass before the first look at who waits.
+	quietAccepts = 2
+	// settleMost bounds the wait for that.
+	settleMost = time.Second
 	// lastCall is the part of the time to stop that is left for what can't be
 	// finished: answers, and the end of the process.
 	lastCall = time.Second
@@ -64,19 +72,43 @@
 // Closing it resets the connections that wait to be accepted, whose callers have written
 // their requests by then and see them cut off. While each answer closes its connection,
 // busy callers connect all the time; so for a moment answers leave connections open, and
-// the address is closed when everybody has one.
+// the address is closed when everybody has one and nobody has connected for a while.
 func (n *Node) closeAddress(ctx context.Context) {
 	n.settling.Store(true)
-	clock.Sleep(ctx, settleFor)
-	_ = n.ln.callers.Close()
-	// Those who were let in last are known to a server after that.
+	accepts, bounded := n.ln.callers.(deadliner)
+	if bounded {
+		_ = accepts.SetDeadline(time.Now().Add(settleFor))
+	}
+	t := time.NewTimer(settleMost)
+	defer t.Stop()
 	select {
 	case <-n.shut:
+	case <-t.C:
+		_ = n.ln.callers.Close()
+		<-n.shut
 	case <-ctx.Done():
 	}
 	n.closed.Store(true)
 	n.settling.Store(false)
-	clock.Sleep(ctx, settleFor)
+	clock.Sleep(ctx, lastFor)
+}
+
+// deadliner is a listener whose Accept can be bounded.
+type deadliner interface{ SetDeadline(t time.Time) error }
+
+// lastAccepts lets in who waits on the callers' address, then closes it.
+func (n *Node) lastAccepts(accept func() error) {
+	ln, ok := n.ln.callers.(deadliner)
+	for quiet := 0; ok && quiet < quietAccepts; quiet++ {
+		if err := ln.SetDeadline(time.Now().Add(settleFor)); err != nil {
+			break
+		}
+		if accept() == nil {
+			quiet = -1
+		}
+	}
+	_ = n.ln.callers.Close()
+	close(n.shut)
 }
 
 // shutdown closes the callers' connections, each after the answer that is being
