--- a/event/table.go
+++ b/event/table.go
@@ -75,6 +75,7 @@
 	LogLinesDropped   ID = 813
 	MemberForgotten   ID = 814
 	MemberNews        ID = 815
+	MemberLate        ID = 816
 
 	PlannerChosen   ID = 900
 	PlannerBegan    ID = 901
@@ -167,6 +168,7 @@
 	{LogLinesDropped, slog.LevelWarn, "log lines dropped", "More lines were logged than could be written; the number given was dropped so that requests don't wait.", "0.2"},
 	{MemberForgotten, slog.LevelInfo, "process forgotten", "A process has not renewed its record for minutes in which the store took records, and no longer counts towards the majority; the planner takes the record back.", "0.2"},
 	{MemberNews, slog.LevelInfo, "member news", "A member says something new of itself: its number, that it leaves, that it does not reach the store, how often it began to plan, its version of the configuration.", "0.2"},
+	{MemberLate, slog.LevelInfo, "member late", "The heartbeat of a member that is watched is late by the silence given. Until it shows itself, no lease is renewed beyond the return of the callers that it may have lost; if it plans, all members are watched for a second.", "0.2"},
 	{PlannerChosen, slog.LevelInfo, "planner chosen", "This process takes the one given for the planner of the cell, out of the members that it sees.", "0.2"},
 	{PlannerBegan, slog.LevelInfo, "planning begins", "This process plans for the cell from now on.", "0.2"},
 	{PlannerEnded, slog.LevelInfo, "planning ends", "Another process plans from now on.", "0.2"},
--- a/node/watch.go
+++ b/node/watch.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"snipehub.example/event"
 	"snipehub.example/mesh"
 )
 
@@ -27,6 +28,7 @@
 	if c.members[id].session != session {
 		return
 	}
+	event.MemberLate.Log(c.log, "member", c.members[id].VM, "id", id, "silent_ms", now.Sub(heard).Milliseconds(), "plans", id == c.planner)
 	for _, w := range c.heldIDs() {
 		c.held[w].OwnerAway(id, heard.Add(callersReturn))
 	}
