node, cell, entry: in large deployments each data centre is a cell

Cause: one planner for all. A grant costs it about 0.14 ms all told, and a deployment of 1,100 workers asks for 3,000 to 6,000 a second: more than its VM has in a burst. Every start crosses data centres, most of them twice, and waits there for packets that are lost; a data centre that is cut off loses what crossed the cut.

Change: from 96 processes on (until fewer than 80) each data centre is a cell with a planner of its own, which plans for its workers and members only. A job that it refuses is offered to the planner of one other cell, by the job's name, before its caller is refused. Below that size nothing changes.

--- a/cell/book.go
+++ b/cell/book.go
@@ -133,6 +133,9 @@
 	active  bool
 	began   time.Time
 	members map[mesh.ID]*member
+	// callers are the data centres of the processes that may ask: the members, and those of
+	// other cells.
+	callers map[mesh.ID]string
 	workers map[string]*worker
 	waits   map[key]*wait
 	line    line
@@ -268,10 +271,11 @@
 	b.clear()
 }
 
-// Members takes the processes of the cell that are in sight, this one included.
+// Members takes the processes of the cell that are in sight, this one included, and all
+// that may ask, the members included.
 // may tells whether the workers of those out of sight may be given to others, whole
 // whether nobody is out of sight.
-func (b *Book) Members(now time.Time, all []mesh.Member, may, whole bool) {
+func (b *Book) Members(now time.Time, all, callers []mesh.Member, may, whole bool) {
 	if !b.active {
 		return
 	}
@@ -286,13 +290,17 @@
 		next[m.ID] = e
 	}
 	b.members = next
+	b.callers = make(map[mesh.ID]string, len(callers))
+	for _, m := range callers {
+		b.callers[m.ID] = m.DataCenter
+	}
 	for _, w := range b.workers {
 		if w.holder != (mesh.ID{}) && next[w.holder] == nil {
 			b.unhold(now, w)
 		}
 	}
 	for _, wt := range b.waits {
-		if next[wt.owner] == nil {
+		if _, ok := b.callers[wt.owner]; !ok {
 			b.drop(wt)
 		}
 	}
--- a/cell/book_test.go
+++ b/cell/book_test.go
@@ -36,7 +36,7 @@
 	t.Helper()
 	b := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
 	b.Begin(ms(0))
-	b.Members(ms(0), members(n), true, false)
+	b.Members(ms(0), members(n), members(n), true, false)
 	l := Listing{Whole: true}
 	for i := range k {
 		l.Listed = append(l.Listed, Listed{Worker: testWorker(i)})
@@ -118,12 +118,12 @@
 // and so on in turns.
 func TestCutOffPlannerTakesNothing(t *testing.T) {
 	b := allHeld(t, 4, 8)
-	b.Members(ms(1000), members(1), false, false)
+	b.Members(ms(1000), members(1), members(1), false, false)
 	b.Tick(ms(3000))
 	if got := duties(b); len(got) != 0 {
 		t.Errorf("duties %v", got)
 	}
-	b.Members(ms(3100), members(1), true, false)
+	b.Members(ms(3100), members(1), members(1), true, false)
 	b.Tick(ms(3200))
 	if got := duties(b); len(got) != 6 {
 		t.Errorf("%d duties once the others are known to be gone, want their 6 workers", len(got))
@@ -134,7 +134,7 @@
 // for; every moment more is one in which nobody is served.
 func TestNobodyIsMissing(t *testing.T) {
 	b := planning(t, 3, 6)
-	b.Members(ms(1), members(3), true, true)
+	b.Members(ms(1), members(3), members(3), true, true)
 	for i := range 3 {
 		if got := duties(b); len(got) != 0 {
 			t.Fatalf("duties %v before all have reported", got)
@@ -152,7 +152,7 @@
 	b := allHeld(t, 4, 4)
 	all := members(4)
 	all[2].Leaving = true
-	b.Members(ms(1000), all, true, false)
+	b.Members(ms(1000), all, all, true, false)
 	var relieved []string
 	for _, a := range b.Take() {
 		if a.Relief != nil {
@@ -179,7 +179,7 @@
 func TestDrainingIsKnownFromTheHolder(t *testing.T) {
 	b := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
 	b.Begin(ms(0))
-	b.Members(ms(0), members(2), true, false)
+	b.Members(ms(0), members(2), members(2), true, false)
 	w := testWorker(0)
 	b.Report(ms(1), memberID(1), Report{Whole: true, States: []lease.State{{ID: w.ID, Worker: &w, Fence: lease.NewFence(9), Open: true, Draining: true}}})
 	b.Ask(ms(2), memberID(1), ask("j", 1))
@@ -364,7 +364,7 @@
 func benchmarkPlace(b *testing.B, n, workers, most int) {
 	book := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
 	book.Begin(ms(0))
-	book.Members(ms(0), members(n), true, false)
+	book.Members(ms(0), members(n), members(n), true, false)
 	l := Listing{Whole: true}
 	for i := range workers {
 		l.Listed = append(l.Listed, Listed{Worker: testWorker(i)})
@@ -619,7 +619,7 @@
 func TestNobodyIsRefusedBeforeTheWorkersAreThere(t *testing.T) {
 	b := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
 	b.Begin(ms(0))
-	b.Members(ms(0), members(1), false, false)
+	b.Members(ms(0), members(1), members(1), false, false)
 	b.Report(ms(1), memberID(0), Report{Whole: true})
 	for _, c := range []struct{ at, aim, refused int }{
 		{20, 900, 0},
--- a/cell/gather.go
+++ b/cell/gather.go
@@ -61,9 +61,7 @@
 		tasks:  make(map[*member]int),
 		room:   make(map[*member]int),
 	}
-	if h.owner != nil {
-		h.dc = h.owner.DataCenter
-	}
+	h.dc = b.callers[w.owner]
 	return h
 }
 
--- a/entry/book.go
+++ b/entry/book.go
@@ -62,6 +62,9 @@
 	waiters             []Waiter
 	// asked is when the planner was asked for tasks of which none was granted yet.
 	asked time.Time
+	// elsewhere is the planner of another cell that was asked after this cell's has refused
+	// the job; zero before.
+	elsewhere mesh.ID
 	// ran tells that a run has ended that had begun.
 	ran bool
 	// answer is set when the job is over; until then it is nil.
@@ -78,7 +81,9 @@
 	// runs finds the task of a run that is placed.
 	runs    map[lease.Run]placedTask
 	planner mesh.ID
-	delay   delay
+	// others are the planners of other cells.
+	others []mesh.ID
+	delay  delay
 	acts    []Action
 	counts  Counts
 }
--- a/entry/book_test.go
+++ b/entry/book_test.go
@@ -97,7 +97,7 @@
 func running(t *testing.T, r Request) (*Book, cell.Ask) {
 	t.Helper()
 	b, a := submitted(t, r)
-	b.Grant(ms(1), grant(a, "w"))
+	b.Grant(ms(1), planner, grant(a, "w"))
 	if got := take(b); len(got.starts) != 1 || len(got.starts[0].Runs) != len(a.Tasks) {
 		t.Fatalf("starts %+v", got.starts)
 	}
@@ -134,7 +134,7 @@
 	if len(got.asks) != 1 || got.asks[0].Step != 1 || len(got.asks[0].Tasks) != 1 {
 		t.Fatalf("asks %+v, want the second step", got.asks)
 	}
-	b.Grant(ms(111), grant(got.asks[0], "w"))
+	b.Grant(ms(111), planner, grant(got.asks[0], "w"))
 	take(b)
 	wantAnswer(t, end(b, 200, got.asks[0].Tasks[0], lease.Done), Completed)
 }
@@ -167,7 +167,7 @@
 					t.Fatalf("after %v: %+v, want the task to be placed again", how, got)
 				}
 				run = got.asks[0].Tasks[0]
-				b.Grant(ms(10*i+15), grant(got.asks[0], "w"))
+				b.Grant(ms(10*i+15), planner, grant(got.asks[0], "w"))
 				take(b)
 			}
 		})
@@ -181,14 +181,14 @@
 	b, a := submitted(t, request(2))
 	g := grant(a, "w")
 	g.Items = g.Items[:1]
-	b.Grant(ms(1), g)
+	b.Grant(ms(1), planner, g)
 	take(b)
-	b.Refused(ms(2), cell.Refusal{Job: id, Why: "late"})
+	b.Refused(ms(2), planner, cell.Refusal{Job: id, Why: "late"})
 	if got := take(b); len(got.answers) != 0 {
 		t.Errorf("answers %+v", got.answers)
 	}
 	end(b, 3, a.Tasks[0], lease.Never)
-	b.Refused(ms(4), cell.Refusal{Job: id, Why: "late", After: time.Second})
+	b.Refused(ms(4), planner, cell.Refusal{Job: id, Why: "late", After: time.Second})
 	wantAnswer(t, take(b), Refused)
 }
 
@@ -297,7 +297,7 @@
 					t.Fatalf("after %d wrong orders: %+v", i+1, got)
 				}
 				r = got.asks[0].Tasks[0]
-				b.Grant(at, grant(got.asks[0], "w"))
+				b.Grant(at, planner, grant(got.asks[0], "w"))
 				take(b)
 			}
 		})
@@ -327,9 +327,9 @@
 	if len(again) != 1 || len(again[0].Tasks) != 2 {
 		t.Fatalf("asks %+v", again)
 	}
-	b.Grant(ms(11), grant(again[0], "w"))
+	b.Grant(ms(11), planner, grant(again[0], "w"))
 	take(b)
-	b.Grant(ms(12), grant(a, "v"))
+	b.Grant(ms(12), planner, grant(a, "v"))
 	got := take(b)
 	if len(got.starts) != 0 || len(got.withdraws) != 1 || len(got.withdraws[0].Runs) != 2 {
 		t.Errorf("%+v, want the second grant back", got)
@@ -450,7 +450,7 @@
 // The same with a job that has begun: a refusal would not be true.
 func TestPlannerIsSilentAfterABeginning(t *testing.T) {
 	b, ask := submitted(t, request(2))
-	b.Grant(ms(10), cell.Grant{Job: id, Items: []cell.Granted{{Run: ask.Tasks[0], Worker: "w", Holder: holder, Fence: 1}}})
+	b.Grant(ms(10), planner, cell.Grant{Job: id, Items: []cell.Granted{{Run: ask.Tasks[0], Worker: "w", Holder: holder, Fence: 1}}})
 	take(b)
 	b.Tick(ms(300))
 	if got := take(b); len(got.answers) != 0 {
--- a/entry/delay_test.go
+++ b/entry/delay_test.go
@@ -17,7 +17,7 @@
 		b.Submit(ms(at), Waiter(at), r)
 		for _, a := range take(b).asks {
 			granted := ms(at).Add(ask)
-			b.Grant(granted, cell.Grant{Job: a.Job, Items: []cell.Granted{{Run: a.Tasks[0], Worker: "w", Holder: holder}}})
+			b.Grant(granted, planner, cell.Grant{Job: a.Job, Items: []cell.Granted{{Run: a.Tasks[0], Worker: "w", Holder: holder}}})
 			b.Ended(granted.Add(run+50*time.Millisecond), holder, Ended{Worker: "w", End: lease.End{Run: a.Tasks[0], How: lease.Done, Took: 50 * time.Millisecond}})
 		}
 		take(b)
--- a/entry/end.go
+++ b/entry/end.go
@@ -11,13 +11,13 @@
 
 // Refused takes the planner's word that a job gets no workers. A job of which
 // something has begun can't be refused truthfully; it goes on.
-func (b *Book) Refused(now time.Time, r cell.Refusal) {
+func (b *Book) Refused(now time.Time, from mesh.ID, r cell.Refusal) {
 	j := b.jobs[r.Job]
-	if j == nil || j.answer != nil {
+	if j == nil || j.answer != nil || j.elsewhere != (mesh.ID{}) && from != j.elsewhere {
 		return
 	}
 	b.heard(now, j, r.Waited)
-	if j.begun() {
+	if j.begun() || b.tryElsewhere(now, j) {
 		return
 	}
 	b.finish(now, j, Answer{Status: Refused, Why: r.Why, After: r.After})
@@ -150,7 +150,7 @@
 		}
 	}
 	if asked {
-		b.act(Action{Withdraw: &cell.Withdrawal{Job: j.ID}})
+		b.act(Action{To: j.elsewhere, Withdraw: &cell.Withdrawal{Job: j.ID}})
 	}
 	for _, h := range holders {
 		b.act(Action{To: h, Stop: stops[h]})
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -11,7 +11,7 @@
 )
 
 // Grant takes workers for tasks. What isn't wanted any more is given back.
-func (b *Book) Grant(now time.Time, g cell.Grant) {
+func (b *Book) Grant(now time.Time, from mesh.ID, g cell.Grant) {
 	j := b.jobs[g.Job]
 	if j != nil {
 		b.heard(now, j, g.Waited)
@@ -39,7 +39,7 @@
 		s.Runs = append(s.Runs, Placed{Run: it.Run, Worker: it.Worker, Estimate: it.Estimate, Fence: it.Fence})
 	}
 	if len(unused) > 0 {
-		b.act(Action{Withdraw: &cell.Withdrawal{Job: g.Job, Runs: unused}})
+		b.act(Action{To: from, Withdraw: &cell.Withdrawal{Job: g.Job, Runs: unused}})
 	}
 	b.sendStarts(starts)
 }
--- a/entry/holders.go
+++ b/entry/holders.go
@@ -17,6 +17,7 @@
 			p.t.adrift = now
 		}
 	}
+	b.plannerDown(now, h)
 }
 
 // HolderUp claims the runs at a holder that is in sight again: it may have lost
@@ -79,12 +80,18 @@
 	}
 }
 
-// Holders returns the processes that hold the workers of this process's runs.
-func (b *Book) Holders() map[mesh.ID]struct{} {
+// Concerns returns the processes on which this process's jobs hang: the holders of the
+// workers of its runs, and the planners of other cells that were asked.
+func (b *Book) Concerns() map[mesh.ID]struct{} {
 	out := make(map[mesh.ID]struct{})
 	for _, p := range b.runs {
 		out[p.t.holder] = struct{}{}
 	}
+	for _, j := range b.jobs {
+		if j.answer == nil && j.elsewhere != (mesh.ID{}) {
+			out[j.elsewhere] = struct{}{}
+		}
+	}
 	return out
 }
 
--- a/entry/late.go
+++ b/entry/late.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"snipehub.example/cell"
+	"snipehub.example/mesh"
 )
 
 const (
@@ -29,7 +30,7 @@
 // then wait until their time is over, for nothing.
 func (b *Book) silence(now time.Time, j *job) {
 	if !j.begun() && now.After(j.aim.Add(plannerSlack-j.least())) {
-		if !j.asked.IsZero() {
+		if !j.asked.IsZero() && j.elsewhere == (mesh.ID{}) {
 			b.delay.unheard(now, now.Sub(j.asked))
 		}
 		b.finish(now, j, Answer{Status: Refused, Why: "planner_silent", After: silentRetry + cell.Spread(j.ID)})
@@ -38,7 +39,7 @@
 
 // heard takes note that the planner has answered for a job.
 func (b *Book) heard(now time.Time, j *job, waited time.Duration) {
-	if !j.asked.IsZero() {
+	if !j.asked.IsZero() && j.elsewhere == (mesh.ID{}) {
 		b.delay.asked(now, now.Sub(j.asked)-waited)
 		j.asked = time.Time{}
 	}
--- a/entry/message.go
+++ b/entry/message.go
@@ -68,7 +68,7 @@
 
 // Action is what a book asks its shell to do. One of the pointers is set.
 type Action struct {
-	// To is who a message goes to; the planner in force for Ask and Withdraw.
+	// To is who a message goes to; zero means this cell's planner, for Ask and Withdraw.
 	To       mesh.ID
 	Ask      *cell.Ask
 	Withdraw *cell.Withdrawal
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -145,7 +145,7 @@
 		}
 	}
 	j.asked = now
-	b.act(Action{Ask: a})
+	b.act(Action{To: j.elsewhere, Ask: a})
 }
 
 func (j *job) name(t *task) lease.Run {
@@ -165,7 +165,7 @@
 	// How long the one before took says nothing of this one.
 	b.delay.ask = 0
 	for _, j := range b.sorted() {
-		if j.answer == nil {
+		if j.answer == nil && j.elsewhere == (mesh.ID{}) {
 			b.askAgain(now, j)
 		}
 	}
--- a/event/table.go
+++ b/event/table.go
@@ -103,6 +103,7 @@
 	TaskGranted   ID = 924
 	RunEnded      ID = 925
 	JobUnreadable ID = 926
+	JobElsewhere  ID = 927
 )
 
 var table = []Entry{
@@ -194,4 +195,5 @@
 	{TaskGranted, slog.LevelInfo, "task granted", "The planner has chosen a worker for a task.", "0.2"},
 	{RunEnded, slog.LevelInfo, "run ended", "A run of a task has ended, or was not started (how=never, with the reason).", "0.2"},
 	{JobUnreadable, slog.LevelWarn, "job not understood", "A request could not be read as a job, or asks for something that is not built; the caller is told so.", "0.2"},
+	{JobElsewhere, slog.LevelInfo, "job offered to another cell", "The planner of this cell has refused the job, and that of another one is asked: the cell has no room in time, others may.", "0.2"},
 }
--- /dev/null
+++ b/node/cells_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"testing"
+
+	"snipehub.example/cell"
+	"snipehub.example/lease"
+	"snipehub.example/mesh"
+)
+
+// inDataCenters is the core of member 0 of a deployment of n processes in two data centres,
+// the even ones in one and the odd ones in the other, of which it sees all.
+func inDataCenters(n int) (*Core, []mesh.Member) {
+	var known []int
+	for i := 1; i < n; i++ {
+		known = append(known, i)
+	}
+	c := newCore(0, known...)
+	c.Say(ms(1), func(m *mesh.Member) { m.Number, m.DataCenter = uint64(n), "even" })
+	var all []mesh.Member
+	for i := 1; i < n; i++ {
+		m := member(i)
+		m.DataCenter = []string{"even", "odd"}[i%2]
+		c.MemberUp(ms(2), m, 1)
+		all = append(all, m)
+	}
+	c.Take(ms(3))
+	return c, all
+}
+
+// One planner for hundreds of processes falls behind, and every start crosses data centres,
+// where links are lost. From some size on each data centre has its own.
+func TestLargeDeploymentsHaveACellADataCenter(t *testing.T) {
+	tests := []struct {
+		name      string
+		processes int
+		planner   int
+	}{
+		{"small", 40, 1},
+		{"below", cellsFrom - 1, 1},
+		{"large", cellsFrom, 2},
+	}
+	for _, tt := range tests {
+		c, all := inDataCenters(tt.processes)
+		if got, want := c.Planner(), all[tt.planner-1].ID; got != want {
+			t.Errorf("%s: planner is %s, want %s", tt.name, got, want)
+		}
+	}
+}
+
+// A few processes leave and come back. Were the cells drawn anew each time, all that waits
+// would be asked for again each time.
+func TestCellsStayAsProcessesComeAndGo(t *testing.T) {
+	c, all := inDataCenters(cellsFrom)
+	c.Known(ms(5), nil)
+	for _, m := range all[cellsUntil:] {
+		c.MemberDown(ms(10), m.ID, 1, ms(9))
+	}
+	if got, want := c.Planner(), all[1].ID; got != want {
+		t.Errorf("planner is %s, want %s", got, want)
+	}
+	for _, m := range all[cellsUntil-2 : cellsUntil] {
+		c.MemberDown(ms(11), m.ID, 1, ms(9))
+	}
+	if got, want := c.Planner(), all[0].ID; got != want {
+		t.Errorf("fewer than %d in sight: planner is %s, want %s", cellsUntil, got, want)
+	}
+}
+
+// The platform lists all workers. A planner that took those of another cell would have two
+// holders take turns on them.
+func TestPlannerTakesItsOwnCellsWorkersOnly(t *testing.T) {
+	c, _ := inDataCenters(cellsFrom)
+	c.Say(ms(5), func(m *mesh.Member) { m.Share = 9 })
+	if !c.Plans() {
+		t.Fatal("does not plan")
+	}
+	var l cell.Listing
+	for i, dc := range []string{"even", "odd"} {
+		w := testWorker()
+		w.ID, w.DataCenter = []string{"x", "y"}[i], dc
+		l.Listed = append(l.Listed, cell.Listed{Worker: w})
+	}
+	c.Workers(ms(6), l)
+	c.Tick(ms(3000))
+	for _, o := range c.Take(ms(3000)) {
+		if o.Mail != nil && o.Mail.Duty != nil && o.Mail.Duty.Worker.ID != "x" {
+			t.Errorf("%s is given to %s", o.Mail.Duty.Worker.ID, o.To)
+		}
+	}
+	if v := c.Status(ms(3001)).Cell; v == nil || len(v.Holders) != 1 || v.Holders[0].Worker != "x" {
+		t.Errorf("knows %+v, want worker x", v)
+	}
+}
+
+// A process of another cell asks after its own planner has refused.
+func TestOtherCellsAreServed(t *testing.T) {
+	c, all := inDataCenters(cellsFrom)
+	c.Say(ms(5), func(m *mesh.Member) { m.Share = 9 })
+	other := all[0]
+	w := testWorker()
+	w.DataCenter = "even"
+	state := lease.State{ID: w.ID, Worker: &w, Fence: lease.NewFence(1), Open: true}
+	c.Receive(ms(6), all[1].ID, 1, []Mail{{Report: &cell.Report{Whole: true, States: []lease.State{state}}}})
+	a := cell.Ask{Job: "j", Pool: w.Pool, Room: lease.Room{CPU: 1}, Estimate: 1e6, Aim: 1e9, Limit: 1e9, Tasks: []lease.Run{{Task: "j.0.0.0", Number: 1}}}
+	c.Receive(ms(7), other.ID, 1, []Mail{{Ask: &a}})
+	got := mail(c.Take(ms(7)), other.ID)
+	if len(got) != 1 || got[0].Grant == nil || got[0].Grant.Items[0].Holder != all[1].ID {
+		t.Errorf("answered %+v, want a grant", got)
+	}
+}
--- a/node/core.go
+++ b/node/core.go
@@ -90,6 +90,8 @@
 	members map[mesh.ID]peerState
 	known   map[netip.AddrPort]struct{}
 	planner mesh.ID
+	// divided tells that each data centre is a cell of its own.
+	divided bool
 	// reader is who reads the platform's list of workers for the planner.
 	reader mesh.ID
 	entry  *entry.Book
@@ -197,9 +199,9 @@
 	case a.Answer != nil:
 		c.out = append(c.out, Output{Answer: a.Answer})
 	case a.Ask != nil:
-		c.send(now, c.planner, Mail{Ask: a.Ask})
+		c.send(now, c.asked(a.To), Mail{Ask: a.Ask})
 	case a.Withdraw != nil:
-		c.send(now, c.planner, Mail{Withdraw: a.Withdraw})
+		c.send(now, c.asked(a.To), Mail{Withdraw: a.Withdraw})
 	case a.Start != nil:
 		c.watch(a.To)
 		c.send(now, a.To, Mail{Start: a.Start})
@@ -211,6 +213,15 @@
 	}
 }
 
+// asked is the planner that a message about a job goes to.
+func (c *Core) asked(other mesh.ID) mesh.ID {
+	if other == (mesh.ID{}) {
+		return c.planner
+	}
+	c.watch(other)
+	return other
+}
+
 func (c *Core) fromCell(now time.Time, a cell.Action) {
 	c.send(now, a.To, Mail{Grant: a.Grant, Refusal: a.Refusal, Duty: a.Duty, Relief: a.Relief, Drain: a.Drain})
 }
@@ -279,9 +290,9 @@
 	case m.Report != nil:
 		c.cell.Report(now, from, *m.Report)
 	case m.Grant != nil:
-		c.entry.Grant(now, *m.Grant)
+		c.entry.Grant(now, from, *m.Grant)
 	case m.Refusal != nil:
-		c.entry.Refused(now, *m.Refusal)
+		c.entry.Refused(now, from, *m.Refusal)
 	case m.Ended != nil:
 		c.entry.Ended(now, from, *m.Ended)
 	case m.Held != nil:
@@ -295,7 +306,7 @@
 			b.Drain()
 		}
 	case m.Listing != nil:
-		c.cell.Workers(now, *m.Listing)
+		c.cell.Workers(now, c.ours(*m.Listing))
 	case m.Want != nil:
 		if have := c.shelf.Current(); have.Version != 0 {
 			c.send(now, from, Mail{Catalog: have})
--- a/node/members.go
+++ b/node/members.go
@@ -134,14 +134,19 @@
 // agree: two planners for a moment cost starts without room.
 func (c *Core) elect(now time.Time) {
 	up := c.up()
-	best := slices.MinFunc(up, c.rank)
+	if c.divide(up) {
+		c.cell.Stop()
+	}
+	mates := c.mates(up)
+	best := slices.MinFunc(mates, c.rank)
+	c.entry.Elsewhere(c.elsewhere(up))
 	if best.ID != c.planner {
-		event.PlannerChosen.Log(c.log, "planner", best.ID, "vm", best.VM, "number", best.Number, "members", len(up), "before", c.planner)
+		event.PlannerChosen.Log(c.log, "planner", best.ID, "vm", best.VM, "number", best.Number, "members", len(mates), "before", c.planner)
 		c.planner = best.ID
 		c.watch(best.ID)
 		c.greet(now)
 	}
-	c.reader = c.electReader(up, best)
+	c.reader = c.electReader(mates, best)
 	c.plan(now, best.ID == c.self.ID)
 	seen := c.seen(up)
 	met := 2*seen > len(c.known)
@@ -152,7 +157,7 @@
 	// Who starts together with this process may not have met it yet. Later, who lives
 	// is in sight.
 	whole := seen == len(c.known) || met && now.Sub(c.metSince) > meetWithin
-	c.cell.Members(now, up, met, whole)
+	c.cell.Members(now, mates, up, met, whole)
 }
 
 // meetWithin is how long processes that start together take to meet, at the most: some
--- a/node/watch.go
+++ b/node/watch.go
@@ -99,7 +99,7 @@
 			need[o] = struct{}{}
 		}
 	}
-	for h := range c.entry.Holders() {
+	for h := range c.entry.Concerns() {
 		need[h] = struct{}{}
 	}
 	return need
