--- a/entry/book.go
+++ b/entry/book.go
@@ -84,8 +84,8 @@
 	// others are the planners of other cells.
 	others []mesh.ID
 	delay  delay
-	acts    []Action
-	counts  Counts
+	acts   []Action
+	counts Counts
 }
 
 type placedTask struct {
