--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -312,6 +312,8 @@
 			if k := p.kinds(); len(k) > 3 || k[len(k)-1] != Up {
 				t.Errorf("%s was told %v, want a session that lasts", p.member.VM, k)
 			}
+		}
+		for _, p := range []*process{a, b} {
 			p.cancel()
 			<-p.done
 		}
