node: no election when members tell of a new configuration only

Cause: a change of the configuration makes each member tell its version to all, and each process held an election for each of them: 146 at 147 processes, some 40 us each.

Change: news that change nothing but the version of the configuration don't.

--- a/node/members.go
+++ b/node/members.go
@@ -99,11 +99,16 @@
 		return
 	}
 	event.MemberNews.Log(c.log, "member", m.VM, "id", m.ID, "number", m.Number, "leaving", m.Leaving, "blind", m.Blind, "plans", m.Plans, "catalog", uint64(m.Catalog))
-	before := c.planner
+	before, was := c.planner, p.Member
 	began := m.Plans != p.Plans
 	p.Member = m
 	c.members[m.ID] = p
 	c.wants(now, m)
+	was.Catalog = m.Catalog
+	if was == m {
+		// Each change of the configuration makes such news of all members at once.
+		return
+	}
 	c.elect(now)
 	if began && m.ID == before && m.ID == c.planner {
 		c.greet(now)
