--- a/node/core.go
+++ b/node/core.go
@@ -48,7 +48,8 @@
 	Mail   *Mail
 	Answer *entry.Answered
 	// Say is what the members are told of this process.
-	Say *mesh.Member
+	Say   *mesh.Member
+	Watch *Watch
 	// Worker is whom Hold, Start or Stop goes to.
 	Worker lease.Worker
 	Hold   *lease.HoldCall
@@ -89,6 +90,8 @@
 	members map[mesh.ID]peerState
 	known   map[netip.AddrPort]struct{}
 	planner mesh.ID
+	// divided tells that each data centre is a cell of its own.
+	divided bool
 	// reader is who reads the platform's list of workers for the planner.
 	reader mesh.ID
 	entry  *entry.Book
@@ -98,10 +101,15 @@
 	// are gone through after each event.
 	order  []string
 	habits map[string]*lease.Habits
+	// fresh are the workers held since the members were last told.
+	fresh []string
 	// spent is the highest fence of the holdings that have ended here.
 	spent lease.Fence
 	// lost are the entry processes out of sight and when they were last heard.
 	lost map[mesh.ID]time.Time
+	// watched are the members that are watched; alarm is until when all are.
+	watched map[mesh.ID]struct{}
+	alarm   time.Time
 	// met tells that more than half of the processes that the store lists are in
 	// sight, metSince is since when.
 	met      bool
@@ -133,6 +141,7 @@
 		held:    make(map[string]*lease.Book),
 		habits:  make(map[string]*lease.Habits),
 		lost:    make(map[mesh.ID]time.Time),
+		watched: make(map[mesh.ID]struct{}),
 	}
 }
 
@@ -190,18 +199,29 @@
 	case a.Answer != nil:
 		c.out = append(c.out, Output{Answer: a.Answer})
 	case a.Ask != nil:
-		c.send(now, c.planner, Mail{Ask: a.Ask})
+		c.send(now, c.asked(a.To), Mail{Ask: a.Ask})
 	case a.Withdraw != nil:
-		c.send(now, c.planner, Mail{Withdraw: a.Withdraw})
+		c.send(now, c.asked(a.To), Mail{Withdraw: a.Withdraw})
 	case a.Start != nil:
+		c.watch(a.To)
 		c.send(now, a.To, Mail{Start: a.Start})
 	case a.Stop != nil:
 		c.send(now, a.To, Mail{Stop: a.Stop})
 	case a.Claim != nil:
+		c.watch(a.To)
 		c.send(now, a.To, Mail{Claim: a.Claim})
 	}
 }
 
+// asked is the planner that a message about a job goes to.
+func (c *Core) asked(other mesh.ID) mesh.ID {
+	if other == (mesh.ID{}) {
+		return c.planner
+	}
+	c.watch(other)
+	return other
+}
+
 func (c *Core) fromCell(now time.Time, a cell.Action) {
 	c.send(now, a.To, Mail{Grant: a.Grant, Refusal: a.Refusal, Duty: a.Duty, Relief: a.Relief, Drain: a.Drain})
 }
@@ -222,8 +242,9 @@
 		c.send(now, a.Tell.Owner, Mail{Ended: &entry.Ended{Worker: w.ID, End: a.Tell.End}})
 	case a.Held:
 		event.WorkerHeld.Log(c.log, "worker", w.ID, "fence", uint64(b.Fence()))
-		for _, m := range c.up() {
-			c.send(now, m.ID, Mail{Held: &entry.Held{Worker: w.ID, Fence: b.Fence()}})
+		c.fresh = append(c.fresh, w.ID)
+		if b.Claiming() {
+			c.announceFresh(now)
 		}
 	}
 }
@@ -269,9 +290,9 @@
 	case m.Report != nil:
 		c.cell.Report(now, from, *m.Report)
 	case m.Grant != nil:
-		c.entry.Grant(now, *m.Grant)
+		c.entry.Grant(now, from, *m.Grant)
 	case m.Refusal != nil:
-		c.entry.Refused(now, *m.Refusal)
+		c.entry.Refused(now, from, *m.Refusal)
 	case m.Ended != nil:
 		c.entry.Ended(now, from, *m.Ended)
 	case m.Held != nil:
@@ -285,7 +306,7 @@
 			b.Drain()
 		}
 	case m.Listing != nil:
-		c.cell.Workers(now, *m.Listing)
+		c.cell.Workers(now, c.ours(*m.Listing))
 	case m.Want != nil:
 		if have := c.shelf.Current(); have.Version != 0 {
 			c.send(now, from, Mail{Catalog: have})
@@ -295,10 +316,12 @@
 	case m.Relief != nil:
 		c.release(now, m.Relief.Worker)
 	case m.Start != nil:
+		c.watch(from)
 		c.start(now, from, *m.Start)
 	case m.Stop != nil:
 		c.stop(now, *m.Stop)
 	case m.Claim != nil:
+		c.watch(from)
 		c.claim(now, from, *m.Claim)
 	}
 }
@@ -413,6 +436,8 @@
 	}
 	c.cell.Tick(now)
 	c.entry.Tick(now)
+	c.announceFresh(now)
+	c.review(now)
 }
 
 func (c *Core) ownerLost(now time.Time, id mesh.ID) {
--- a/node/members.go
+++ b/node/members.go
@@ -24,6 +24,7 @@
 	c.entry.HolderUp(m.ID)
 	c.announce(now, m.ID)
 	c.wants(now, m)
+	c.review(now)
 	if m.ID == c.planner {
 		c.greet(now)
 	}
@@ -32,9 +33,26 @@
 // announce tells a member which workers are held here. It may have runs there and have
 // missed the announcement because there was no session yet: it would wait two seconds
 // until it takes them for lost.
-func (c *Core) announce(now time.Time, to mesh.ID) {
-	for _, id := range c.heldIDs() {
-		if b := c.held[id]; b.Known() {
+func (c *Core) announce(now time.Time, to mesh.ID) { c.tellHeld(now, to, c.heldIDs()) }
+
+// announceFresh tells all members of the workers held since it last did. Those on which
+// runs were found wait for their owners, and are told at once; the others with the next
+// tick, together: when all processes start, a thousand workers get a holder each within a
+// second, and each message about one goes to all processes.
+func (c *Core) announceFresh(now time.Time) {
+	if len(c.fresh) == 0 {
+		return
+	}
+	fresh := c.fresh
+	c.fresh = nil
+	for _, m := range c.up() {
+		c.tellHeld(now, m.ID, fresh)
+	}
+}
+
+func (c *Core) tellHeld(now time.Time, to mesh.ID, workers []string) {
+	for _, id := range workers {
+		if b := c.held[id]; b != nil && b.Known() {
 			c.send(now, to, Mail{Held: &entry.Held{Worker: id, Fence: b.Fence()}})
 		}
 	}
@@ -61,12 +79,17 @@
 		return
 	}
 	delete(c.members, id)
+	c.unwatch(id)
+	if id == c.planner {
+		c.alarm = now.Add(alarmFor)
+	}
 	c.lost[id] = heard
 	for _, w := range c.heldIDs() {
 		c.held[w].OwnerAway(id, heard.Add(callersReturn))
 	}
 	c.entry.HolderDown(now, id)
 	c.elect(now)
+	c.review(now)
 }
 
 // MemberChanged takes what a member says of itself.
@@ -76,11 +99,16 @@
 		return
 	}
 	event.MemberNews.Log(c.log, "member", m.VM, "id", m.ID, "number", m.Number, "leaving", m.Leaving, "blind", m.Blind, "plans", m.Plans, "catalog", uint64(m.Catalog))
-	before := c.planner
+	before, was := c.planner, p.Member
 	began := m.Plans != p.Plans
 	p.Member = m
 	c.members[m.ID] = p
 	c.wants(now, m)
+	was.Catalog = m.Catalog
+	if was == m {
+		// Each change of the configuration makes such news of all members at once.
+		return
+	}
 	c.elect(now)
 	if began && m.ID == before && m.ID == c.planner {
 		c.greet(now)
@@ -111,13 +139,19 @@
 // agree: two planners for a moment cost starts without room.
 func (c *Core) elect(now time.Time) {
 	up := c.up()
-	best := slices.MinFunc(up, c.rank)
+	if c.divide(up) {
+		c.cell.Stop()
+	}
+	mates := c.mates(up)
+	best := slices.MinFunc(mates, c.rank)
+	c.entry.Elsewhere(c.elsewhere(up))
 	if best.ID != c.planner {
-		event.PlannerChosen.Log(c.log, "planner", best.ID, "vm", best.VM, "number", best.Number, "members", len(up), "before", c.planner)
+		event.PlannerChosen.Log(c.log, "planner", best.ID, "vm", best.VM, "number", best.Number, "members", len(mates), "before", c.planner)
 		c.planner = best.ID
+		c.watch(best.ID)
 		c.greet(now)
 	}
-	c.reader = c.electReader(up, best)
+	c.reader = c.electReader(mates, best)
 	c.plan(now, best.ID == c.self.ID)
 	seen := c.seen(up)
 	met := 2*seen > len(c.known)
@@ -128,7 +162,7 @@
 	// Who starts together with this process may not have met it yet. Later, who lives
 	// is in sight.
 	whole := seen == len(c.known) || met && now.Sub(c.metSince) > meetWithin
-	c.cell.Members(now, up, met, whole)
+	c.cell.Members(now, mates, up, met, whole)
 }
 
 // meetWithin is how long processes that start together take to meet, at the most: some
@@ -145,6 +179,7 @@
 		c.cell.Begin(now)
 		c.self.Plans++
 		c.out = append(c.out, Output{Say: &c.self})
+		c.review(now)
 	default:
 		c.cell.Stop()
 	}
