--- a/mesh/member.go
+++ b/mesh/member.go
@@ -6,10 +6,11 @@
 // the last messages arrived. Whoever needs to know asks again in the next
 // session. Heartbeats fill the silence, so that a frozen process, a machine
 // without power and a connection that went dead without a reset are all seen
-// after the same time.
+// after the same time: soon where one side watches the other, after seconds where
+// nothing hangs on it.
 //
-// Limits: the cost of a process grows with the number of members, so a cell is
-// some tens of processes; larger deployments have several cells.
+// Limits: an idle session costs little, but each process has one with each other
+// one, so this is for some hundreds of processes.
 package mesh
 
 import (
