node: the next planner knows the workers while the store is away

Callers saw 429 others_first for each job, from the death of the planner on until after the store's return, though all workers were idle.

Cause: a planner begins with nothing but what members report and what it reads of the store. With the store away, workers whose holder has died with the planner are known to nobody. In each failing run the first planner (vm2) had listed all four workers and held all of them (903, 906, 910) before the other process joined; after it was killed, vm1 began to plan (901) and neither 903 nor 906 followed. Where it passed, vm1 held some. Ruled out: that vm1 may not give workers away (it may, from the session with the restarted process on), and a machine that is short of time (load 4).

Change: the planner passes its list and each change of it on to deputies: the two members that plan next, and the best one of each data centre. One that begins to plan takes that list until it has read the store's. A list is kept for 5 s after its planner has ended; a process that reaches no store tells the next planner what it has.

The tests in node/list_test.go fail to compile without the change; that of the model fails.

--- a/cell/book.go
+++ b/cell/book.go
@@ -275,6 +275,9 @@
 	b.loose = true
 }
 
+// HasList tells whether the platform's list has been read for this planner.
+func (b *Book) HasList() bool { return b.listedOnce }
+
 // Listed is a worker as the platform lists it.
 type Listed struct {
 	lease.Worker
@@ -286,7 +289,7 @@
 	if !b.active {
 		return
 	}
-	if l.Whole {
+	if l.Whole && !l.Copy {
 		for _, w := range b.workers {
 			w.listed = false
 		}
--- a/cell/message.go
+++ b/cell/message.go
@@ -100,6 +100,8 @@
 	Whole   bool     `cbor:"1,keyasint,omitzero"`
 	Listed  []Listed `cbor:"2,keyasint,omitzero"`
 	Dropped []string `cbor:"3,keyasint,omitzero"`
+	// Copy tells that it is what a planner has or had, for whoever plans next.
+	Copy bool `cbor:"4,keyasint,omitzero"`
 }
 
 // Report is what a holder tells of its workers.
--- a/event/table.go
+++ b/event/table.go
@@ -95,6 +95,7 @@
 	RunsClaimed     ID = 915
 	OrderUnreadable ID = 916
 	TextDiffers     ID = 917
+	WorkersRecalled ID = 918
 
 	JobAdmitted   ID = 920
 	JobJoined     ID = 921
@@ -188,6 +189,7 @@
 	{RunsClaimed, slog.LevelInfo, "runs claimed", "The owner of runs tells their holder that they are its own: a session was replaced, or the holder is new. unanswered is how many starts of the worker had no answer yet.", "0.2"},
 	{OrderUnreadable, slog.LevelError, "order not understood by the worker", "A defect: the worker can't read what it was told to start, and has done nothing. The task is placed again. Compare text_bytes with the job's 920 and look for 914 and 915 of the run just before.", "0.2"},
 	{TextDiffers, slog.LevelError, "order has another text than its job", "A defect: the text of a task has changed between its caller's process and its holder. The worker was not told to start it; the task is placed again. Look for 914 and 915 of the run just before.", "0.2"},
+	{WorkersRecalled, slog.LevelInfo, "workers recalled", "This process has begun to plan and takes the list of workers that the process given had, until it has read the store's.", "0.2"},
 	{JobAdmitted, slog.LevelInfo, "job admitted", "A caller's job was taken in and workers are asked for.", "0.2"},
 	{JobJoined, slog.LevelInfo, "job joined", "A request with the id of a job that is under way here waits for the same answer.", "0.2"},
 	{JobAnswered, slog.LevelInfo, "job answered", "The final answer of a job: completed, failed, refused (nothing ran) or unknown (given up after something ran).", "0.2"},
--- a/model/recovery_test.go
+++ b/model/recovery_test.go
@@ -19,3 +19,35 @@
 		}
 	}
 }
+
+// The planner is killed while the store is away, in deployments of 3, 8 and 41 processes.
+// The next one can't read the list of workers; those of the one killed, all of them in a
+// small deployment, served nobody until the store was back.
+func TestPlannerIsKilledWithoutTheStore(t *testing.T) {
+	tests := []struct {
+		processes []int
+		planner   bool
+	}{
+		{[]int{1, 1, 1}, true},
+		{[]int{3, 3, 2}, true},
+		{[]int{14, 14, 13}, true},
+		{[]int{3, 3, 2}, false},
+	}
+	for _, tt := range tests {
+		for seed := range uint64(3) {
+			cfg := Lakeshore()
+			cfg.Seed, cfg.Load = seed+1, 0.5
+			cfg.Length, cfg.Tail = 6*time.Second, time.Second
+			for i, n := range tt.processes {
+				cfg.DataCenters[i].VMs = n
+			}
+			cfg.Faults = []Fault{{2 * time.Second, StoreDown(20 * time.Second)}}
+			loss := Loss{Name: "killed", Planner: tt.planner, Fault: func(vm int) func(*World) { return Kill(vm, lostFor) }}
+			r := Recover(cfg, 3*time.Second, loss)
+			t.Logf("%v, planner %v: again after %v, %d of %d refused, %d lost", tt.processes, tt.planner, r.Again, r.Refused, r.Asked, r.Lost)
+			if len(r.Broken) > 0 || r.Again > time.Second {
+				t.Errorf("%v processes, seed %d: workers in use again after %v, broken %v", tt.processes, seed+1, r.Again, r.Broken)
+			}
+		}
+	}
+}
--- a/node/core.go
+++ b/node/core.go
@@ -94,9 +94,13 @@
 	divided bool
 	// reader is who reads the platform's list of workers for the planner.
 	reader mesh.ID
-	entry  *entry.Book
-	cell   *cell.Book
-	held   map[string]*lease.Book
+	// list is the platform's list of workers, of this process as the planner or of the
+	// planner that it is a deputy of; deputies are whom this one tells it as the planner.
+	list     workerList
+	deputies map[mesh.ID]struct{}
+	entry    *entry.Book
+	cell     *cell.Book
+	held     map[string]*lease.Book
 	// order is the names of the workers held, sorted; nil when they have changed. They
 	// are gone through after each event.
 	order  []string
@@ -306,7 +310,7 @@
 			b.Drain()
 		}
 	case m.Listing != nil:
-		c.cell.Workers(now, c.ours(*m.Listing))
+		c.listing(now, from, *m.Listing)
 	case m.Want != nil:
 		if have := c.shelf.Current(); have.Version != 0 {
 			c.send(now, from, Mail{Catalog: have})
--- /dev/null
+++ b/node/list_test.go
@@ -0,0 +1,185 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"snipehub.example/cell"
+	"snipehub.example/lease"
+	"snipehub.example/mesh"
+)
+
+// duties are the workers that a core gives to members, itself included.
+func duties(c *Core, out []Output) map[string]mesh.ID {
+	got := make(map[string]mesh.ID)
+	for _, o := range out {
+		switch {
+		case o.Mail != nil && o.Mail.Duty != nil:
+			got[o.Mail.Duty.Worker.ID] = o.To
+		case o.Hold != nil:
+			got[o.Worker.ID] = c.Self().ID
+		}
+	}
+	return got
+}
+
+// listed is a list of workers with these names.
+func listed(ids ...string) cell.Listing {
+	l := cell.Listing{Whole: true}
+	for _, id := range ids {
+		w := testWorker()
+		w.ID = id
+		l.Listed = append(l.Listed, cell.Listed{Worker: w})
+	}
+	return l
+}
+
+// planning is the core of member 1, which plans for itself, 2 and 3, and the cores of these
+// two; each has a session with the others.
+func planning() (planner, second, third *Core) {
+	planner, second, third = newCore(1, 2, 3), newCore(2, 1, 3), newCore(3, 1, 2)
+	for _, c := range []*Core{planner, second, third} {
+		for n := 1; n <= 3; n++ {
+			if m := member(n); m.ID != c.Self().ID {
+				c.MemberUp(ms(1), m, 1)
+			}
+		}
+		c.Take(ms(1))
+	}
+	return planner, second, third
+}
+
+// tell hands what a core has for another one to it.
+func tell(now time.Time, from, to *Core, out []Output) {
+	to.Receive(now, from.Self().ID, 1, mail(out, to.Self().ID))
+}
+
+// The planner, which holds workers itself, is killed while the store is away. The next one
+// can't read the list of workers: whoever sent a job was refused until the store was back,
+// because the workers of the one killed were known to nobody.
+func TestNextPlannerKnowsTheWorkersWithoutTheStore(t *testing.T) {
+	planner, second, third := planning()
+	planner.Workers(ms(10), listed("w", "x"))
+	out := planner.Take(ms(10))
+	tell(ms(11), planner, second, out)
+	tell(ms(11), planner, third, out)
+	second.Take(ms(11))
+
+	second.MemberDown(ms(100), planner.Self().ID, 1, ms(90))
+	if !second.Plans() {
+		t.Fatal("the second does not plan")
+	}
+	second.Receive(ms(101), member(3).ID, 1, []Mail{{Report: &cell.Report{Whole: true}}})
+	second.Tick(ms(3000))
+	if got := duties(second, second.Take(ms(3000))); len(got) != 2 {
+		t.Errorf("workers given %v, want both", got)
+	}
+}
+
+// Workers come, drain and leave. The next planner must not start tasks on one that has long
+// said that it leaves.
+func TestDeputiesAreToldOfChanges(t *testing.T) {
+	planner, second, _ := planning()
+	planner.Workers(ms(10), listed("w", "x"))
+	tell(ms(11), planner, second, planner.Take(ms(10)))
+	change := listed("y", "x")
+	change.Whole, change.Listed[1].Draining, change.Dropped = false, true, []string{"w"}
+	planner.Workers(ms(20), change)
+	tell(ms(21), planner, second, planner.Take(ms(20)))
+	planner.Workers(ms(30), listed("x", "y"))
+	if out := planner.Take(ms(30)); len(mail(out, second.Self().ID)) != 1 {
+		t.Errorf("told %+v, want the change of x alone", mail(out, second.Self().ID))
+	} else {
+		tell(ms(31), planner, second, out)
+	}
+	second.Take(ms(31))
+
+	second.MemberDown(ms(100), planner.Self().ID, 1, ms(90))
+	second.Receive(ms(101), member(3).ID, 1, []Mail{{Report: &cell.Report{Whole: true}}})
+	second.Tick(ms(3000))
+	v := second.Status(ms(3000)).Cell
+	if len(v.Holders) != 2 || v.Holders[0].Worker != "x" || v.Holders[1].Worker != "y" {
+		t.Errorf("knows %+v, want x and y", v.Holders)
+	}
+}
+
+// The list of a planner that ended long ago names workers that have left since.
+func TestOldListIsNotUsed(t *testing.T) {
+	planner, second, _ := planning()
+	planner.Workers(ms(10), listed("w"))
+	tell(ms(11), planner, second, planner.Take(ms(10)))
+	first := planner.Self()
+	first.Leaving = true
+	large := member(3)
+	large.Share = 4
+	second.MemberChanged(ms(20), large)
+	second.Take(ms(20))
+	later := ms(21).Add(listFor)
+	second.MemberDown(later, large.ID, 1, later)
+	second.MemberChanged(later, first)
+	if !second.Plans() {
+		t.Fatal("the second does not plan")
+	}
+	if v := second.Status(later).Cell; len(v.Holders) > 0 {
+		t.Errorf("knows %+v, want nothing", v.Holders)
+	}
+}
+
+// The planner and its deputies are killed together. Whoever has planned before and reaches
+// no store tells the next one what it knows.
+func TestFormerPlannerTellsTheNext(t *testing.T) {
+	planner, second, _ := planning()
+	planner.Workers(ms(10), listed("w"))
+	planner.Say(ms(11), func(m *mesh.Member) { m.Blind = true })
+	planner.Take(ms(11))
+	large := second.Self()
+	large.Share = 4
+	planner.MemberChanged(ms(20), large)
+	out := planner.Take(ms(20))
+	second.Say(ms(20), func(m *mesh.Member) { m.Share = 4 })
+	second.Take(ms(20))
+	tell(ms(21), planner, second, out)
+	second.Take(ms(21))
+	if v := second.Status(ms(22)).Cell; v == nil || len(v.Holders) != 1 {
+		t.Errorf("knows %+v, want the worker", v)
+	}
+	// What the store says goes before it.
+	second.Workers(ms(30), listed("x"))
+	tell(ms(31), planner, second, []Output{{To: second.Self().ID, Mail: &Mail{Listing: &cell.Listing{Whole: true, Copy: true, Listed: []cell.Listed{{Worker: lease.Worker{ID: "old"}}}}}}})
+	second.Take(ms(31))
+	for _, h := range second.Status(ms(32)).Cell.Holders {
+		if h.Worker == "old" {
+			t.Error("an old list changes what was read of the store")
+		}
+	}
+}
+
+// All that have joined are told the list would be as much traffic as the jobs'. In a
+// deployment of hundreds, the planner tells the two that are next, and one in each data
+// centre, which plans there when it is cut off.
+func TestFewDeputies(t *testing.T) {
+	tests := []struct {
+		name      string
+		processes int
+		want      int
+	}{
+		{"two processes", 2, 1},
+		{"eight in two data centres", 8, 2},
+		{"a cell of fifty", cellsFrom + 4, 2},
+	}
+	for _, tt := range tests {
+		c, _ := inDataCenters(tt.processes)
+		c.Say(ms(5), func(m *mesh.Member) { m.Share = 9 })
+		c.Take(ms(5))
+		c.Workers(ms(6), cell.Listing{Whole: true, Listed: []cell.Listed{{Worker: lease.Worker{ID: "w", DataCenter: "even"}}}})
+		told := make(map[mesh.ID]bool)
+		for _, o := range c.Take(ms(6)) {
+			if o.Mail != nil && o.Mail.Listing != nil {
+				told[o.To] = true
+			}
+		}
+		if len(told) != tt.want {
+			t.Errorf("%s: %d told, want %d", tt.name, len(told), tt.want)
+		}
+	}
+}
--- a/node/members.go
+++ b/node/members.go
@@ -152,7 +152,8 @@
 		c.greet(now)
 	}
 	c.reader = c.electReader(mates, best)
-	c.plan(now, best.ID == c.self.ID)
+	c.ageList(now)
+	began := c.plan(now, best.ID == c.self.ID)
 	seen := c.seen(up)
 	met := 2*seen > len(c.known)
 	if met && !c.met {
@@ -163,16 +164,20 @@
 	// is in sight.
 	whole := seen == len(c.known) || met && now.Sub(c.metSince) > meetWithin
 	c.cell.Members(now, mates, up, met, whole)
+	if began {
+		c.recallOwn(now)
+	}
+	c.appoint(now, mates)
 }
 
 // meetWithin is how long processes that start together take to meet, at the most: some
 // hundred milliseconds, a second on slow VMs.
 const meetWithin = 2 * time.Second
 
-// plan begins or ends the planning. Members that took this process for the planner
-// earlier than it did have told it things that it could not use: it says that it has
-// begun, and they tell it again.
-func (c *Core) plan(now time.Time, self bool) {
+// plan begins or ends the planning, and tells whether it has begun. Members that took this
+// process for the planner earlier than it did have told it things that it could not use: it
+// says that it has begun, and they tell it again.
+func (c *Core) plan(now time.Time, self bool) (began bool) {
 	switch {
 	case self == c.cell.Active():
 	case self:
@@ -180,9 +185,11 @@
 		c.self.Plans++
 		c.out = append(c.out, Output{Say: &c.self})
 		c.review(now)
+		return true
 	default:
 		c.cell.Stop()
 	}
+	return false
 }
 
 // electReader finds who reads the platform's list of workers: the planner, or the
@@ -212,6 +219,11 @@
 // greet tells a new planner everything: all workers held, all tasks that wait.
 func (c *Core) greet(now time.Time) {
 	c.reported, c.changed = time.Time{}, time.Time{}
+	if c.self.Blind && c.planner != c.list.from && c.list.usable(now) {
+		// It may reach the store no more than this process does.
+		whole := c.list.whole()
+		c.send(now, c.planner, Mail{Listing: &whole})
+	}
 	c.entry.Planner(now, mesh.ID{})
 	c.entry.Planner(now, c.planner)
 }
