--- a/cell/admit.go
+++ b/cell/admit.go
@@ -33,11 +33,15 @@
 	places := b.places(now, queue)
 	queue = slices.DeleteFunc(queue, func(w *wait) bool { return b.fitsIn(w, places) || w.Begun })
 	b.late = 0
+	why := lateWord
+	if len(places) == 0 {
+		why = noWorkersWord
+	}
 	for _, w := range queue {
 		if end := b.lay(w, places); !end.IsZero() {
 			b.late = end.Sub(w.aim)
 		}
-		b.refuse(now, w, lateWord)
+		b.refuse(now, w, why)
 	}
 }
 
@@ -99,8 +103,13 @@
 	return time.Duration(xxhash.Sum64String(job) % uint64(retrySpread))
 }
 
-// lateWord is the reason of a refusal because of what waits before it.
-const lateWord = "others_first"
+const (
+	// lateWord is the reason of a refusal because of what waits before it.
+	lateWord = "others_first"
+	// noWorkersWord is that of one because no worker takes tasks: none is known, or none
+	// has a holder.
+	noWorkersWord = "no_workers"
+)
 
 // places are the places for one task each on workers of about the same speed: when each
 // is free, as a heap. A job is laid on the best of a few heads; going through all places
--- a/cell/book_test.go
+++ b/cell/book_test.go
@@ -680,3 +680,18 @@
 		t.Errorf("given %d times in two seconds, want 2 to 8", given)
 	}
 }
+
+// No worker has a holder, long after the planner began: their holders are lost and the store
+// is away. Callers were told that others come before them, and who was on call looked for a
+// load that was not there.
+func TestRefusalTellsThatNoWorkerTakesTasks(t *testing.T) {
+	b := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
+	b.Begin(ms(0))
+	b.Members(ms(0), members(1), members(1), false, false)
+	b.Report(ms(1), memberID(0), Report{Whole: true})
+	b.Ask(ms(2000), memberID(0), ask("a", 2))
+	_, refused := place(b, 2000)
+	if len(refused) == 0 || refused[0].Why != noWorkersWord {
+		t.Errorf("refused %+v, want %s", refused, noWorkersWord)
+	}
+}
