cell: a worker whose holder has just begun counts as room that comes

Callers were refused with others_first within milliseconds of the start of all processes, of a takeover, or of a new planner, though the room that they needed was on its way.

Cause: the look ahead counted a worker on its way only until its holder reported it. The holder reports it at once, and then waits for the worker's first answer; in between the worker counted as no room at all.

Change: a worker without failures counts for 500 ms from when its holder began. cell.TestWorkersWhoseHolderHasJustBegunCount fails before ("refused b").

--- a/cell/admit.go
+++ b/cell/admit.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"snipehub.example/mesh"
 )
 
 // admitEvery is the least time between two looks ahead: they cost about a millisecond
@@ -198,7 +200,8 @@
 	// handOver is how long a worker takes no tasks while it changes hands as planned:
 	// four messages between data centres and a call.
 	handOver = 20 * time.Millisecond
-	// handOverMost is when it is no longer counted on.
+	// handOverMost is how long a worker is counted on that changes hands or has just got
+	// its holder.
 	handOverMost = 500 * time.Millisecond
 )
 
@@ -207,9 +210,13 @@
 	return !w.open && w.listed && !w.draining && w.failures == 0 && now.Sub(w.shut) < handOverMost
 }
 
-// comes tells that a worker was just given to a holder, which will report it.
+// comes tells that a worker was just given to a holder, which has not reported it yet or
+// waits for the worker's first answer.
 func (w *worker) comes(now time.Time) bool {
-	return !w.open && w.listed && !w.draining && !w.confirmed && !w.told.IsZero() && now.Sub(w.told) < tellAgain
+	if w.open || !w.listed || w.draining || w.failures > 0 || w.holder == (mesh.ID{}) {
+		return false
+	}
+	return !w.confirmed && now.Sub(w.told) < tellAgain || now.Sub(w.since) < handOverMost
 }
 
 // end foresees when a run ends: from its progress if it is known, else from its
--- a/cell/book_test.go
+++ b/cell/book_test.go
@@ -695,3 +695,36 @@
 		t.Errorf("refused %+v, want %s", refused, noWorkersWord)
 	}
 }
+
+// All processes have started together, and a job comes when one worker takes tasks and the
+// others have a holder that waits for their first answer. Callers were refused for want of
+// room that was there some milliseconds later.
+func TestWorkersWhoseHolderHasJustBegunCount(t *testing.T) {
+	b := planning(t, 2, 2)
+	b.Tick(ms(600))
+	for _, a := range b.Take() {
+		if a.Duty != nil {
+			w := a.Duty.Worker
+			b.Report(ms(610), a.To, Report{States: []lease.State{{ID: w.ID, Worker: &w, Fence: lease.NewFence(9), Open: w.ID == "w0"}}})
+		}
+	}
+	for i, job := range []string{"a", "b"} {
+		at := 620 + 10*i
+		next := ask(job, 2)
+		next.Estimate = 200 * time.Millisecond
+		b.Ask(ms(at), memberID(1), next)
+		if _, refused := place(b, at); len(refused) != 0 {
+			t.Errorf("refused %+v, want it to wait for the other worker", refused)
+		}
+	}
+	b.Tick(ms(2000))
+	for _, job := range []string{"c", "d"} {
+		next := ask(job, 2)
+		next.Estimate, next.Aim = time.Second, 1500*time.Millisecond
+		b.Ask(ms(2000), memberID(1), next)
+	}
+	grants, refused := place(b, 2000)
+	if len(grants) != 2 || len(refused) != 2 || refused[1].Why != lateWord {
+		t.Errorf("long after the holder began %d grants, refused %+v; want b and one of c and d refused", len(grants), refused)
+	}
+}
