--- a/model/recovery_test.go
+++ b/model/recovery_test.go
@@ -24,6 +24,7 @@
 // The next one can't read the list of workers; those of the one killed, all of them in a
 // small deployment, served nobody until the store was back.
 func TestPlannerIsKilledWithoutTheStore(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		processes []int
 		planner   bool
