model: an order without an answer reaches the next life of its worker: known red

Traced: a start on w008 gets no answer at 7.95 s; its holder raises the round of the token, sees in the list that nothing runs, and tells the owner; the job is refused at 8.01 s. The worker crashes and is back under its id at 11.85 s; the order is carried out at 11.95 s. The new life has seen no token, its clock has begun anew, and the id that calls name is the same; its first holder calls later.

The alternative, "unknown" in place of "not run" for each job with an unanswered start, costs callers an answer that is right in all other cases, and was not tried.

--- a/model/faults_test.go
+++ b/model/faults_test.go
@@ -110,3 +110,11 @@
 	cfg.Crossing = 0.2
 	play(t, cfg)
 }
+
+// An order gets no answer, and its worker crashes and starts again under the same id. The
+// order is carried out then by the next life, which has seen no fencing token, and whose clock
+// has begun anew: a task starts whose caller was told that it never will.
+func TestLateOrderReachesTheNextLife(t *testing.T) {
+	t.Parallel()
+	play(t, drawnDay(910248))
+}
