node: a planner tells its deputies nothing of a list that is too old

A process that planned long ago and begins again does not use its old list, but told it to its deputies; what the store said next was told them as additions, so workers that had left meanwhile stayed on their lists. Had the planner been lost while the store was away, holders would have been sent after them, and jobs would have waited half a second for room that is not there.

The old list is dropped when the process begins to plan. A copy without workers is not taken for one, which also logged event 918 with none.

node.TestOldListIsNotUsed, with a member that comes later, is red before: "tells a deputy", with a worker of the old list.

--- a/node/list.go
+++ b/node/list.go
@@ -106,21 +106,24 @@
 
 // recall takes the list of a planner before for as long as the store's has not been read.
 func (c *Core) recall(now time.Time, from mesh.ID, l cell.Listing) {
-	if c.cell.HasList() {
+	l = c.ours(l)
+	if c.cell.HasList() || len(l.Listed) == 0 {
 		return
 	}
-	l = c.ours(l)
 	event.WorkersRecalled.Log(c.log, "workers", len(l.Listed), "from", from)
 	c.cell.Workers(now, l)
 	c.list.until = time.Time{}
 	c.passOn(now, c.list.take(c.self.ID, cell.Listing{Listed: l.Listed}))
 }
 
-// recallOwn has a planner that begins use the list that this process has.
+// recallOwn has a planner that begins use the list that this process has. One that is too old
+// is dropped, or its deputies would be told of it.
 func (c *Core) recallOwn(now time.Time) {
-	if c.list.usable(now) {
-		c.recall(now, c.list.from, c.list.whole())
+	if !c.list.usable(now) {
+		c.list = workerList{}
+		return
 	}
+	c.recall(now, c.list.from, c.list.whole())
 }
 
 // passOn tells the deputies what has changed in the list.
--- a/node/list_test.go
+++ b/node/list_test.go
@@ -123,6 +123,13 @@
 	if v := second.Status(later).Cell; len(v.Holders) > 0 {
 		t.Errorf("knows %+v, want nothing", v.Holders)
 	}
+	fresh := member(9)
+	second.MemberUp(later, fresh, 9)
+	for _, m := range mail(second.Take(later), fresh.ID) {
+		if m.Listing != nil {
+			t.Errorf("tells a deputy %+v", m.Listing)
+		}
+	}
 }
 
 // The planner and its deputies are killed together. Whoever has planned before and reaches
