--- /dev/null
+++ b/cell/admit_test.go
@@ -0,0 +1,167 @@
+package cell
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"snipehub.example/lease"
+)
+
+// Two jobs that have begun will use the only worker for longer than a third one has
+// time. It is refused at once, while its caller can still turn elsewhere; a job that
+// fits behind them waits.
+func TestLookingAhead(t *testing.T) {
+	b := allHeld(t, 2, 1)
+	first := ask("first", 2)
+	first.Estimate, first.Aim = time.Second, 2*time.Second
+	b.Ask(ms(700), memberID(1), first)
+	place(b, 700)
+	short, long := ask("short", 1), ask("long", 1)
+	short.Aim, long.Aim = 500*time.Millisecond, 1500*time.Millisecond
+	b.Ask(ms(720), memberID(1), short)
+	b.Ask(ms(720), memberID(1), long)
+	_, refusals := place(b, 720)
+	if len(refusals) != 1 || refusals[0].Job != "short" || refusals[0].Why != lateWord {
+		t.Errorf("refusals %+v, want only that of the job without time", refusals)
+	}
+	if len(b.waits) != 1 {
+		t.Errorf("%d jobs wait", len(b.waits))
+	}
+}
+
+// What is left of a run is foreseen from its progress, else from its estimate; one that
+// is overdue does not count as free.
+func TestEndOfARun(t *testing.T) {
+	tests := []struct {
+		name string
+		h    held
+		at   int
+		want int
+	}{
+		{"by estimate", held{began: ms(0), estimate: 100 * time.Millisecond}, 40, 200},
+		{"by progress", held{began: ms(0), estimate: 100 * time.Millisecond, percent: 50, seen: ms(30)}, 40, 60},
+		{"too early to tell", held{began: ms(0), estimate: 100 * time.Millisecond, percent: 5, seen: ms(30)}, 40, 200},
+		{"overdue", held{began: ms(0), estimate: 100 * time.Millisecond}, 400, 440},
+	}
+	for _, tt := range tests {
+		if got := tt.h.end(ms(tt.at), 2); !got.Equal(ms(tt.want)) {
+			t.Errorf("%s: ends at %v, want %v", tt.name, got.Sub(epoch), ms(tt.want).Sub(epoch))
+		}
+	}
+}
+
+// The planner leaves or dies, and the next one is asked for workers by one process before
+// another has reported those that it holds. It saw no room at all and refused jobs for
+// which there was plenty; callers got "too busy" from an idle system.
+func TestNewPlannerWaitsForReports(t *testing.T) {
+	b := planning(t, 2, 4)
+	b.Report(ms(1), memberID(0), Report{Whole: true})
+	b.Ask(ms(1), memberID(0), ask("a", 2))
+	if _, refused := place(b, 2); len(refused) != 0 {
+		t.Fatalf("refused before all have reported: %+v", refused)
+	}
+	b.Report(ms(3), memberID(1), Report{Whole: true})
+	if _, refused := place(b, 20); len(refused) != 0 {
+		t.Errorf("refused while four workers are being taken: %+v", refused)
+	}
+	for i := range 4 {
+		w := testWorker(i)
+		b.Report(ms(30), b.workers[w.ID].holder, Report{States: []lease.State{{ID: w.ID, Fence: lease.NewFence(9), Open: true, Draining: true}}})
+	}
+	a := ask("b", 2)
+	a.Aim = 10 * time.Second
+	b.Ask(ms(1100), memberID(0), a)
+	if _, refused := place(b, 1100); len(refused) != 2 {
+		t.Errorf("%d refusals though no worker takes tasks, want 2", len(refused))
+	}
+}
+
+// All processes were restarted. The first planner has met nobody yet and knows of no
+// worker; half a second later all of them are held again. A fifth of the callers of these
+// seconds was refused at once, most of whom could have been served in time.
+func TestNobodyIsRefusedBeforeTheWorkersAreThere(t *testing.T) {
+	b := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
+	b.Begin(ms(0))
+	b.Members(ms(0), members(1), members(1), false, false)
+	b.Report(ms(1), memberID(0), Report{Whole: true})
+	for _, c := range []struct{ at, aim, refused int }{
+		{20, 900, 0},
+		{400, 600, 0},
+		{1100, 600, 3},
+	} {
+		a := ask(fmt.Sprint("job", c.at), 2)
+		a.Aim = time.Duration(c.aim) * time.Millisecond
+		b.Ask(ms(c.at), memberID(0), a)
+		if _, refused := place(b, c.at); len(refused) != c.refused {
+			t.Errorf("at %d ms %d refusals, want %d", c.at, len(refused), c.refused)
+		}
+	}
+}
+
+// The holder of a worker leaves as planned. Until the next one has it, some milliseconds
+// later, nothing can be started there; jobs that came meanwhile were refused.
+func TestWorkerThatChangesHands(t *testing.T) {
+	b := allHeld(t, 2, 1)
+	w := b.workers["w0"]
+	b.Report(ms(700), w.holder, Report{States: []lease.State{{ID: w.ID, Fence: lease.NewFence(9), Gone: true}}})
+	b.Ask(ms(701), memberID(1), ask("a", 2))
+	if _, refused := place(b, 701); len(refused) != 0 {
+		t.Errorf("refused while the worker changes hands: %+v", refused)
+	}
+	a := ask("b", 2)
+	a.Aim = time.Hour
+	b.Ask(ms(2000), memberID(1), a)
+	if _, refused := place(b, 2000); len(refused) != 2 {
+		t.Errorf("%d refusals long after the worker was lost, want 2", len(refused))
+	}
+}
+
+// No worker has a holder, long after the planner began: their holders are lost and the store
+// is away. Callers were told that others come before them, and who was on call looked for a
+// load that was not there.
+func TestRefusalTellsThatNoWorkerTakesTasks(t *testing.T) {
+	b := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
+	b.Begin(ms(0))
+	b.Members(ms(0), members(1), members(1), false, false)
+	b.Report(ms(1), memberID(0), Report{Whole: true})
+	b.Ask(ms(2000), memberID(0), ask("a", 2))
+	_, refused := place(b, 2000)
+	if len(refused) == 0 || refused[0].Why != noWorkersWord {
+		t.Errorf("refused %+v, want %s", refused, noWorkersWord)
+	}
+}
+
+// All processes have started together, and a job comes when one worker takes tasks and the
+// others have a holder that waits for their first answer. Callers were refused for want of
+// room that was there some milliseconds later.
+func TestWorkersWhoseHolderHasJustBegunCount(t *testing.T) {
+	b := planning(t, 2, 2)
+	b.Tick(ms(600))
+	for _, a := range b.Take() {
+		if a.Duty != nil {
+			w := a.Duty.Worker
+			b.Report(ms(610), a.To, Report{States: []lease.State{{ID: w.ID, Worker: &w, Fence: lease.NewFence(9), Open: w.ID == "w0"}}})
+		}
+	}
+	for i, job := range []string{"a", "b"} {
+		at := 620 + 10*i
+		next := ask(job, 2)
+		next.Estimate = 200 * time.Millisecond
+		b.Ask(ms(at), memberID(1), next)
+		if _, refused := place(b, at); len(refused) != 0 {
+			t.Errorf("refused %+v, want it to wait for the other worker", refused)
+		}
+	}
+	b.Tick(ms(2000))
+	for _, job := range []string{"c", "d"} {
+		next := ask(job, 2)
+		next.Estimate, next.Aim = time.Second, 1500*time.Millisecond
+		b.Ask(ms(2000), memberID(1), next)
+	}
+	grants, refused := place(b, 2000)
+	if len(grants) != 2 || len(refused) != 2 || refused[1].Why != lateWord {
+		t.Errorf("long after the holder began %d grants, refused %+v; want b and one of c and d refused", len(grants), refused)
+	}
+}
--- /dev/null
+++ b/cell/duty_test.go
@@ -0,0 +1,216 @@
+package cell
+
+import (
+	"log/slog"
+	"testing"
+
+	"snipehub.example/lease"
+	"snipehub.example/mesh"
+)
+
+func duties(b *Book) map[string]mesh.ID {
+	out := make(map[string]mesh.ID)
+	for _, a := range b.Take() {
+		if a.Duty != nil {
+			out[a.Duty.Worker.ID] = a.To
+		}
+	}
+	return out
+}
+
+// A planner has just begun. Workers go to members of their data centre, evenly.
+func TestDutiesAreSpread(t *testing.T) {
+	b := planning(t, 4, 12)
+	b.Tick(ms(600))
+	got := duties(b)
+	count := make(map[mesh.ID]int)
+	for id, m := range got {
+		count[m]++
+		if w := b.workers[id]; w.DataCenter != b.members[m].DataCenter {
+			t.Errorf("%s of %s is held in %s", id, w.DataCenter, b.members[m].DataCenter)
+		}
+	}
+	for _, m := range members(4) {
+		if count[m.ID] != 3 {
+			t.Errorf("%v holds %d workers, want 3", m.ID, count[m.ID])
+		}
+	}
+}
+
+// A process that is cut off alone sees nobody and takes itself for the planner. It
+// must not take the workers of those whom it does not see: they would take them back,
+// and so on in turns.
+func TestCutOffPlannerTakesNothing(t *testing.T) {
+	b := allHeld(t, 4, 8)
+	b.Members(ms(1000), members(1), members(1), false, false)
+	b.Tick(ms(3000))
+	if got := duties(b); len(got) != 0 {
+		t.Errorf("duties %v", got)
+	}
+	b.Members(ms(3100), members(1), members(1), true, false)
+	b.Tick(ms(3200))
+	if got := duties(b); len(got) != 6 {
+		t.Errorf("%d duties once the others are known to be gone, want their 6 workers", len(got))
+	}
+}
+
+// All processes have started anew. When each has reported there is nothing to wait
+// for; every moment more is one in which nobody is served.
+func TestNobodyIsMissing(t *testing.T) {
+	b := planning(t, 3, 6)
+	b.Members(ms(1), members(3), members(3), true, true)
+	for i := range 3 {
+		if got := duties(b); len(got) != 0 {
+			t.Fatalf("duties %v before all have reported", got)
+		}
+		b.Report(ms(2), memberID(i), Report{Whole: true})
+	}
+	if got := duties(b); len(got) != 6 {
+		t.Errorf("%d duties when all have reported, want 6", len(got))
+	}
+}
+
+// A member that leaves is relieved of its workers first; they are given on when it has
+// let go, and not back to it.
+func TestLeavingMember(t *testing.T) {
+	b := allHeld(t, 4, 4)
+	all := members(4)
+	all[2].Leaving = true
+	b.Members(ms(1000), all, all, true, false)
+	var relieved []string
+	for _, a := range b.Take() {
+		if a.Relief != nil {
+			if a.To != memberID(2) {
+				t.Errorf("%v is relieved", a.To)
+			}
+			relieved = append(relieved, a.Relief.Worker)
+		}
+	}
+	if len(relieved) == 0 {
+		t.Fatal("nobody is relieved")
+	}
+	for _, id := range relieved {
+		b.Report(ms(1010), memberID(2), Report{States: []lease.State{{ID: id, Fence: lease.NewFence(9), Gone: true}}})
+		if got := duties(b); got[id] == memberID(2) || got[id] == (mesh.ID{}) {
+			t.Errorf("%s goes to %v", id, got[id])
+		}
+	}
+}
+
+// A new planner knows the workers from their holders before it has read the
+// platform's list. Starting tasks on one that has said that it leaves, they would be
+// cut off with it.
+func TestDrainingIsKnownFromTheHolder(t *testing.T) {
+	b := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
+	b.Begin(ms(0))
+	b.Members(ms(0), members(2), members(2), true, false)
+	w := testWorker(0)
+	b.Report(ms(1), memberID(1), Report{Whole: true, States: []lease.State{{ID: w.ID, Worker: &w, Fence: lease.NewFence(9), Open: true, Draining: true}}})
+	b.Ask(ms(2), memberID(1), ask("j", 1))
+	if grants, _ := place(b, 2); len(grants) != 0 {
+		t.Errorf("grants %+v on a draining worker", grants)
+	}
+}
+
+// The list says that a worker drains: its holder is told, and told again if it reports
+// the worker without it.
+func TestHolderIsToldOfDraining(t *testing.T) {
+	b := allHeld(t, 2, 1)
+	b.Workers(ms(700), Listing{Listed: []Listed{{Worker: testWorker(0), Draining: true}}})
+	told := func() (n int) {
+		for _, a := range b.Take() {
+			if a.Drain != nil {
+				n++
+			}
+		}
+		return n
+	}
+	if told() != 1 {
+		t.Error("the holder is not told")
+	}
+	b.Report(ms(710), memberID(0), Report{States: []lease.State{{ID: "w0", Fence: lease.NewFence(9), Open: true}}})
+	if told() != 1 {
+		t.Error("the holder is not told again")
+	}
+}
+
+// A worker that its holder can't reach takes nothing, and is given to another member
+// of its data centre, which may have a path to it.
+func TestUnreachableWorker(t *testing.T) {
+	b := allHeld(t, 4, 1)
+	w := testWorker(0)
+	h := b.workers["w0"].holder
+	bad := Report{States: []lease.State{{ID: w.ID, Fence: lease.NewFence(9), Failures: 3}}}
+	for at := 4700; at < 6500; at += 100 {
+		b.Report(ms(at), h, bad)
+		b.Tick(ms(at))
+	}
+	relieved := false
+	for _, a := range b.Take() {
+		relieved = relieved || a.Relief != nil && a.To == h
+	}
+	if !relieved {
+		t.Fatal("its holder keeps it")
+	}
+	b.Report(ms(6500), h, Report{States: []lease.State{{ID: w.ID, Fence: lease.NewFence(9), Gone: true}}})
+	if got := duties(b); got["w0"] == h || got["w0"] == (mesh.ID{}) {
+		t.Errorf("it goes to %v", got["w0"])
+	}
+}
+
+// The report of a holder that was replaced arrives late.
+func TestReportOfAFormerHolder(t *testing.T) {
+	b := allHeld(t, 4, 1)
+	h := b.workers["w0"].holder
+	from := memberID(2)
+	if h == from {
+		from = memberID(0)
+	}
+	b.Report(ms(700), from, Report{States: []lease.State{{ID: "w0", Fence: lease.NewFence(5), Open: true}}})
+	if got := b.workers["w0"].holder; got != h {
+		t.Errorf("%v counts as holder in place of %v", got, h)
+	}
+}
+
+// A worker changes its holder. What was learned of its speed must go with it.
+func TestSpeedGoesWithADuty(t *testing.T) {
+	b := allHeld(t, 4, 1)
+	h := b.workers["w0"].holder
+	slow := lease.Speed{Factor: 3, Ends: 40}
+	b.Report(ms(700), h, Report{States: []lease.State{{ID: "w0", Fence: lease.NewFence(9), Open: true, Speed: slow}}})
+	b.Report(ms(710), h, Report{States: []lease.State{{ID: "w0", Fence: lease.NewFence(9), Gone: true}}})
+	for _, a := range b.Take() {
+		if a.Duty != nil && a.Duty.Speed.Factor == slow.Factor {
+			return
+		}
+	}
+	t.Error("the new holder is not told the speed")
+}
+
+// A worker has started again and is still listed under its former life. Whoever is told to
+// hold it finds another life there and lets go at once, so that it was given to two members
+// in turns, 450 times in a second, which took a good part of the planner's processor.
+func TestWorkerThatNobodyCanHold(t *testing.T) {
+	b := allHeld(t, 2, 1)
+	w := testWorker(0)
+	given := 0
+	holder := b.workers["w0"].holder
+	for at := 5000; at < 7000; at += 2 {
+		if holder != (mesh.ID{}) {
+			b.Report(ms(at), holder, Report{States: []lease.State{{ID: w.ID, Fence: b.workers["w0"].fence + 1, Gone: true}}})
+			holder = mesh.ID{}
+		}
+		if at%50 == 0 {
+			b.Tick(ms(at))
+		}
+		for _, a := range b.Take() {
+			if a.Duty != nil {
+				given++
+				holder = a.To
+			}
+		}
+	}
+	if given < 2 || given > 8 {
+		t.Errorf("given %d times in two seconds, want 2 to 8", given)
+	}
+}
