--- a/node/members.go
+++ b/node/members.go
@@ -154,6 +154,17 @@
 	c.reader = c.electReader(mates, best)
 	c.ageList(now)
 	began := c.plan(now, best.ID == c.self.ID)
+	whole := c.meet(now, up)
+	c.cell.Members(now, mates, up, c.met, whole)
+	if began {
+		c.recallOwn(now)
+	}
+	c.appoint(now, mates)
+}
+
+// meet takes note of whether more than half of the processes that the store lists are in
+// sight, and tells whether all that live are.
+func (c *Core) meet(now time.Time, up []mesh.Member) (whole bool) {
 	seen := c.seen(up)
 	met := 2*seen > len(c.known)
 	if met && !c.met {
@@ -162,12 +173,7 @@
 	c.met = met
 	// Who starts together with this process may not have met it yet. Later, who lives
 	// is in sight.
-	whole := seen == len(c.known) || met && now.Sub(c.metSince) > meetWithin
-	c.cell.Members(now, mates, up, met, whole)
-	if began {
-		c.recallOwn(now)
-	}
-	c.appoint(now, mates)
+	return seen == len(c.known) || met && now.Sub(c.metSince) > meetWithin
 }
 
 // meetWithin is how long processes that start together take to meet, at the most: some
