node: event 918 names whose list a new planner uses

A deputy that reaches no store and begins to plan told its list to itself first, as members tell a new planner, and so took it for its own: event 918 named the process itself in place of the planner before. The list was the same. Seen in a log of TestStoreIsAway ("workers recalled", from its own id), understood on reading the change again.

A process doesn't tell its list to itself. node.TestRecalledListNamesThePlannerBefore is red before.

--- a/node/list_test.go
+++ b/node/list_test.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"bytes"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,6 +79,22 @@
 	}
 }
 
+// The same, and the process has noticed that it reaches no store. Who is on call reads in event
+// 918 whose list is in use; it named the process itself.
+func TestRecalledListNamesThePlannerBefore(t *testing.T) {
+	planner, second, _ := planning()
+	var log bytes.Buffer
+	second.log = slog.New(slog.NewTextHandler(&log, nil))
+	second.Say(ms(5), func(m *mesh.Member) { m.Blind = true })
+	planner.Workers(ms(10), listed("w"))
+	tell(ms(11), planner, second, planner.Take(ms(10)))
+	second.MemberDown(ms(100), planner.Self().ID, 1, ms(90))
+	second.Take(ms(100))
+	if want := "event=918 workers=1 from=" + planner.Self().ID.String(); strings.Count(log.String(), "event=918") != 1 || !strings.Contains(log.String(), want) {
+		t.Errorf("logs %s, want %s once", log.String(), want)
+	}
+}
+
 // Workers come, drain and leave. The next planner must not start tasks on one that has long
 // said that it leaves.
 func TestDeputiesAreToldOfChanges(t *testing.T) {
--- a/node/members.go
+++ b/node/members.go
@@ -225,7 +225,7 @@
 // greet tells a new planner everything: all workers held, all tasks that wait.
 func (c *Core) greet(now time.Time) {
 	c.reported, c.changed = time.Time{}, time.Time{}
-	if c.self.Blind && c.planner != c.list.from && c.list.usable(now) {
+	if c.self.Blind && c.planner != c.self.ID && c.planner != c.list.from && c.list.usable(now) {
 		// It may reach the store no more than this process does.
 		whole := c.list.whole()
 		c.send(now, c.planner, Mail{Listing: &whole})
