Log how old the list of workers is, and who brings a drain

Event 904 was written for the list's news only and did not say how old the read was; nothing said how old the list was that a grant or an assignment rests on, nor that a holder was told.

Change: each read reports its age, also one without records; 904 names its source and sender, 906 and 924 the list's age, 919 is the holder's word that it was told, 928 and 929 say that the list is late (over 1 s) and current again, and the gauge planner_list_age_seconds shows it. No decision depends on any of it.

--- a/cell/book.go
+++ b/cell/book.go
@@ -167,8 +167,11 @@
 	mayReassign, allReachable bool
 	actions                   []Action
 	counts                    Counts
-	// listRead is set once the platform's worker list has been read.
+	// listRead is set once the platform's worker list has been read. listAsOf is the time
+	// as of which it is known, and listLate is set while that is more than maxListAge ago.
 	listRead bool
+	listAsOf time.Time
+	listLate bool
 }
 
 type member struct {
@@ -189,7 +192,7 @@
 	pl.pending = make(map[stepKey]*pendingRequest)
 	pl.requestQueue = requestQueue{order: pl.policy.Order}
 	pl.bySpeed, pl.byID = nil, nil
-	pl.listRead = false
+	pl.listRead, pl.listAsOf, pl.listLate = false, time.Time{}, false
 }
 
 // TakeActions returns and clears the actions that have accumulated since the last call.
@@ -219,7 +222,7 @@
 		return
 	}
 	pl.clear()
-	pl.active, pl.startedAt = true, now
+	pl.active, pl.startedAt, pl.listAsOf = true, now, now
 	event.PlannerBegan.Log(pl.log, "planner", pl.self)
 }
 
@@ -297,11 +300,15 @@
 	Draining bool `cbor:"8,keyasint,omitzero"`
 }
 
-// UpdateWorkers applies the platform's worker list, or changes of it.
-func (pl *Planner) UpdateWorkers(now time.Time, l WorkerList) {
+// UpdateWorkers applies the platform's worker list, or changes of it, as read or copied by
+// a member.
+func (pl *Planner) UpdateWorkers(now time.Time, from mesh.ID, l WorkerList) {
 	if !pl.active {
 		return
 	}
+	if !l.FromPlanner {
+		pl.confirmList(now, from, now.Add(-l.Age))
+	}
 	if l.Full && !l.FromPlanner {
 		for _, w := range pl.workers {
 			w.listed = false
@@ -309,7 +316,7 @@
 		pl.listRead = true
 	}
 	for _, w := range l.Workers {
-		pl.updateListed(w)
+		pl.updateListed(w, from, l.Age)
 	}
 	for _, id := range l.Removed {
 		if w := pl.workers[id]; w != nil {
@@ -320,8 +327,9 @@
 	pl.needsPlanning = true
 }
 
-// updateListed adds or updates a worker that the platform lists.
-func (pl *Planner) updateListed(l ListedWorker) {
+// updateListed adds or updates a worker that the platform lists, as read or copied by a
+// member some time ago.
+func (pl *Planner) updateListed(l ListedWorker, from mesh.ID, age time.Duration) {
 	w := pl.workers[l.ID]
 	if w == nil {
 		w = &worker{runs: make(map[lease.Run]activeRun)}
@@ -331,7 +339,7 @@
 	w.Worker, w.listed = l.Worker, true
 	if l.Draining && !w.draining {
 		w.draining = true
-		event.WorkerDraining.Log(pl.log, "worker", l.ID)
+		event.WorkerDraining.Log(pl.log, "worker", l.ID, "source", "list", "from", from, "read_ms_ago", age.Milliseconds())
 		pl.sendDrain(w)
 	}
 }
@@ -358,6 +366,7 @@
 			}
 		}
 	}
+	pl.checkListAge(now)
 	pl.forgetUnlisted(now)
 	pl.assign(now)
 	pl.balance(now)
--- a/cell/book_test.go
+++ b/cell/book_test.go
@@ -41,7 +41,7 @@
 	for i := range k {
 		l.Workers = append(l.Workers, ListedWorker{Worker: testWorker(i)})
 	}
-	pl.UpdateWorkers(ms(0), l)
+	pl.UpdateWorkers(ms(0), memberID(0), l)
 	if a := pl.TakeActions(); len(a) != 0 {
 		t.Fatalf("%d actions before the members have reported", len(a))
 	}
@@ -208,7 +208,7 @@
 	for i := range workers {
 		l.Workers = append(l.Workers, ListedWorker{Worker: testWorker(i)})
 	}
-	pl.UpdateWorkers(ms(0), l)
+	pl.UpdateWorkers(ms(0), memberID(0), l)
 	pl.Tick(ms(600))
 	for _, a := range pl.TakeActions() {
 		if a.Assignment != nil {
--- a/cell/duty_test.go
+++ b/cell/duty_test.go
@@ -117,7 +117,7 @@
 // if it reports the worker as not draining.
 func TestHolderIsToldOfDraining(t *testing.T) {
 	pl := newPlannerWithHolders(t, 2, 1)
-	pl.UpdateWorkers(ms(700), WorkerList{Workers: []ListedWorker{{Worker: testWorker(0), Draining: true}}})
+	pl.UpdateWorkers(ms(700), memberID(0), WorkerList{Workers: []ListedWorker{{Worker: testWorker(0), Draining: true}}})
 	told := func() (n int) {
 		for _, a := range pl.TakeActions() {
 			if a.Drain != nil {
--- a/cell/message.go
+++ b/cell/message.go
@@ -107,6 +107,9 @@
 	// FromPlanner is set for a planner's copy of the list, which is sent to a deputy or to
 	// the next planner; otherwise the list was read from the platform.
 	FromPlanner bool `cbor:"4,keyasint,omitzero"`
+	// Age is the time since the read began: the list reflects the platform's as of then or
+	// later.
+	Age time.Duration `cbor:"5,keyasint,omitzero"`
 }
 
 // Report is the state of a holder's workers.
--- a/cell/place.go
+++ b/cell/place.go
@@ -302,7 +302,7 @@
 		pl.counts.Granted++
 		g.Items = append(g.Items, it)
 		event.TaskGranted.Log(pl.log, "job", p.job, "task", r.Task, "run", r.Number, "worker", c.ID, "holder", c.holder,
-			"factor", c.factor, "waited_ms", now.Sub(p.arrivedAt).Milliseconds(), "left_cpu", c.free.CPU)
+			"factor", c.factor, "waited_ms", now.Sub(p.arrivedAt).Milliseconds(), "left_cpu", c.free.CPU, "list_age_ms", pl.ListAge(now).Milliseconds())
 	}
 	if g == nil {
 		return
--- a/cell/report.go
+++ b/cell/report.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"snipehub.example/event"
 	"snipehub.example/lease"
 	"snipehub.example/mesh"
 )
@@ -75,7 +76,10 @@
 	if w.draining && !s.Draining {
 		pl.sendDrain(w)
 	}
-	w.draining = w.draining || s.Draining
+	if s.Draining && !w.draining {
+		w.draining = true
+		event.WorkerDraining.Log(pl.log, "worker", s.ID, "source", "holder", "from", from)
+	}
 	if s.Fence != 0 {
 		w.fence = s.Fence
 	}
--- a/cell/view.go
+++ b/cell/view.go
@@ -12,11 +12,13 @@
 	// Waiting is the number of pending requests, one for each step of a job; Workers the
 	// number of workers that accept tasks; FreeCores the free CPU on these. Queues holds
 	// the pending tasks of each queue.
-	Waiting   int            `json:"waiting"`
-	Workers   int            `json:"workers"`
-	FreeCores float64        `json:"free_cores"`
-	Holders   []HeldWorker   `json:"holders"`
-	Queues    map[string]int `json:"queues"`
+	Waiting   int          `json:"waiting"`
+	Workers   int          `json:"workers"`
+	FreeCores float64      `json:"free_cores"`
+	Holders   []HeldWorker `json:"holders"`
+	// ListAge is how long ago the platform's worker list was current for certain.
+	ListAge time.Duration  `json:"list_age"`
+	Queues  map[string]int `json:"queues"`
 }
 
 // HeldWorker is a worker and its holder.
@@ -34,7 +36,7 @@
 
 // View returns the planner's state for operators.
 func (pl *Planner) View(now time.Time) View {
-	v := View{Waiting: len(pl.pending), Queues: make(map[string]int)}
+	v := View{Waiting: len(pl.pending), Queues: make(map[string]int), ListAge: pl.ListAge(now)}
 	for _, p := range pl.pending {
 		v.Queues[p.Queue] += len(p.Tasks)
 	}
--- a/event/table.go
+++ b/event/table.go
@@ -96,6 +96,7 @@
 	OrderUnreadable        ID = 916
 	TextDiffers            ID = 917
 	WorkerListInherited    ID = 918
+	DrainReceived          ID = 919
 
 	JobAdmitted           ID = 920
 	JobJoined             ID = 921
@@ -105,6 +106,8 @@
 	RunEnded              ID = 925
 	JobUnreadable         ID = 926
 	JobOfferedToOtherCell ID = 927
+	WorkerListLate        ID = 928
+	WorkerListCurrent     ID = 929
 )
 
 var table = []Entry{
@@ -175,9 +178,9 @@
 	{PlannerBegan, slog.LevelInfo, "planning begins", "This process plans for the cell from now on.", "0.2"},
 	{PlannerEnded, slog.LevelInfo, "planning ends", "Another process plans from now on.", "0.2"},
 	{WorkerListed, slog.LevelInfo, "worker listed", "The platform lists a worker that was not known before.", "0.2"},
-	{WorkerDraining, slog.LevelInfo, "worker drains", "The worker is draining; it gets no new tasks.", "0.2"},
+	{WorkerDraining, slog.LevelInfo, "worker drains", "The worker is draining; it gets no new tasks. source says who brought the news: the platform's list, as read or copied by the process given so long ago, or the worker's holder.", "0.2"},
 	{WorkerForgotten, slog.LevelInfo, "worker forgotten", "The platform no longer lists the worker, and no holder reaches it.", "0.2"},
-	{WorkerAssigned, slog.LevelInfo, "worker given to a member", "The planner assigns the worker to a member. floor is the highest fencing token known.", "0.2"},
+	{WorkerAssigned, slog.LevelInfo, "worker given to a member", "The planner assigns the worker to a member. floor is the highest fencing token known; list_age_ms is how long ago the list of workers was current for certain.", "0.2"},
 	{WorkerReleaseRequested, slog.LevelInfo, "worker taken from a member", "The planner asks the holder to release the worker, so that another member can hold it.", "0.2"},
 	{HoldingBegan, slog.LevelInfo, "holding begins", "This process begins to hold the worker.", "0.2"},
 	{HoldingEnded, slog.LevelInfo, "holding ended", "This process no longer holds the worker, for the reason given: it was released, another holder has taken over (fenced), the worker is gone, or all rounds of the fencing token are used.", "0.2"},
@@ -190,12 +193,15 @@
 	{OrderUnreadable, slog.LevelError, "order not understood by the worker", "A defect: the worker can't decode the task that it was told to start, and has done nothing. The task is placed again. Compare text_bytes with the job's event 920 and look for events 914 and 915 of the run just before.", "0.2"},
 	{TextDiffers, slog.LevelError, "order has another text than its job", "A defect: the text of a task has changed between its caller's process and its holder. The worker was not told to start it; the task is placed again. Look for events 914 and 915 of the run just before.", "0.2"},
 	{WorkerListInherited, slog.LevelInfo, "workers recalled", "This process has begun to plan and uses the copy of the list of workers from the process given, until it has read the store's list.", "0.2"},
+	{DrainReceived, slog.LevelInfo, "holder stops starts", "The planner has told this process that a worker that it holds drains. Nothing is started there from now on; unanswered is how many starts had no answer yet.", "0.2"},
 	{JobAdmitted, slog.LevelInfo, "job admitted", "A caller's job was accepted, and workers were requested for it.", "0.2"},
 	{JobJoined, slog.LevelInfo, "job joined", "A request with the id of a job in progress here waits for the same answer.", "0.2"},
 	{JobAnswered, slog.LevelInfo, "job answered", "The final answer of a job: completed, failed, refused (nothing ran) or unknown (given up after something ran).", "0.2"},
 	{JobRefused, slog.LevelInfo, "job gets no workers", "The planner refuses a job of which nothing has started, for the reason given.", "0.2"},
-	{TaskGranted, slog.LevelInfo, "task granted", "The planner has chosen a worker for a task.", "0.2"},
+	{TaskGranted, slog.LevelInfo, "task granted", "The planner has chosen a worker for a task. list_age_ms is how long ago the list of workers was current for certain.", "0.2"},
 	{RunEnded, slog.LevelInfo, "run ended", "A run of a task has ended, or was not started (how=never, with the reason).", "0.2"},
 	{JobUnreadable, slog.LevelWarn, "job not understood", "A request could not be read as a job, or asks for something that is not implemented; the caller is told so.", "0.2"},
 	{JobOfferedToOtherCell, slog.LevelInfo, "job offered to another cell", "The planner of this cell has refused the job, and the planner of another cell is asked: this cell has no free resources in time, others may.", "0.2"},
+	{WorkerListLate, slog.LevelWarn, "list of workers late", "The planner has had no current list of workers for the time given: its reads, or those of the member that reads for it, fail or are slow (802). Workers that drain meanwhile still get tasks.", "0.2"},
+	{WorkerListCurrent, slog.LevelInfo, "list of workers current", "The planner has a current list of workers again, read by the process given.", "0.2"},
 }
--- a/lease/book.go
+++ b/lease/book.go
@@ -272,10 +272,14 @@
 	}
 }
 
-// Drain marks the worker as draining: all further starts are refused.
-func (wl *WorkerLease) Drain() {
-	wl.unreported = wl.unreported || !wl.draining
-	wl.draining = true
+// Drain marks the worker as draining: all further starts are refused. It reports whether
+// that is news.
+func (wl *WorkerLease) Drain() bool {
+	if wl.draining {
+		return false
+	}
+	wl.draining, wl.unreported = true, true
+	return true
 }
 
 // Release gives the worker up for another holder: nothing is started any more, and the
--- a/meter/table.go
+++ b/meter/table.go
@@ -75,6 +75,7 @@
 	PlannerFreeCores Name = "planner_free_cores"
 	PlannerGrants    Name = "planner_grants"
 	PlannerRefusals  Name = "planner_refusals"
+	PlannerListAge   Name = "planner_list_age_seconds"
 )
 
 // Kind is the type of a metric.
@@ -172,4 +173,5 @@
 	{909, PlannerFreeCores, Gauge, "cores", nil, "Room that is free on these workers.", "0.2"},
 	{910, PlannerGrants, Counter, "tasks", nil, "Tasks that this process has granted workers as the planner.", "0.2"},
 	{911, PlannerRefusals, Counter, "jobs", byCode, "Jobs that this process has refused as the planner; the code is the reason.", "0.2"},
+	{912, PlannerListAge, Gauge, "seconds", nil, "How long ago the platform's list of workers was current for certain, at the planner; 0 elsewhere.", "0.2"},
 }
--- a/model/vm.go
+++ b/model/vm.go
@@ -168,7 +168,7 @@
 			}
 		}
 		n.reading = planner
-		n.core.WorkersListed(now, l)
+		n.core.WorkersListed(now, now, l)
 	})
 	w.after(listInterval, func() { n.listWorkers(boots) })
 }
--- a/node/core.go
+++ b/node/core.go
@@ -304,9 +304,7 @@
 	case m.Assignment != nil:
 		c.startHolding(now, *m.Assignment)
 	case m.Drain != nil:
-		if wl := c.held[m.Drain.Worker]; wl != nil {
-			wl.Drain()
-		}
+		c.drainWorker(from, m.Drain.Worker)
 	case m.WorkerList != nil:
 		c.handleWorkerList(now, from, *m.WorkerList)
 	case m.CatalogRequest != nil:
@@ -362,9 +360,10 @@
 	}
 }
 
-// WorkersListed forwards the platform's list of workers, as read by this process, to the
-// planner.
-func (c *Core) WorkersListed(now time.Time, l cell.WorkerList) {
+// WorkersListed forwards the platform's list of workers, as this process has read it from
+// a time on, to the planner.
+func (c *Core) WorkersListed(now, readAt time.Time, l cell.WorkerList) {
+	l.Age = now.Sub(readAt)
 	c.send(now, c.planner, Message{WorkerList: &l})
 }
 
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -149,7 +149,7 @@
 		t.Errorf("reads the worker list: %v, for %v; want true, for the planner", ok, planner)
 	}
 	c.Take(ms(2))
-	c.WorkersListed(ms(3), cell.WorkerList{Full: true, Workers: []cell.ListedWorker{{Worker: testWorker()}}})
+	c.WorkersListed(ms(3), ms(3), cell.WorkerList{Full: true, Workers: []cell.ListedWorker{{Worker: testWorker()}}})
 	got := messagesTo(c.Take(ms(3)), first.ID)
 	if len(got) != 1 || got[0].WorkerList == nil || !got[0].WorkerList.Full {
 		t.Errorf("sent %+v, want the list", got)
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -81,6 +81,7 @@
 	m.Gauge(meter.PlannerWaiting, float64(stats.view.Waiting))
 	m.Gauge(meter.PlannerWorkers, float64(stats.view.Workers))
 	m.Gauge(meter.PlannerFreeCores, stats.view.FreeCores)
+	m.Gauge(meter.PlannerListAge, stats.view.ListAge.Seconds())
 	m.Count(meter.PlannerGrants, stats.granted-last.granted)
 	for why, v := range stats.refused {
 		m.CountCode(meter.PlannerRefusals, why, v-last.refused[why])
--- a/node/holder.go
+++ b/node/holder.go
@@ -25,6 +25,14 @@
 	c.held[a.Worker.ID] = lease.NewWorkerLease(now, a.Worker, lease.NewFence(c.self.Number), minFence, a.Speed, c.statsOf(a.Worker.Pool))
 }
 
+// drainWorker has no more tasks started on a worker, as a planner asks.
+func (c *Core) drainWorker(planner mesh.ID, worker string) {
+	wl := c.held[worker]
+	if wl != nil && wl.Drain() {
+		event.DrainReceived.Log(c.log, "worker", worker, "planner", planner, "unanswered", wl.UnansweredStarts())
+	}
+}
+
 // dropHolding removes the lease on a worker and keeps the highest fence that it used,
 // which the next lease must exceed.
 func (c *Core) dropHolding(worker string) {
--- a/node/list.go
+++ b/node/list.go
@@ -96,7 +96,7 @@
 		c.adoptList(now, from, l)
 	case c.cell.Active():
 		l = c.ownCellWorkers(l)
-		c.cell.UpdateWorkers(now, l)
+		c.cell.UpdateWorkers(now, from, l)
 		c.list.expires = time.Time{}
 		c.forwardChanges(now, c.list.apply(c.self.ID, l))
 	case l.FromPlanner && (from == c.planner || c.list.source != c.planner):
@@ -114,7 +114,7 @@
 		return
 	}
 	event.WorkerListInherited.Log(c.log, "workers", len(l.Workers), "from", from)
-	c.cell.UpdateWorkers(now, l)
+	c.cell.UpdateWorkers(now, from, l)
 	c.list.expires = time.Time{}
 	c.forwardChanges(now, c.list.apply(c.self.ID, cell.WorkerList{Workers: l.Workers}))
 }
--- a/node/store.go
+++ b/node/store.go
@@ -128,7 +128,7 @@
 			workers = append(workers, l)
 		}
 		l := cell.WorkerList{Full: update.Full, Workers: workers, Removed: removed}
-		n.enqueue(ctx, func(now time.Time, c *Core) { c.WorkersListed(now, l) })
+		n.enqueue(ctx, func(now time.Time, c *Core) { c.WorkersListed(now, update.At, l) })
 	})
 }
 
@@ -145,6 +145,8 @@
 	return n.follower(registry.Config{Name: topicMembers, Wait: membersPollWait}, n.platform.Members, nil, func(ctx context.Context, update registry.Update) {
 		if update.Full {
 			tracker.clear()
+		} else if len(update.Records) == 0 {
+			return
 		}
 		for _, r := range update.Records {
 			n.applyMemberRecord(ctx, tracker, r)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -50,7 +50,8 @@
 	Read(ctx context.Context, from Offset, wait time.Duration) ([]Record, Offset, error)
 }
 
-// Update holds records that a follower has read.
+// Update holds records that a follower has read. Without records, it confirms that nothing
+// has changed.
 type Update struct {
 	// Full is set if Records holds the latest record of every key; otherwise it
 	// holds the records added since the previous update.
@@ -158,9 +159,7 @@
 			f.recordSuccess(u.At)
 			retryDelay = minRetryDelay
 			next, full = u.Next, false
-			if u.Full || len(u.Records) > 0 {
-				f.emit(ctx, u)
-			}
+			f.emit(ctx, u)
 			clock.Sleep(ctx, f.cfg.Pause)
 		}
 	}
