model: a silent store, and a check for starts on draining workers

Callers of a worker that drains lose their tasks when it leaves. The simulation noticed a lost store at the next read of the list, within 0.4 s, so it could not show how late a drain is known. Now a store that does not answer is noticed as by the real process: by the list's own read after 0.7 s, and in what a process advertises when a read that waits 2 s has failed. A start that is sent to a worker that has drained for longer than the bound, by a process that has run with a path to the store and the others for 3 s, is a violation.

--- a/model/model.go
+++ b/model/model.go
@@ -55,6 +55,9 @@
 	// DelayedCallShare is the share of calls to workers that are delayed on their way by up to
 	// maxCallDelay, so that later calls on other connections overtake them.
 	DelayedCallShare float64
+	// DrainBound is how long after a worker has announced that it drains a sound process may
+	// still start tasks there; 0 means that this is not checked.
+	DrainBound time.Duration
 	// Policy is the planner's policy; the zero value is the default policy.
 	Policy cell.Policy
 	// Objective, if set, replaces the objectives of the classes in the catalog that processes
@@ -140,8 +143,11 @@
 	// callerRand draws which callers move or abandon their jobs and which jobs always fail, a
 	// separate stream for the same reason.
 	callerRand *rand.Rand
-	log        *slog.Logger
-	now        time.Time
+	// storeRand draws when each process's reads of the store begin, a separate stream for the
+	// same reason.
+	storeRand *rand.Rand
+	log       *slog.Logger
+	now       time.Time
 	// start is the time of the first request.
 	start            time.Time
 	queue            events
@@ -223,6 +229,7 @@
 		connectRand:   rand.New(rand.NewPCG(cfg.Seed, 3)),
 		callDelayRand: rand.New(rand.NewPCG(cfg.Seed, 4)),
 		callerRand:    rand.New(rand.NewPCG(cfg.Seed, 5)),
+		storeRand:     rand.New(rand.NewPCG(cfg.Seed, 8)),
 		isolatedDCs:   make(map[string]bool),
 		now:           time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		sessions:      make(map[[2]int]*session),
--- a/model/outage.go
+++ b/model/outage.go
@@ -37,7 +37,7 @@
 	})
 }
 
-// BlockStore makes the store unreachable for one process.
+// BlockStore makes the store silent for one process.
 func BlockStore(vm int, d time.Duration) func(*World) {
 	return func(w *World) {
 		n := w.vms[vm%len(w.vms)]
@@ -104,7 +104,7 @@
 func Retire(worker int, after time.Duration) func(*World) {
 	return func(w *World) {
 		x := w.workers[worker%len(w.workers)]
-		x.draining = true
+		x.draining, x.drainsSince = true, w.now
 		w.after(after, func() {
 			x.removed = true
 			if x.up {
--- a/model/score.go
+++ b/model/score.go
@@ -22,6 +22,9 @@
 	Rejected int
 	Waste    time.Duration
 	Messages int
+	// LastDrainedStart is how long after a worker announced that it drains a start was sent
+	// to it, at most.
+	LastDrainedStart time.Duration
 	// Violations describes the violated guarantees, at most maxBroken of them.
 	Violations []string
 }
@@ -80,6 +83,21 @@
 	return s
 }
 
+// checkDrain checks that a start is not sent to a worker that announced long ago that it
+// drains, unless the process that sends it was cut off or did not run.
+func (n *vm) checkDrain(worker string, c lease.StartCall) {
+	w := n.world
+	x := w.workersByID[worker]
+	if !x.draining {
+		return
+	}
+	since := w.now.Sub(x.drainsSince)
+	w.result.LastDrainedStart = max(w.result.LastDrainedStart, since)
+	if w.cfg.DrainBound > 0 && since > w.cfg.DrainBound && n.sound() {
+		w.violation("DRAIN: %s sends %s to %s, which drains for %.3f s", n.name, c.Task, x.ID, since.Seconds())
+	}
+}
+
 func (w *World) ended(s *span, outcome lease.Outcome) {
 	s.end, s.outcome = w.now, outcome
 	if outcome != lease.Done {
--- a/model/vm.go
+++ b/model/vm.go
@@ -26,9 +26,12 @@
 	boots uint64
 	// up is set while the process runs, suspended while it does not execute.
 	up, suspended bool
-	// isolated is set while no other process is reachable, storeBlocked while the store is
-	// not.
+	// isolated is set while no other process is reachable, storeBlocked while the store does
+	// not answer.
 	isolated, storeBlocked bool
+	// impairedAt is when the process last did not run, or was cut off from the store or from
+	// the others.
+	impairedAt time.Time
 	// leaving is set while the process shuts down gracefully and takes no new callers.
 	leaving bool
 	// cores is the fraction of a core that the VM gets.
@@ -37,8 +40,8 @@
 	backlog    []func()
 	waiters    map[entry.Waiter]func(entry.Answer)
 	lastWaiter entry.Waiter
-	// reading is the planner for which the process reads the list of workers; zero if none.
-	reading mesh.ID
+	// storeLost is set while the process knows that the store does not answer.
+	storeLost bool
 	// watchedSince maps each member that the process watches to when it began to.
 	watchedSince map[mesh.ID]time.Time
 	// in and out are the two directions of the VM's link.
@@ -47,8 +50,15 @@
 
 const (
 	tickInterval = 50 * time.Millisecond
-	// listInterval is the interval between reads of the list of workers.
-	listInterval = 400 * time.Millisecond
+	// listInterval is the interval between reads of the list of workers. A read that gets no
+	// answer fails after listTimeout and is repeated after listRetryDelay.
+	listInterval   = 400 * time.Millisecond
+	listTimeout    = 700 * time.Millisecond
+	listRetryDelay = 100 * time.Millisecond
+	// pollWait is how long a read of the operator's topic waits for a change.
+	pollWait = 2 * time.Second
+	// soundAfter is how long after an impairment a process counts as sound.
+	soundAfter = 3 * time.Second
 	// watchedSessionTimeout is the silence after which a process ends a session with a
 	// member that it watches.
 	watchedSessionTimeout = mesh.SessionTimeout
@@ -91,12 +101,14 @@
 	n.core = node.NewCore(w.log.With("vm", n.name), self, &catalog.Store{}, w.cfg.Policy)
 	n.waiters = make(map[entry.Waiter]func(entry.Answer))
 	n.backlog = nil
-	n.reading = mesh.ID{}
+	n.storeLost = false
 	n.watchedSince = make(map[mesh.ID]time.Time)
+	n.impairedAt = w.now
 	boots := n.boots
 	w.after(10*time.Millisecond, func() { n.register(boots) })
 	n.tick(boots)
 	n.listWorkers(boots)
+	w.after(time.Duration(w.storeRand.Int64N(int64(pollWait))), func() { n.pollStore(boots) })
 	for _, o := range w.vms {
 		if o != n && o.up {
 			w.after(minConnectTime+time.Duration(w.connectRand.IntN(200))*time.Millisecond, func() { w.connect(n, o) })
@@ -142,35 +154,84 @@
 	if n.boots != boots || !n.up {
 		return
 	}
+	n.noteImpairment()
 	n.do(func(now time.Time) { n.core.Tick(now) })
 	n.world.after(tickInterval, func() { n.tick(boots) })
 }
 
 // listWorkers periodically reads the list of workers while this process is the one that
-// reads it for the planner.
+// reads it for the planner. A store that does not answer is noticed after listTimeout.
 func (n *vm) listWorkers(boots uint64) {
 	w := n.world
 	if n.boots != boots || !n.up {
 		return
 	}
-	unreachable := n.storeUnreachable()
+	pause := listInterval
 	n.do(func(now time.Time) {
-		n.core.Advertise(now, func(m *mesh.Member) { m.StoreUnreachable = unreachable })
-		planner, _, ok := n.core.ListReader()
-		if !ok || unreachable {
-			n.reading = mesh.ID{}
-			return
+		_, _, ok := n.core.ListReader()
+		switch {
+		case !ok:
+		case n.storeUnreachable():
+			pause = listTimeout + listRetryDelay
+		default:
+			n.core.WorkersListed(now, now, w.workerList(n.dc))
 		}
-		l := cell.WorkerList{Full: true}
-		for _, x := range w.workers {
-			if x.up && x.reachable && !w.partitioned(n.dc, x.DataCenter) {
-				l.Workers = append(l.Workers, x.listed())
-			}
+	})
+	w.after(pause, func() { n.listWorkers(boots) })
+}
+
+// workerList returns the list of the workers whose records reach the store from a data
+// centre's side.
+func (w *World) workerList(dc string) cell.WorkerList {
+	l := cell.WorkerList{Full: true}
+	for _, x := range w.workers {
+		if x.up && x.reachable && !w.partitioned(dc, x.DataCenter) {
+			l.Workers = append(l.Workers, x.listed())
+		}
+	}
+	return l
+}
+
+// pollStore follows the operator's topic with reads that wait for a change. Only when one of
+// them fails does the process advertise that the store is unreachable, and only when one
+// succeeds that it is back.
+func (n *vm) pollStore(boots uint64) {
+	if n.boots != boots || !n.up {
+		return
+	}
+	n.world.after(pollWait, func() {
+		if !n.storeUnreachable() {
+			n.advertiseStore(boots, false)
+			n.pollStore(boots)
+			return
 		}
-		n.reading = planner
-		n.core.WorkersListed(now, now, l)
+		n.world.after(listTimeout, func() {
+			n.advertiseStore(boots, true)
+			n.pollStore(boots)
+		})
 	})
-	w.after(listInterval, func() { n.listWorkers(boots) })
+}
+
+func (n *vm) advertiseStore(boots uint64, lost bool) {
+	if n.boots != boots || n.storeLost == lost {
+		return
+	}
+	n.storeLost = lost
+	n.do(func(now time.Time) { n.core.Advertise(now, func(m *mesh.Member) { m.StoreUnreachable = lost }) })
+}
+
+// noteImpairment records whether the process is cut off from the store or from the others.
+func (n *vm) noteImpairment() {
+	if n.suspended || n.isolated || n.storeUnreachable() {
+		n.impairedAt = n.world.now
+	}
+}
+
+// sound reports whether the process has run with a path to the store and to the others for
+// the whole of soundAfter.
+func (n *vm) sound() bool {
+	n.noteImpairment()
+	return n.world.now.Sub(n.impairedAt) > soundAfter
 }
 
 // do runs f in the process, now or when it resumes, and performs the resulting outputs.
@@ -268,6 +329,7 @@
 }
 
 func (n *vm) start(id string, c lease.StartCall) {
+	n.checkDrain(id, c)
 	n.call(id, c.Timeout, startBytes+len(c.Spec),
 		func(x *worker, respond func(lease.Result)) { respond(x.start(c)) },
 		func(now time.Time, r lease.Result) { n.core.StartAnswered(now, id, c, r) })
--- a/model/worker.go
+++ b/model/worker.go
@@ -34,6 +34,7 @@
 	// up is set while the worker runs, reachable while calls can reach it.
 	up, reachable bool
 	draining      bool
+	drainsSince   time.Time
 	health        health
 	// slowdown multiplies the duration of tasks that begin.
 	slowdown float64
