cell: a planner that was cut off waits for reports before it assigns workers

What callers saw: after a data centre with the planner was cut off and came back, tasks were started on workers that had drained for four seconds.

Cause: the grace period for the members' reports counts from the begin of the planner's term. A planner that goes on alone during a cut has long passed it: when it reaches more than half of the processes again, it assigns all workers whose holders it does not see yet, in the same instant, from what it knew before.

Change: when members join and give back a quorum that was lost, the grace period begins anew; all reports end it as before.

--- a/cell/book.go
+++ b/cell/book.go
@@ -165,8 +165,12 @@
 	// it is not, no worker is assigned at all. allReachable is set if every existing process
 	// is reachable.
 	mayReassign, allReachable bool
-	actions                   []Action
-	counts                    Counts
+	// hadQuorum is set if mayReassign was ever set in this term.
+	hadQuorum bool
+	// assignFrom is when workers may be assigned although not all members have reported.
+	assignFrom time.Time
+	actions    []Action
+	counts     Counts
 	// listRead is set once the platform's worker list has been read. listAsOf is the time
 	// as of which it is known, and listLate is set while that is more than maxListAge ago.
 	listRead bool
@@ -193,6 +197,7 @@
 	pl.requestQueue = requestQueue{order: pl.policy.Order}
 	pl.bySpeed, pl.byID = nil, nil
 	pl.listRead, pl.listAsOf, pl.listLate = false, time.Time{}, false
+	pl.mayReassign, pl.hadQuorum = false, false
 }
 
 // TakeActions returns and clears the actions that have accumulated since the last call.
@@ -223,6 +228,7 @@
 	}
 	pl.clear()
 	pl.active, pl.startedAt, pl.listAsOf = true, now, now
+	pl.assignFrom = now.Add(reportGracePeriod)
 	event.PlannerBegan.Log(pl.log, "planner", pl.self)
 }
 
@@ -244,17 +250,21 @@
 	if !pl.active {
 		return
 	}
-	pl.mayReassign, pl.allReachable = mayReassign, allReachable
-	next := make(map[mesh.ID]*member, len(reachable))
+	next, joined := make(map[mesh.ID]*member, len(reachable)), false
 	for _, m := range reachable {
 		e := pl.members[m.ID]
 		if e == nil {
-			e = &member{}
+			e, joined = &member{}, true
 		}
 		e.Member = m
 		next[m.ID] = e
 	}
 	pl.members = next
+	if joined && mayReassign && !pl.mayReassign && pl.hadQuorum {
+		pl.assignFrom = now.Add(reportGracePeriod)
+	}
+	pl.hadQuorum = pl.hadQuorum || mayReassign
+	pl.mayReassign, pl.allReachable = mayReassign, allReachable
 	pl.requesters = make(map[mesh.ID]string, len(requesters))
 	for _, m := range requesters {
 		pl.requesters[m.ID] = m.DataCenter
--- a/cell/duty.go
+++ b/cell/duty.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// reportGracePeriod is how long a new planner waits for the members' reports before
-	// it assigns workers, unless all existing processes have reported sooner. The
-	// look-ahead waits at most as long, for the reports of the reachable members. Members
+	// reportGracePeriod is how long a planner that is new, or was cut off, waits for the
+	// members' reports before it assigns workers, unless all existing processes have
+	// reported sooner. The look-ahead waits at most as long. Members
 	// that were there under the previous planner report within milliseconds; processes
 	// that start together find each other within about 400 ms.
 	reportGracePeriod = 500 * time.Millisecond
@@ -60,9 +60,10 @@
 // mayAssign reports whether this planner reaches enough of the cell to assign workers,
 // and has the members' reports or has waited long enough for them. A planner that is cut
 // off, or whose other members have just started, would take the workers of those that it
-// can't reach.
+// can't reach. One that was cut off for a while would take them from the holders that they
+// have had since, and give workers that drain to members that have not been told.
 func (pl *Planner) mayAssign(now time.Time) bool {
-	return pl.mayReassign && (now.Sub(pl.startedAt) >= reportGracePeriod || pl.allReachable && pl.allReported())
+	return pl.mayReassign && (!now.Before(pl.assignFrom) || pl.allReachable && pl.allReported())
 }
 
 // allReported reports whether all members have sent a full report.
--- a/cell/duty_test.go
+++ b/cell/duty_test.go
@@ -55,6 +55,35 @@
 	}
 }
 
+// The planner was cut off, and another process planned for the others. When the cut heals, the
+// planner must not assign workers from what it knew before: their holders have not reported yet,
+// some of them drain, and they would be taken from the holders that they have.
+func TestPlannerThatWasCutOffWaitsForReports(t *testing.T) {
+	pl := newPlannerWithHolders(t, 4, 8)
+	pl.SetMembers(ms(1000), members(1), members(1), false, false)
+	pl.Tick(ms(5000))
+	pl.SetMembers(ms(5010), members(3), members(3), true, false)
+	pl.Tick(ms(5050))
+	if got := takeAssignments(pl); len(got) != 0 {
+		t.Errorf("assignments %v before anybody has reported, want none", got)
+	}
+	pl.SetMembers(ms(5060), members(4), members(4), true, true)
+	for i := range 4 {
+		pl.Report(ms(5070), memberID(i), Report{Full: true, States: []lease.State{
+			{ID: testWorker(i).ID, Fence: lease.NewFence(10), Open: true, Draining: i == 1},
+		}})
+	}
+	got := takeAssignments(pl)
+	for i := range 4 {
+		if m, ok := got[testWorker(i).ID]; ok {
+			t.Errorf("%s is assigned to %v although its holder has reported it", testWorker(i).ID, m)
+		}
+	}
+	if len(got) != 4 {
+		t.Errorf("%d assignments once all have reported, want the 4 workers without holder", len(got))
+	}
+}
+
 // All processes have restarted. Once each has reported, the workers must be assigned
 // without further delay, since no caller is served before.
 func TestAllReportedEndsGracePeriod(t *testing.T) {
