node: members read the list of workers as soon as the planner's copy grows old

What callers saw: tasks started on workers that had announced for more than 2 s (small deployments) or 3 s (grown ones) that they drain; they are lost when the worker leaves.

Cause: the planner reads the list of workers. That its own read failed decided nothing; another member read only after a read of another topic, which waits 2 or 5 s, had failed: up to 2.9 s after the store fell silent, and a drain may have been written 0.4 s before. What the other member then read was sent once, and lost with a session that ended; and an update read in one term could be used in the next.

Each series of reads has a number, begins with the whole list, and ends with the session. TestWorkerListReaderElection checked that each member elects the reader; members no longer do.

--- a/cell/book.go
+++ b/cell/book.go
@@ -172,7 +172,7 @@
 	actions    []Action
 	counts     Counts
 	// listRead is set once the platform's worker list has been read. listAsOf is the time
-	// as of which it is known, and listLate is set while that is more than maxListAge ago.
+	// as of which it is known, and listLate is set while that is more than MaxListAge ago.
 	listRead bool
 	listAsOf time.Time
 	listLate bool
@@ -227,7 +227,7 @@
 		return
 	}
 	pl.clear()
-	pl.active, pl.startedAt, pl.listAsOf = true, now, now
+	pl.active, pl.startedAt, pl.listAsOf = true, now, now.Add(-mesh.SessionTimeout)
 	pl.assignFrom = now.Add(reportGracePeriod)
 	event.PlannerBegan.Log(pl.log, "planner", pl.self)
 }
--- a/cell/listage.go
+++ b/cell/listage.go
@@ -7,13 +7,14 @@
 	"snipehub.example/mesh"
 )
 
-// maxListAge is the age from which the worker list counts as late: more than two intervals
+// MaxListAge is the age from which the worker list counts as late: more than two intervals
 // between reads. Tasks must not start on a worker later than two seconds after it has
 // reported that it drains.
-const maxListAge = time.Second
+const MaxListAge = time.Second
 
 // ListAge returns how long ago the worker list was current for certain. Before it has been
-// read, this is the time since this process became the planner.
+// read, it counts as current when the previous planner may have fallen silent, at most
+// mesh.SessionTimeout before this process became the planner.
 func (pl *Planner) ListAge(now time.Time) time.Duration { return now.Sub(pl.listAsOf) }
 
 // confirmList records that a member has read the list, which is known as of a time.
@@ -23,14 +24,14 @@
 	}
 	before := pl.ListAge(now)
 	pl.listAsOf = asOf
-	if pl.listLate && pl.ListAge(now) <= maxListAge {
+	if pl.listLate && pl.ListAge(now) <= MaxListAge {
 		pl.listLate = false
 		event.WorkerListCurrent.Log(pl.log, "reader", reader, "was_ms_old", before.Milliseconds())
 	}
 }
 
 func (pl *Planner) checkListAge(now time.Time) {
-	if !pl.listLate && pl.ListAge(now) > maxListAge {
+	if !pl.listLate && pl.ListAge(now) > MaxListAge {
 		pl.listLate = true
 		event.WorkerListLate.Log(pl.log, "age_ms", pl.ListAge(now).Milliseconds(), "read", pl.listRead)
 	}
--- a/cell/message.go
+++ b/cell/message.go
@@ -110,6 +110,8 @@
 	// Age is the time since the read began: the list reflects the platform's as of then or
 	// later.
 	Age time.Duration `cbor:"5,keyasint,omitzero"`
+	// Serial is the number of the planner's request for reads that this update answers.
+	Serial uint64 `cbor:"6,keyasint,omitzero"`
 }
 
 // Report is the state of a holder's workers.
--- a/event/table.go
+++ b/event/table.go
@@ -108,6 +108,8 @@
 	JobOfferedToOtherCell ID = 927
 	WorkerListLate        ID = 928
 	WorkerListCurrent     ID = 929
+	ListReadersAsked      ID = 930
+	ListReaderAsked       ID = 931
 )
 
 var table = []Entry{
@@ -202,6 +204,8 @@
 	{RunEnded, slog.LevelInfo, "run ended", "A run of a task has ended, or was not started (how=never, with the reason).", "0.2"},
 	{JobUnreadable, slog.LevelWarn, "job not understood", "A request could not be read as a job, or asks for something that is not implemented; the caller is told so.", "0.2"},
 	{JobOfferedToOtherCell, slog.LevelInfo, "job offered to another cell", "The planner of this cell has refused the job, and the planner of another cell is asked: this cell has no free resources in time, others may.", "0.2"},
-	{WorkerListLate, slog.LevelWarn, "list of workers late", "The planner has had no current list of workers for the time given: its reads, or those of the member that reads for it, fail or are slow (802). Workers that drain meanwhile still get tasks.", "0.2"},
+	{WorkerListLate, slog.LevelWarn, "list of workers late", "The planner has had no current list of workers for the time given: its reads of the store, or those of the member that reads for it, fail or are slow (802). It asks other members to read (930). Workers that drain meanwhile still get tasks.", "0.2"},
 	{WorkerListCurrent, slog.LevelInfo, "list of workers current", "The planner has a current list of workers again, read by the process given.", "0.2"},
+	{ListReadersAsked, slog.LevelInfo, "members asked to read the list", "The planner has no current list of workers and asks the members given to read it as well. Further ones are asked every 200 ms until one of them delivers.", "0.2"},
+	{ListReaderAsked, slog.LevelInfo, "asked to read the list", "A planner asks this process to read the list of workers for it, or, with serial 0, no longer to. reads_for is the planner for which it reads now, if any.", "0.2"},
 }
--- a/model/drain_test.go
+++ b/model/drain_test.go
@@ -111,7 +111,7 @@
 				for _, seed := range d.seeds {
 					last = max(last, playDrain(t, seed, d.processes, d.bound, tt.faults))
 				}
-				t.Logf("last start on a draining worker after %v", last)
+				t.Logf("%s: last start on a draining worker after %v", tt.name, last)
 			})
 		}
 	}
--- a/model/vm.go
+++ b/model/vm.go
@@ -50,6 +50,8 @@
 
 const (
 	tickInterval = 50 * time.Millisecond
+	// listIdleInterval is how often a process checks whether it is to read the list.
+	listIdleInterval = 50 * time.Millisecond
 	// listInterval is the interval between reads of the list of workers. A read that gets no
 	// answer fails after listTimeout and is repeated after listRetryDelay.
 	listInterval   = 400 * time.Millisecond
@@ -168,13 +170,14 @@
 	}
 	pause := listInterval
 	n.do(func(now time.Time) {
-		_, _, ok := n.core.ListReader()
+		reading := n.core.ListReading()
 		switch {
-		case !ok:
+		case reading == (node.ListReading{}):
+			pause = listIdleInterval
 		case n.storeUnreachable():
 			pause = listTimeout + listRetryDelay
 		default:
-			n.core.WorkersListed(now, now, w.workerList(n.dc))
+			n.core.WorkersListed(now, reading, now, w.workerList(n.dc))
 		}
 	})
 	w.after(pause, func() { n.listWorkers(boots) })
--- a/node/cells_test.go
+++ b/node/cells_test.go
@@ -82,7 +82,7 @@
 		w.ID, w.DataCenter = []string{"x", "y"}[i], dc
 		l.Workers = append(l.Workers, cell.ListedWorker{Worker: w})
 	}
-	c.WorkersListed(ms(6), ms(6), l)
+	listed(c, ms(6), l)
 	c.Tick(ms(3000))
 	for _, o := range c.Take(ms(3000)) {
 		if o.Message != nil && o.Message.Assignment != nil && o.Message.Assignment.Worker.ID != "x" {
--- a/node/core.go
+++ b/node/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -34,6 +33,7 @@
 	Ended          *entry.Ended     `cbor:"15,keyasint,omitzero"`
 	Held           *entry.Held      `cbor:"16,keyasint,omitzero"`
 	Unheld         *entry.Unheld    `cbor:"17,keyasint,omitzero"`
+	ReadList       *ReadList        `cbor:"18,keyasint,omitzero"`
 }
 
 // CatalogRequest asks a member for its catalog. Version is the version that the member
@@ -84,8 +84,10 @@
 	planner       mesh.ID
 	// cellPerDataCenter is set if each data centre is a cell of its own.
 	cellPerDataCenter bool
-	// listReader is the member that reads the platform's list of workers for the planner.
-	listReader mesh.ID
+	// readers are the processes that read the platform's list of workers for this one while
+	// it is the planner; readFor are the reads that this process makes for another planner.
+	readers listReaders
+	readFor ListReading
 	// list is the platform's list of workers, as this process uses it if it is the
 	// planner, or as the planner has copied it to this deputy. deputies are the members to
 	// which this process copies the list while it is the planner.
@@ -141,6 +143,7 @@
 		poolStats:     make(map[string]*lease.PoolStats),
 		lostMembers:   make(map[mesh.ID]time.Time),
 		watched:       make(map[mesh.ID]struct{}),
+		readers:       listReaders{asked: make(map[mesh.ID]*listReader), tried: make(map[mesh.ID]struct{})},
 	}
 }
 
@@ -307,6 +310,8 @@
 		c.drainWorker(from, m.Drain.Worker)
 	case m.WorkerList != nil:
 		c.handleWorkerList(now, from, *m.WorkerList)
+	case m.ReadList != nil:
+		c.handleReadList(from, *m.ReadList)
 	case m.CatalogRequest != nil:
 		if have := c.catalogs.Current(); have.Version != 0 {
 			c.send(now, from, Message{Catalog: have})
@@ -360,13 +365,6 @@
 	}
 }
 
-// WorkersListed forwards the platform's list of workers, as this process has read it from
-// a time on, to the planner.
-func (c *Core) WorkersListed(now, readAt time.Time, l cell.WorkerList) {
-	l.Age = now.Sub(readAt)
-	c.send(now, c.planner, Message{WorkerList: &l})
-}
-
 // Catalog brings a catalog into force if it is newer, and advertises its version.
 func (c *Core) Catalog(now time.Time, cat *catalog.Catalog, source string) {
 	if !c.catalogs.Put(cat) {
@@ -386,7 +384,7 @@
 
 // Tick does the work that is due by time.
 func (c *Core) Tick(now time.Time) {
-	for _, id := range slices.SortedFunc(maps.Keys(c.lostMembers), mesh.ID.Compare) {
+	for _, id := range sortedIDs(c.lostMembers) {
 		if now.Sub(c.lostMembers[id]) > orphanStopDelay {
 			c.ownerLost(now, id)
 		}
@@ -395,6 +393,7 @@
 		c.held[id].Tick(now)
 	}
 	c.cell.Tick(now)
+	c.updateReaders(now)
 	c.entry.Tick(now)
 	c.announceNewlyHeld(now)
 	c.updateWatches(now)
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -133,29 +133,6 @@
 	}
 }
 
-// The store rejects the planner and serves the others, so one of them must read the list
-// of workers for it. Otherwise tasks would be started on workers that have long left.
-func TestWorkerListReaderElection(t *testing.T) {
-	c := newCore(2, 1)
-	first := member(1)
-	c.MemberUp(ms(1), first, 1)
-	if _, _, ok := c.ListReader(); ok {
-		t.Error("reads the worker list although the planner can")
-	}
-	first.StoreUnreachable = true
-	c.MemberChanged(ms(2), first)
-	planner, _, ok := c.ListReader()
-	if !ok || planner != first.ID {
-		t.Errorf("reads the worker list: %v, for %v; want true, for the planner", ok, planner)
-	}
-	c.Take(ms(2))
-	c.WorkersListed(ms(3), ms(3), cell.WorkerList{Full: true, Workers: []cell.ListedWorker{{Worker: testWorker()}}})
-	got := messagesTo(c.Take(ms(3)), first.ID)
-	if len(got) != 1 || got[0].WorkerList == nil || !got[0].WorkerList.Full {
-		t.Errorf("sent %+v, want the list", got)
-	}
-}
-
 // A member has a newer configuration, which this process may never get from the store.
 func TestNewerCatalogOfAMember(t *testing.T) {
 	a, b := newCore(1, 2), newCore(2, 1)
@@ -302,13 +279,13 @@
 // changes instead of the whole list, it would not know the workers that nobody holds.
 func TestReaderReadsAnewForAPlannerThatBeganAgain(t *testing.T) {
 	c := newCore(1, 2)
-	_, first, _ := c.ListReader()
+	first := c.ListReading()
 	large := member(2)
 	large.Cores = 4
 	c.MemberUp(ms(1), large, 1)
 	c.MemberDown(ms(2), large.ID, 1, ms(2))
-	planner, again, ok := c.ListReader()
-	if planner != member(1).ID || !ok || again == first {
-		t.Errorf("reads the worker list: %v, for %v, which has begun %d times; want a new count", ok, planner, again)
+	again := c.ListReading()
+	if first.Planner != member(1).ID || again.Planner != member(1).ID || again == first {
+		t.Errorf("reads %v, then %v; want new reads for itself", first, again)
 	}
 }
--- a/node/list.go
+++ b/node/list.go
@@ -87,14 +87,17 @@
 	return out
 }
 
-// handleWorkerList handles a list of workers: either one read from the store for the
-// planner, by this process or another one, or the copy of a planner. Only the planner uses
+// handleWorkerList handles a list of workers: either one read from the store for this
+// planner, by itself or another process, or the copy of a planner. Only the planner uses
 // the former. A member ignores a copy from another process while it has the planner's.
 func (c *Core) handleWorkerList(now time.Time, from mesh.ID, l cell.WorkerList) {
 	switch {
 	case c.cell.Active() && l.FromPlanner:
 		c.adoptList(now, from, l)
 	case c.cell.Active():
+		if !c.expectsRead(now, from, l) {
+			return
+		}
 		l = c.ownCellWorkers(l)
 		c.cell.UpdateWorkers(now, from, l)
 		c.list.expires = time.Time{}
@@ -135,7 +138,7 @@
 		return
 	}
 	changes.FromPlanner = true
-	for _, id := range slices.SortedFunc(maps.Keys(c.deputies), mesh.ID.Compare) {
+	for _, id := range sortedIDs(c.deputies) {
 		c.send(now, id, Message{WorkerList: &changes})
 	}
 }
--- a/node/list_test.go
+++ b/node/list_test.go
@@ -53,6 +53,11 @@
 	return planner, second, third
 }
 
+// listed has a core read a list for itself.
+func listed(c *Core, now time.Time, l cell.WorkerList) {
+	c.WorkersListed(now, c.ListReading(), now, l)
+}
+
 // deliver passes the messages that one core has for another to it.
 func deliver(now time.Time, from, to *Core, out []Output) {
 	to.Receive(now, from.Self().ID, 1, messagesTo(out, to.Self().ID))
@@ -63,7 +68,7 @@
 // workers of the killed process, and jobs are refused until the store is back.
 func TestNextPlannerKnowsTheWorkersWithoutTheStore(t *testing.T) {
 	planner, second, third := threeCores()
-	planner.WorkersListed(ms(10), ms(10), fullList("w", "x"))
+	listed(planner, ms(10), fullList("w", "x"))
 	out := planner.Take(ms(10))
 	deliver(ms(11), planner, second, out)
 	deliver(ms(11), planner, third, out)
@@ -87,7 +92,7 @@
 	var log bytes.Buffer
 	second.log = slog.New(slog.NewTextHandler(&log, nil))
 	second.Advertise(ms(5), func(m *mesh.Member) { m.StoreUnreachable = true })
-	planner.WorkersListed(ms(10), ms(10), fullList("w"))
+	listed(planner, ms(10), fullList("w"))
 	deliver(ms(11), planner, second, planner.Take(ms(10)))
 	second.MemberDown(ms(100), planner.Self().ID, 1, ms(90))
 	second.Take(ms(100))
@@ -100,13 +105,13 @@
 // long announced that it drains.
 func TestDeputiesAreToldOfChanges(t *testing.T) {
 	planner, second, _ := threeCores()
-	planner.WorkersListed(ms(10), ms(10), fullList("w", "x"))
+	listed(planner, ms(10), fullList("w", "x"))
 	deliver(ms(11), planner, second, planner.Take(ms(10)))
 	change := fullList("y", "x")
 	change.Full, change.Workers[1].Draining, change.Removed = false, true, []string{"w"}
-	planner.WorkersListed(ms(20), ms(20), change)
+	listed(planner, ms(20), change)
 	deliver(ms(21), planner, second, planner.Take(ms(20)))
-	planner.WorkersListed(ms(30), ms(30), fullList("x", "y"))
+	listed(planner, ms(30), fullList("x", "y"))
 	if out := planner.Take(ms(30)); len(messagesTo(out, second.Self().ID)) != 1 {
 		t.Errorf("sent %+v, want the change of x alone", messagesTo(out, second.Self().ID))
 	} else {
@@ -126,7 +131,7 @@
 // The list of a planner that ended long ago names workers that have left since.
 func TestOldListIsNotUsed(t *testing.T) {
 	planner, second, _ := threeCores()
-	planner.WorkersListed(ms(10), ms(10), fullList("w"))
+	listed(planner, ms(10), fullList("w"))
 	deliver(ms(11), planner, second, planner.Take(ms(10)))
 	first := planner.Self()
 	first.Leaving = true
@@ -156,7 +161,7 @@
 // store sends its list to the next one.
 func TestFormerPlannerTellsTheNext(t *testing.T) {
 	planner, second, _ := threeCores()
-	planner.WorkersListed(ms(10), ms(10), fullList("w"))
+	listed(planner, ms(10), fullList("w"))
 	planner.Advertise(ms(11), func(m *mesh.Member) { m.StoreUnreachable = true })
 	planner.Take(ms(11))
 	large := second.Self()
@@ -171,7 +176,7 @@
 		t.Errorf("knows %+v, want the worker", v)
 	}
 	// A list read from the store takes precedence.
-	second.WorkersListed(ms(30), ms(30), fullList("x"))
+	listed(second, ms(30), fullList("x"))
 	deliver(ms(31), planner, second, []Output{{To: second.Self().ID, Message: &Message{WorkerList: &cell.WorkerList{Full: true, FromPlanner: true, Workers: []cell.ListedWorker{{Worker: lease.Worker{ID: "old"}}}}}}})
 	second.Take(ms(31))
 	for _, h := range second.Status(ms(32)).Cell.Holders {
@@ -198,7 +203,7 @@
 		c, _ := newTwoDataCenterCore(tt.processes)
 		c.Advertise(ms(5), func(m *mesh.Member) { m.Cores = 9 })
 		c.Take(ms(5))
-		c.WorkersListed(ms(6), ms(6), cell.WorkerList{Full: true, Workers: []cell.ListedWorker{{Worker: lease.Worker{ID: "w", DataCenter: "even"}}}})
+		listed(c, ms(6), cell.WorkerList{Full: true, Workers: []cell.ListedWorker{{Worker: lease.Worker{ID: "w", DataCenter: "even"}}}})
 		notified := make(map[mesh.ID]bool)
 		for _, o := range c.Take(ms(6)) {
 			if o.Message != nil && o.Message.WorkerList != nil {
--- a/node/members.go
+++ b/node/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -62,12 +61,12 @@
 // endPredecessors ends earlier incarnations at the same address, which only one process
 // at a time can bind.
 func (c *Core) endPredecessors(now time.Time, id mesh.ID) {
-	for _, o := range slices.SortedFunc(maps.Keys(c.members), mesh.ID.Compare) {
+	for _, o := range sortedIDs(c.members) {
 		if o.Address == id.Address && o != id {
 			c.MemberDown(now, o, c.members[o].session, now)
 		}
 	}
-	for _, o := range slices.SortedFunc(maps.Keys(c.lostMembers), mesh.ID.Compare) {
+	for _, o := range sortedIDs(c.lostMembers) {
 		if o.Address == id.Address && o != id {
 			c.ownerLost(now, o)
 		}
@@ -80,6 +79,11 @@
 		return
 	}
 	delete(c.members, id)
+	delete(c.readers.asked, id)
+	delete(c.readers.tried, id)
+	if c.readFor.Planner == id {
+		c.readFor = ListReading{}
+	}
 	c.unwatch(id)
 	if id == c.planner {
 		c.watchAllUntil = now.Add(watchAllDuration)
@@ -143,20 +147,22 @@
 func (c *Core) elect(now time.Time) {
 	reachable := c.reachableMembers()
 	if c.updateCellLayout(reachable) {
-		c.cell.Stop()
+		c.stopPlanning(now)
 	}
 	members := c.cellMembers(reachable)
 	best := slices.MinFunc(members, c.comparePriority)
 	c.entry.SetOtherPlanners(c.otherPlanners(reachable))
 	if best.ID != c.planner {
 		event.PlannerChosen.Log(c.log, "planner", best.ID, "vm", best.VM, "number", best.Number, "members", len(members), "before", c.planner)
-		c.planner = best.ID
 		c.watch(best.ID)
-		c.syncPlanner(now)
 	}
-	c.listReader = c.electListReader(members, best)
+	changed := best.ID != c.planner
+	c.planner = best.ID
 	c.updateListExpiry(now)
 	began := c.updatePlanning(now, best.ID == c.self.ID)
+	if changed || began {
+		c.syncPlanner(now)
+	}
 	allReachable := c.updateQuorum(now, reachable)
 	c.cell.SetMembers(now, members, reachable, c.quorum, allReachable)
 	if began {
@@ -192,38 +198,20 @@
 	case elected == c.cell.Active():
 	case elected:
 		c.cell.Begin(now)
+		c.beginOwnReads(now)
 		c.self.PlannerTerms++
 		c.out = append(c.out, Output{Advertise: &c.self})
 		c.updateWatches(now)
 		return true
 	default:
-		c.cell.Stop()
+		c.stopPlanning(now)
 	}
 	return false
 }
 
-// electListReader chooses the member that reads the platform's list of workers: the
-// planner or, while the planner can't reach the store, the best other member. Without a
-// reader, tasks would be started on workers that have long announced that they drain.
-func (c *Core) electListReader(members []mesh.Member, planner mesh.Member) mesh.ID {
-	if !planner.StoreUnreachable {
-		return planner.ID
-	}
-	best := slices.MinFunc(members, func(x, y mesh.Member) int {
-		return cmp.Or(compareBool(x.StoreUnreachable, y.StoreUnreachable), c.comparePriority(x, y))
-	})
-	return best.ID
-}
-
-// ListReader reports whether this process reads the list of workers, and returns the
-// planner for which it does and how often that planner has begun to plan. A planner that
-// begins again knows no workers, so it needs the whole list instead of changes.
-func (c *Core) ListReader() (planner mesh.ID, term uint64, ok bool) {
-	term = c.self.PlannerTerms
-	if m, other := c.members[c.planner]; other {
-		term = m.PlannerTerms
-	}
-	return c.planner, term, c.listReader == c.self.ID
+func (c *Core) stopPlanning(now time.Time) {
+	c.cell.Stop()
+	c.stopReaders(now, mesh.ID{})
 }
 
 // syncPlanner has everything sent to a planner that is new, has connected or has begun to
--- a/node/node.go
+++ b/node/node.go
@@ -120,11 +120,9 @@
 	// startedAt is when this process started, as the time since boot.
 	quorum    atomic.Bool
 	startedAt time.Duration
-	// readsWorkers is set if this process reads the list of workers for the planner.
-	readsWorkers atomic.Bool
-	planner      atomic.Pointer[mesh.ID]
-	// plannerTerm is how often the planner has begun to plan.
-	plannerTerm atomic.Uint64
+	planner   atomic.Pointer[mesh.ID]
+	// reading is the reads of the list of workers that this process is to make.
+	reading atomic.Pointer[ListReading]
 
 	mu         sync.Mutex
 	waiters    map[entry.Waiter]chan entry.Answer
@@ -330,11 +328,10 @@
 
 // publish copies the state of the core that other goroutines need.
 func (n *Node) publish() {
-	planner, term, reads := n.core.ListReader()
+	planner, reading := n.core.Planner(), n.core.ListReading()
 	n.planner.Store(&planner)
-	n.plannerTerm.Store(term)
+	n.reading.Store(&reading)
 	n.quorum.Store(n.core.HasQuorum())
-	n.readsWorkers.Store(reads)
 }
 
 // perform carries out the outputs of the core.
--- a/node/store.go
+++ b/node/store.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"snipehub.example/cell"
@@ -82,14 +81,12 @@
 	n.enqueue(ctx, func(now time.Time, c *Core) { c.Advertise(now, change) })
 }
 
-// plannerToReadFor returns the planner for which this process reads the list of workers,
-// with its term, or "" for none. A different result restarts the reads with the whole
-// list, which a new planner needs, as does one that has begun again between two reads.
-func (n *Node) plannerToReadFor() string {
-	if p := n.planner.Load(); p != nil && n.readsWorkers.Load() {
-		return p.String() + " " + strconv.FormatUint(n.plannerTerm.Load(), 10)
+// listReading returns the reads of the list of workers that this process is to make.
+func (n *Node) listReading() ListReading {
+	if r := n.reading.Load(); r != nil {
+		return *r
 	}
-	return ""
+	return ListReading{}
 }
 
 // watchStore advertises whether this process can reach the store.
@@ -110,9 +107,14 @@
 // storeCheckInterval is how often watchStore checks the state of the topics.
 const storeCheckInterval = 200 * time.Millisecond
 
-// followWorkers reads the workers' records while this process is the list reader.
+// followWorkers reads the workers' records while this process plans, or a planner has asked
+// it to.
 func (n *Node) followWorkers() *registry.Follower {
-	return n.follower(registry.Config{Name: topicWorkers, Pause: workersPollInterval}, n.platform.WorkerList, n.plannerToReadFor, func(ctx context.Context, update registry.Update) {
+	return n.follower(registry.Config{Name: topicWorkers, Pause: workersPollInterval}, n.platform.WorkerList, func() string { return n.listReading().String() }, func(ctx context.Context, update registry.Update) {
+		reading := n.listReading()
+		if reading.String() != update.Recipient {
+			return
+		}
 		var workers []cell.ListedWorker
 		var removed []string
 		for _, r := range update.Records {
@@ -128,7 +130,7 @@
 			workers = append(workers, l)
 		}
 		l := cell.WorkerList{Full: update.Full, Workers: workers, Removed: removed}
-		n.enqueue(ctx, func(now time.Time, c *Core) { c.WorkersListed(now, update.At, l) })
+		n.enqueue(ctx, func(now time.Time, c *Core) { c.WorkersListed(now, reading, update.At, l) })
 	})
 }
 
--- a/node/watch.go
+++ b/node/watch.go
@@ -73,10 +73,10 @@
 // updateWatches watches exactly the members returned by membersToWatch.
 func (c *Core) updateWatches(now time.Time) {
 	need := c.membersToWatch(now)
-	for _, id := range slices.SortedFunc(maps.Keys(need), mesh.ID.Compare) {
+	for _, id := range sortedIDs(need) {
 		c.watch(id)
 	}
-	for _, id := range slices.SortedFunc(maps.Keys(c.watched), mesh.ID.Compare) {
+	for _, id := range sortedIDs(c.watched) {
 		if _, ok := need[id]; !ok {
 			c.unwatch(id)
 		}
@@ -106,3 +106,9 @@
 	}
 	return need
 }
+
+// sortedIDs returns the keys of a map in order, so that the same events have the same
+// outcome.
+func sortedIDs[V any](m map[mesh.ID]V) []mesh.ID {
+	return slices.SortedFunc(maps.Keys(m), mesh.ID.Compare)
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -53,6 +53,8 @@
 // Update holds records that a follower has read. Without records, it confirms that nothing
 // has changed.
 type Update struct {
+	// Recipient is for whom the records were read.
+	Recipient string
 	// Full is set if Records holds the latest record of every key; otherwise it
 	// holds the records added since the previous update.
 	Full    bool
@@ -159,6 +161,7 @@
 			f.recordSuccess(u.At)
 			retryDelay = minRetryDelay
 			next, full = u.Next, false
+			u.Recipient = recipient
 			f.emit(ctx, u)
 			clock.Sleep(ctx, f.cfg.Pause)
 		}
