node: a process that did not run forgets what it knew as planner or deputy

What callers saw: tasks granted on workers that had drained for three seconds, and workers taken from the holders that they had, right after the planner's VM had stood still.

Cause: after a pause in which another process has planned, the planner went on with the list, the holders and the grants of before, as a planner whose term had long begun; a deputy that did not run and was elected next used its copy of the list.

--- a/model/fault.go
+++ b/model/fault.go
@@ -76,7 +76,7 @@
 func (n *vm) resume(d time.Duration) {
 	n.suspended = false
 	if d > noticedPause {
-		n.do(func(now time.Time) { n.core.Resumed(now) })
+		n.do(func(now time.Time) { n.core.Resumed(now, d) })
 	}
 	backlog := n.backlog
 	n.backlog = nil
--- a/node/core.go
+++ b/node/core.go
@@ -407,10 +407,14 @@
 }
 
 // Resumed handles a suspension of the process, in which it did not run for a while: its
-// jobs are given up, and its leases are verified before anything else is done.
-func (c *Core) Resumed(now time.Time) {
+// jobs are given up, and its leases are verified before anything else is done. If others
+// may have planned meanwhile, it forgets what it knew as a planner or deputy.
+func (c *Core) Resumed(now time.Time, pause time.Duration) {
 	c.quorumSince = now
 	c.entry.Resumed(now)
+	if pause >= mesh.SessionTimeout {
+		c.forgetCell(now)
+	}
 	for _, id := range c.heldIDs() {
 		c.held[id].Resumed(now)
 	}
--- a/node/list_test.go
+++ b/node/list_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -215,3 +216,47 @@
 		}
 	}
 }
+
+// The planner does not run for seconds, and another process plans meanwhile: workers get other
+// holders, and some drain. If the planner goes on with what it knew, it assigns and grants
+// workers that have long announced that they drain, and takes others from their holders.
+func TestPlannerForgetsWhatItKnewBeforeAPause(t *testing.T) {
+	tests := []struct {
+		name    string
+		pause   time.Duration
+		forgets bool
+	}{
+		{"short", 600 * time.Millisecond, false},
+		{"long", 3 * time.Second, true},
+	}
+	for _, tt := range tests {
+		planner, second, _ := threeCores()
+		listed(planner, ms(10), fullList("w"))
+		planner.Take(ms(10))
+		before := planner.ListReading()
+		back := ms(20).Add(tt.pause)
+		planner.Resumed(back, tt.pause)
+		out := planner.Take(back)
+		if got := planner.ListReading() != before; got != tt.forgets {
+			t.Errorf("%s: reads the list anew: %v, want %v", tt.name, got, tt.forgets)
+		}
+		if got := len(planner.Status(back).Cell.Holders) == 0; got != tt.forgets {
+			t.Errorf("%s: knows no workers: %v, want %v", tt.name, got, tt.forgets)
+		}
+		advertised := slices.ContainsFunc(out, func(o Output) bool { return o.Advertise != nil && o.Advertise.PlannerTerms == 2 })
+		if advertised != tt.forgets {
+			t.Errorf("%s: advertises a new term: %v, want %v", tt.name, advertised, tt.forgets)
+		}
+
+		// The planner's list on a deputy that did not run is as old.
+		planner, second, _ = threeCores()
+		listed(planner, ms(10), fullList("w"))
+		deliver(ms(11), planner, second, planner.Take(ms(10)))
+		second.Take(ms(11))
+		second.Resumed(back, tt.pause)
+		second.MemberDown(back, planner.Self().ID, 1, ms(20))
+		if got := len(second.Status(back).Cell.Holders) == 0; got != tt.forgets {
+			t.Errorf("%s: a deputy knows no workers: %v, want %v", tt.name, got, tt.forgets)
+		}
+	}
+}
--- a/node/members.go
+++ b/node/members.go
@@ -214,6 +214,16 @@
 	c.stopReaders(now, mesh.ID{})
 }
 
+// forgetCell drops the list of workers and, if this process is the planner, begins a new
+// term. After a pause, workers may have other holders than this process knows, and drain.
+func (c *Core) forgetCell(now time.Time) {
+	c.list = workerList{}
+	if c.cell.Active() {
+		c.stopPlanning(now)
+		c.elect(now)
+	}
+}
+
 // syncPlanner has everything sent to a planner that is new, has connected or has begun to
 // plan: all held workers with the next report, and all pending tasks again.
 func (c *Core) syncPlanner(now time.Time) {
--- a/node/node.go
+++ b/node/node.go
@@ -300,7 +300,7 @@
 		boot := clock.SinceBoot()
 		if pause := boot - last; pause > suspendThreshold {
 			event.ProcessResumed.Log(n.log, "pause_ms", pause.Milliseconds())
-			n.core.Resumed(now)
+			n.core.Resumed(now, pause)
 		}
 		last = boot
 		w(now, n.core)
