cell, node: an assignment says that its worker drains

What callers saw: a task started on a worker that drains, by a holder that had just got the worker for the runs that are left there.

Cause: only a holder that held the worker when the drain became known was told at once. A new one was told after its first report, and until then it carried out whatever was granted, also by a planner with an old list.

Change: the assignment carries it, and an assignment of a worker that is held already counts too. TestAssignmentOfADrainingWorkerSaysSo and TestNewHolderOfADrainingWorkerStartsNothing fail without the change (no assignment says so; the start passes the check and ends for its text instead).

--- a/cell/duty.go
+++ b/cell/duty.go
@@ -139,7 +139,7 @@
 func (pl *Planner) sendAssignment(now time.Time, w *worker) {
 	w.assignedAt = now
 	event.WorkerAssigned.Log(pl.log, "worker", w.ID, "member", w.holder, "former", w.formerHolder, "floor", w.fence, "list_age_ms", pl.ListAge(now).Milliseconds())
-	pl.emit(Action{To: w.holder, Assignment: &Assignment{Worker: w.Worker, MinFence: w.fence, Speed: w.speed}})
+	pl.emit(Action{To: w.holder, Assignment: &Assignment{Worker: w.Worker, MinFence: w.fence, Speed: w.speed, Draining: w.draining}})
 }
 
 // chooseHolder returns the member with the least load for its size in the worker's data
--- a/cell/duty_test.go
+++ b/cell/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"testing"
 
 	"snipehub.example/lease"
@@ -142,6 +143,25 @@
 	}
 }
 
+// The holder of a draining worker is lost while tasks run there. The next holder must know that
+// the worker drains from the beginning, or it starts more.
+func TestAssignmentOfADrainingWorkerSaysSo(t *testing.T) {
+	pl := newPlannerWithHolders(t, 3, 1)
+	w := pl.workers["w0"]
+	run := lease.RunState{Run: lease.Run{Task: "j.0.0.0", Number: 1}, Resources: lease.Resources{CPU: 1}}
+	pl.Report(ms(690), w.holder, Report{States: []lease.State{{ID: "w0", Fence: lease.NewFence(9), Open: true, Runs: []lease.RunState{run}}}})
+	pl.UpdateWorkers(ms(700), memberID(0), WorkerList{Workers: []ListedWorker{{Worker: testWorker(0), Draining: true}}})
+	pl.TakeActions()
+	left := slices.DeleteFunc(members(3), func(m mesh.Member) bool { return m.ID == w.holder })
+	pl.SetMembers(ms(710), left, left, true, false)
+	for _, a := range pl.TakeActions() {
+		if a.Assignment != nil && a.Assignment.Draining {
+			return
+		}
+	}
+	t.Error("no assignment says that the worker drains")
+}
+
 // The platform's list says that a worker drains: its holder must be told, and told again
 // if it reports the worker as not draining.
 func TestHolderIsToldOfDraining(t *testing.T) {
--- a/cell/message.go
+++ b/cell/message.go
@@ -84,6 +84,8 @@
 	// the holder, until some tasks have been late there.
 	MinFence lease.Fence `cbor:"2,keyasint,omitzero"`
 	Speed    lease.Speed `cbor:"3,keyasint,omitzero"`
+	// Draining is set if the worker accepts no new tasks; its runs need a holder.
+	Draining bool `cbor:"4,keyasint,omitzero"`
 }
 
 // Release asks a member to release a worker.
--- a/node/core.go
+++ b/node/core.go
@@ -306,6 +306,9 @@
 		c.entry.Unheld(now, from, m.Unheld.Worker)
 	case m.Assignment != nil:
 		c.startHolding(now, *m.Assignment)
+		if m.Assignment.Draining {
+			c.drainWorker(from, m.Assignment.Worker.ID)
+		}
 	case m.Drain != nil:
 		c.drainWorker(from, m.Drain.Worker)
 	case m.WorkerList != nil:
--- a/node/holder.go
+++ b/node/holder.go
@@ -13,7 +13,7 @@
 	"snipehub.example/mesh"
 )
 
-// startHolding opens a lease on a worker that the planner has assigned to this process.
+// startHolding opens a lease on a worker that a planner has assigned to this process.
 func (c *Core) startHolding(now time.Time, a cell.Assignment) {
 	if wl := c.held[a.Worker.ID]; wl != nil && !wl.Closed() || c.self.Leaving || c.self.Number == 0 {
 		return
--- a/node/list_test.go
+++ b/node/list_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"snipehub.example/cell"
+	"snipehub.example/entry"
 	"snipehub.example/lease"
 	"snipehub.example/mesh"
 )
@@ -260,3 +261,33 @@
 		}
 	}
 }
+
+// A holder of a draining worker is lost, and another member gets the worker for the runs there.
+// If it is not told that the worker drains, it starts what a planner with an old list grants.
+func TestNewHolderOfADrainingWorkerStartsNothing(t *testing.T) {
+	for _, held := range []bool{false, true} {
+		c := newCore(2, 1)
+		c.MemberUp(ms(1), member(1), 1)
+		if held {
+			c.Receive(ms(2), member(1).ID, 1, []Message{{Assignment: &cell.Assignment{Worker: testWorker()}}})
+		}
+		c.Receive(ms(2), member(1).ID, 1, []Message{{Assignment: &cell.Assignment{Worker: testWorker(), Draining: true}}})
+		for _, o := range c.Take(ms(2)) {
+			if o.Hold != nil {
+				c.HoldAnswered(ms(3), "w", *o.Hold, lease.Result{Verdict: lease.OK, Clock: 100, Incarnation: 1})
+			}
+		}
+		c.Take(ms(3))
+		run := entry.PlacedRun{Run: lease.Run{Task: "j.0.0.0", Number: 1}, Worker: "w", Fence: c.held["w"].Fence()}
+		c.Receive(ms(4), member(1).ID, 1, []Message{{Start: &entry.Start{Runs: []entry.PlacedRun{run}}}})
+		var why lease.Reason
+		for _, m := range messagesTo(c.Take(ms(4)), member(1).ID) {
+			if m.Ended != nil {
+				why = m.Ended.End.Why
+			}
+		}
+		if why != lease.Draining {
+			t.Errorf("held before: %v: the start ends with reason %q, want %q", held, why, lease.Draining)
+		}
+	}
+}
