lease: a start that a worker turned down is not sent again once it drains

A start that the worker refuses because the holder has raised its own round is sent again, also when the holder has been told in between. It now ends as not started, with the reason draining, and the owner has it placed elsewhere.

TestStartFencedByOwnRoundOnADrainingWorker fails without the change (one start is sent).

--- a/lease/book_test.go
+++ b/lease/book_test.go
@@ -396,6 +396,24 @@
 	}
 }
 
+// As above, but the worker drains by then. It was told of no start yet, so nothing is lost if
+// the task is started elsewhere; here it would end with the worker.
+func TestStartFencedByOwnRoundOnADrainingWorker(t *testing.T) {
+	wl, _ := newOpenLease(t)
+	wl.Start(ms(10), alice, order("a", 1))
+	wl.Start(ms(10), alice, order("b", 1))
+	starts := takeActions(wl).starts
+	wl.StartAnswered(ms(90), starts[0], Result{Verdict: NoAnswer})
+	wl.Drain()
+	takeActions(wl)
+	wl.StartAnswered(ms(91), starts[1], Result{Verdict: Refused, Reason: Fenced, Clock: 5091})
+	got := takeActions(wl)
+	if len(got.starts) != 0 || wl.Closed() {
+		t.Errorf("sends %+v to a draining worker; closed %v", got.starts, wl.Closed())
+	}
+	wantEnd(t, got.reports, alice, NeverStarted, Draining)
+}
+
 func TestFence(t *testing.T) {
 	a, b := NewFence(3), NewFence(5)
 	if a >= b {
--- a/lease/start.go
+++ b/lease/start.go
@@ -116,11 +116,15 @@
 		wl.end(now, e, End{Run: e.Run, Outcome: NeverStarted, Why: why})
 		return
 	}
-	if c.Fence < wl.fence && e.state == starting && wl.phase == open {
+	sendAgain := c.Fence < wl.fence && e.state == starting && wl.phase == open
+	switch {
+	case sendAgain && wl.draining:
+		why = Draining
+	case sendAgain:
 		wl.sendStart(now, e)
 		return
 	}
-	wl.end(now, e, End{Run: e.Run, Outcome: NeverStarted, Why: Fenced})
+	wl.end(now, e, End{Run: e.Run, Outcome: NeverStarted, Why: why})
 	if c.Fence == wl.fence {
 		wl.close(string(Fenced))
 	}
