cell: after a pause nothing is granted until the list has been read

What callers saw: tasks lost with draining workers just after a data centre had stood still.

Cause: the processes of the data centre, the planner among them, resume together with their sessions, report their workers at once, and none has been told which ones drain. The planner's new term began with grants on their word.

TestNothingIsGrantedWhileTheListIsAwaited fails without it (granted at 5 ms).

--- a/cell/book.go
+++ b/cell/book.go
@@ -176,6 +176,8 @@
 	listRead bool
 	listAsOf time.Time
 	listLate bool
+	// awaitListUntil is how long no tasks are granted unless the list has been read.
+	awaitListUntil time.Time
 }
 
 type member struct {
@@ -198,6 +200,7 @@
 	pl.bySpeed, pl.byID = nil, nil
 	pl.listRead, pl.listAsOf, pl.listLate = false, time.Time{}, false
 	pl.mayReassign, pl.hadQuorum = false, false
+	pl.awaitListUntil = time.Time{}
 }
 
 // TakeActions returns and clears the actions that have accumulated since the last call.
--- a/cell/listage.go
+++ b/cell/listage.go
@@ -17,6 +17,15 @@
 // mesh.SessionTimeout before this process became the planner.
 func (pl *Planner) ListAge(now time.Time) time.Duration { return now.Sub(pl.listAsOf) }
 
+// AwaitList has no tasks granted until the worker list has been read, for a short time at
+// most: the store may be away from everybody. It is for a planner whose members, like
+// itself, may not have run for a while, and have not been told which of their workers drain.
+func (pl *Planner) AwaitList(now time.Time) { pl.awaitListUntil = now.Add(reportGracePeriod) }
+
+func (pl *Planner) awaitsList(now time.Time) bool {
+	return !pl.listRead && now.Before(pl.awaitListUntil)
+}
+
 // confirmList records that a member has read the list, which is known as of a time.
 func (pl *Planner) confirmList(now time.Time, reader mesh.ID, asOf time.Time) {
 	if !asOf.After(pl.listAsOf) {
--- a/cell/listage_test.go
+++ b/cell/listage_test.go
@@ -39,3 +39,40 @@
 		}
 	}
 }
+
+// All processes of a data centre did not run, the planner among them. They report their workers
+// to it at once, but none of them has been told which ones drain.
+func TestNothingIsGrantedWhileTheListIsAwaited(t *testing.T) {
+	tests := []struct {
+		name  string
+		list  bool
+		until int
+	}{
+		{"list read", true, 60},
+		{"store away", false, int(reportGracePeriod.Milliseconds())},
+	}
+	for _, tt := range tests {
+		pl := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
+		pl.Begin(ms(0))
+		pl.AwaitList(ms(0))
+		pl.SetMembers(ms(0), members(2), members(2), true, true)
+		w := testWorker(0)
+		pl.Report(ms(1), memberID(1), Report{Full: true, States: []lease.State{{ID: w.ID, Worker: &w, Fence: lease.NewFence(9), Open: true}}})
+		pl.Request(ms(2), memberID(1), newRequest("j", 1))
+		first := 0
+		for at := 5; at <= 1000 && first == 0; at += 5 {
+			if tt.list && at == tt.until {
+				pl.UpdateWorkers(ms(at), memberID(0), WorkerList{Full: true, Workers: []ListedWorker{{Worker: w}}})
+			}
+			if at%50 == 0 {
+				pl.Tick(ms(at))
+			}
+			if grants, refusals := place(pl, at); len(grants)+len(refusals) > 0 {
+				first = at
+			}
+		}
+		if first != tt.until {
+			t.Errorf("%s: first grant or refusal at %d ms, want %d", tt.name, first, tt.until)
+		}
+	}
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -89,7 +89,7 @@
 // that cannot meet their objective. It does nothing if nothing has changed since the last
 // call, so that a burst of events costs one pass over the queue.
 func (pl *Planner) Place(now time.Time) {
-	if !pl.active || !pl.needsPlanning {
+	if !pl.active || !pl.needsPlanning || pl.awaitsList(now) {
 		return
 	}
 	pl.needsPlanning = false
--- a/node/members.go
+++ b/node/members.go
@@ -221,6 +221,7 @@
 	if c.cell.Active() {
 		c.stopPlanning(now)
 		c.elect(now)
+		c.cell.AwaitList(now)
 	}
 }
 
