node: a process that begins to plan just after a pause reads the list first

The test now also holds the bound for processes that were just suspended; only those that are cut off from all who could tell them are left out.

Two cases more in the test: the rest of the planner's data centre loses the store after the planner, and whoever reads for it does.

--- a/model/drain_test.go
+++ b/model/drain_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"snipehub.example/node"
 )
 
 var allDrains = flag.Bool("all-drains", false, "play each fault after a drain at 46 moments of the reads of the store")
@@ -23,6 +25,7 @@
 
 func isPlanner(planner, n *vm) bool         { return n == planner }
 func inItsDataCenter(planner, n *vm) bool   { return n.dc == planner.dc }
+func readsList(_, n *vm) bool               { return n.core.ListReading() != (node.ListReading{}) }
 func threeInFour(planner, n *vm) bool       { return n == planner || n.index%4 != 0 }
 func allInOtherDCs(planner, n *vm) bool     { return n.dc != planner.dc }
 func blockStore(vm int) func(*World)        { return BlockStore(vm, 5*time.Second) }
@@ -35,31 +38,37 @@
 var drainFaults = []struct {
 	name   string
 	faults []Fault
+	// cutOff is set if processes that go on are cut off from whoever could tell them.
+	cutOff bool
 }{
-	{"nothing", nil},
-	{"planner loses the store", []Fault{{0, onAll(isPlanner, blockStore)}}},
-	{"planner's data centre loses the store", []Fault{{0, onAll(inItsDataCenter, blockStore)}}},
-	{"three processes of four lose the store", []Fault{{0, onAll(threeInFour, blockStore)}}},
-	{"planner loses the store, then all of another data centre", []Fault{
+	{"nothing", nil, false},
+	{"planner loses the store", []Fault{{0, onAll(isPlanner, blockStore)}}, false},
+	{"planner's data centre loses the store", []Fault{{0, onAll(inItsDataCenter, blockStore)}}, false},
+	{"three processes of four lose the store", []Fault{{0, onAll(threeInFour, blockStore)}}, false},
+	{"planner loses the store, then the rest of its data centre does", []Fault{
 		{-time.Second, onAll(isPlanner, blockStore)},
 		{0, onAll(inItsDataCenter, blockStore)},
-	}},
+	}, false},
+	{"planner loses the store, then whoever reads for it does", []Fault{
+		{-3500 * time.Millisecond, onAll(isPlanner, blockStore)},
+		{0, onAll(readsList, blockStore)},
+	}, false},
 	{"planner loses the store, then its sessions are reset", []Fault{
 		{-3500 * time.Millisecond, onAll(isPlanner, blockStore)},
 		{10 * time.Millisecond, onAll(isPlanner, ResetSessions)},
 		{200 * time.Millisecond, onAll(isPlanner, ResetSessions)},
-	}},
-	{"planner is suspended", []Fault{{0, onAll(isPlanner, suspend)}}},
-	{"planner's data centre is suspended", []Fault{{0, onAll(inItsDataCenter, suspend)}}},
-	{"all others are suspended", []Fault{{0, onAll(allInOtherDCs, suspend)}}},
-	{"planner is cut off from all and the store", []Fault{{0, onAll(isPlanner, isolate)}, {0, onAll(isPlanner, blockStoreBriefly)}}},
+	}, false},
+	{"planner is suspended", []Fault{{0, onAll(isPlanner, suspend)}}, false},
+	{"planner's data centre is suspended", []Fault{{0, onAll(inItsDataCenter, suspend)}}, false},
+	{"all others are suspended", []Fault{{0, onAll(allInOtherDCs, suspend)}}, false},
+	{"planner is cut off from all and the store", []Fault{{0, onAll(isPlanner, isolate)}, {0, onAll(isPlanner, blockStoreBriefly)}}, true},
 	{"planner's data centre is cut off from all and the store", []Fault{{0, func(w *World) {
 		IsolateDataCenter(w.victim(true).dc, false, 3300*time.Millisecond)(w)
-	}}}},
+	}}}, true},
 	{"planner is killed, and the next one loses the store", []Fault{
 		{0, onAll(isPlanner, func(vm int) func(*World) { return Kill(vm, 4*time.Second) })},
 		{50 * time.Millisecond, onAll(isPlanner, blockStore)},
-	}},
+	}, false},
 }
 
 // playDrain plays a day on which twelve workers announce that they drain, one every 40 ms, and a
@@ -111,6 +120,9 @@
 				for _, seed := range d.seeds {
 					last = max(last, playDrain(t, seed, d.processes, d.bound, tt.faults))
 				}
+				if last > d.bound && !tt.cutOff {
+					t.Errorf("a task was started on a worker that had drained for %v, want %v at most", last, d.bound)
+				}
 				t.Logf("%s: last start on a draining worker after %v", tt.name, last)
 			})
 		}
--- a/node/core.go
+++ b/node/core.go
@@ -115,6 +115,8 @@
 	// and quorumSince is when it was set or this process last resumed from a suspension.
 	quorum      bool
 	quorumSince time.Time
+	// settlesAt is resumeSettleTime after the last long suspension.
+	settlesAt time.Time
 	// fullReportAt is when the planner was last sent the list of all held workers, or zero
 	// while that is due; describedAt is when it was last sent their complete states.
 	fullReportAt, describedAt time.Time
--- a/node/members.go
+++ b/node/members.go
@@ -24,6 +24,9 @@
 	c.announceHeld(now, m.ID)
 	c.requestNewerCatalog(now, m)
 	c.updateWatches(now)
+	if len(c.readers.asked) == 0 {
+		c.readers.nextAsk = now
+	}
 	if m.ID == c.planner {
 		c.syncPlanner(now)
 	}
@@ -167,6 +170,9 @@
 	c.cell.SetMembers(now, members, reachable, c.quorum, allReachable)
 	if began {
 		c.adoptOwnList(now)
+		if now.Before(c.settlesAt) {
+			c.cell.AwaitList(now)
+		}
 	}
 	c.updateDeputies(now, members)
 }
@@ -218,13 +224,17 @@
 // term. After a pause, workers may have other holders than this process knows, and drain.
 func (c *Core) forgetCell(now time.Time) {
 	c.list = workerList{}
+	c.settlesAt = now.Add(resumeSettleTime)
 	if c.cell.Active() {
 		c.stopPlanning(now)
 		c.elect(now)
-		c.cell.AwaitList(now)
 	}
 }
 
+// resumeSettleTime is how long after a pause a process that begins to plan first reads the
+// list of workers: until the sessions that were lost in the pause are replaced.
+const resumeSettleTime = time.Second
+
 // syncPlanner has everything sent to a planner that is new, has connected or has begun to
 // plan: all held workers with the next report, and all pending tasks again.
 func (c *Core) syncPlanner(now time.Time) {
--- a/node/readers_test.go
+++ b/node/readers_test.go
@@ -176,3 +176,18 @@
 		t.Errorf("asked %v", asked)
 	}
 }
+
+// The planner is cut off from the store and from the others. When they are back, it must not wait
+// for the pause after its last round to end before it asks them.
+func TestMembersThatComeBackAreAskedAtOnce(t *testing.T) {
+	planner, second, third := threeCores()
+	listed(planner, ms(10), fullList("w"))
+	for _, c := range []*Core{second, third} {
+		planner.MemberDown(ms(20), c.Self().ID, 1, ms(20))
+	}
+	tickUntil(planner, 50, 3000)
+	planner.MemberUp(ms(3010), second.Self(), 2)
+	if asked := tickUntil(planner, 3050, 3050); len(asked) != 1 {
+		t.Errorf("asked %v, want the second", asked)
+	}
+}
