--- a/cell/book.go
+++ b/cell/planner.go
@@ -10,7 +10,7 @@
 // a planner dies, the next one builds its state anew from the members' reports and
 // requests.
 //
-// It decides three things: which member holds which worker (duty.go), which jobs stay
+// It decides three things: which member holds which worker (assign.go), which jobs stay
 // pending and which are refused (admit.go), and which worker runs a task (place.go).
 //
 // Limits: the cost of a decision grows with the number of workers that have free
--- /dev/null
+++ b/lease/start_test.go
@@ -0,0 +1,191 @@
+package lease
+
+import (
+	"testing"
+)
+
+// A worker with resources for two tasks is asked for a third while one of the two is
+// being stopped, and while the start of another is unanswered. Both may still run: the
+// third would be refused by a worker that enforces its resources, and overload one that
+// doesn't.
+func TestResourcesOfUnconfirmedRuns(t *testing.T) {
+	wl, _, first := newRunningLease(t)
+	wl.Start(ms(12), alice, order("b", 1))
+	second := takeActions(wl).starts[0]
+	wl.Stop(ms(13), first.Run)
+	wl.Start(ms(14), alice, order("c", 1))
+	wantEnd(t, takeActions(wl).reports, alice, NeverStarted, InsufficientResources)
+
+	wl.StartAnswered(ms(100), second, Result{Verdict: NoAnswer})
+	check := takeActions(wl).holds[0]
+	wl.HoldAnswered(ms(101), check, listResult(ms(101), []Run{second.Run}, ListedEnd{1, first.Run, Stopped}))
+	takeActions(wl)
+	wl.Start(ms(102), alice, order("c", 1))
+	if s := takeActions(wl).starts; len(s) != 1 {
+		t.Error("no start although the run has stopped")
+	}
+}
+
+// A start gets no answer. It may have been carried out, or may be in seconds. If its task
+// is placed on another worker while it can still begin, it runs twice; if it is given up
+// only after seconds, its caller waits.
+func TestStartWithoutAnswer(t *testing.T) {
+	tests := []struct {
+		name    string
+		running bool
+		want    Outcome
+	}{
+		{"it runs", true, 0},
+		{"it does not run", false, NeverStarted},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			wl, _ := newOpenLease(t)
+			wl.Start(ms(10), alice, order("a", 1))
+			s := takeActions(wl).starts[0]
+			wl.StartAnswered(ms(90), s, Result{Verdict: NoAnswer})
+			got := takeActions(wl)
+			if len(got.holds) != 1 || got.holds[0].Fence <= s.Fence || got.holds[0].Wait != 0 {
+				t.Fatalf("%+v, want one call that voids the start", got.holds)
+			}
+			if len(got.reports) != 0 {
+				t.Fatalf("reported %+v before it is known", got.reports)
+			}
+			var runs []Run
+			if tt.running {
+				runs = append(runs, s.Run)
+			}
+			wl.HoldAnswered(ms(91), got.holds[0], listResult(ms(91), runs))
+			tells := takeActions(wl).reports
+			if tt.want != 0 {
+				wantEnd(t, tells, alice, tt.want, Unanswered)
+			} else if len(tells) != 0 {
+				t.Errorf("reported %+v of a run that continues", tells)
+			}
+		})
+	}
+}
+
+// The order to drain a worker overtakes starts that were granted before.
+func TestDrainingWorker(t *testing.T) {
+	wl, _ := newOpenLease(t)
+	wl.Drain()
+	wl.Start(ms(10), alice, order("a", 1))
+	wantEnd(t, takeActions(wl).reports, alice, NeverStarted, Draining)
+	if s := wl.State(ms(11)); !s.Draining {
+		t.Error("the state does not show that the worker drains")
+	}
+}
+
+// A start is refused as fenced because this holder has raised its own round since: it is
+// sent again and not reported as refused.
+func TestStartFencedByOwnRound(t *testing.T) {
+	wl, _ := newOpenLease(t)
+	wl.Start(ms(10), alice, order("a", 1))
+	wl.Start(ms(10), alice, order("b", 1))
+	starts := takeActions(wl).starts
+	wl.StartAnswered(ms(90), starts[0], Result{Verdict: NoAnswer})
+	takeActions(wl)
+	wl.StartAnswered(ms(91), starts[1], Result{Verdict: Refused, Reason: Fenced, Clock: 5091})
+	got := takeActions(wl)
+	if len(got.reports) != 0 || len(got.starts) != 1 || got.starts[0].Fence <= starts[1].Fence {
+		t.Errorf("%+v, want the start again with a higher round", got)
+	}
+}
+
+// As above, but the holder has been told in between that the worker drains. The run has not begun,
+// so its task can be started elsewhere; here it would end with the worker.
+func TestStartFencedByOwnRoundOnADrainingWorker(t *testing.T) {
+	wl, _ := newOpenLease(t)
+	wl.Start(ms(10), alice, order("a", 1))
+	wl.Start(ms(10), alice, order("b", 1))
+	starts := takeActions(wl).starts
+	wl.StartAnswered(ms(90), starts[0], Result{Verdict: NoAnswer})
+	wl.Drain()
+	takeActions(wl)
+	wl.StartAnswered(ms(91), starts[1], Result{Verdict: Refused, Reason: Fenced, Clock: 5091})
+	got := takeActions(wl)
+	if len(got.starts) != 0 || wl.Closed() {
+		t.Errorf("sends %+v to a draining worker; closed %v", got.starts, wl.Closed())
+	}
+	wantEnd(t, got.reports, alice, NeverStarted, Draining)
+}
+
+// A start gets lost, and another one for the same worker raises the round; meanwhile the
+// owner's session ends and begins again, so it claims its runs, without their text. The
+// worker refuses the first order, and the start is sent again: it must carry the text
+// that the caller sent, or the worker does some other work, or none.
+func TestClaimedStartKeepsItsText(t *testing.T) {
+	wl, _ := newOpenLease(t)
+	wl.Start(ms(10), alice, order("a", 1))
+	first := takeActions(wl).starts[0]
+	wl.Start(ms(11), alice, order("b", 1))
+	wl.StartAnswered(ms(60), takeActions(wl).starts[0], Result{Verdict: NoAnswer})
+	wl.Claim(ms(61), alice, []Claim{claim("a", 1)})
+	wl.StartAnswered(ms(62), first, Result{Verdict: Refused, Reason: Fenced, Clock: 5062})
+	again := takeActions(wl).starts
+	if len(again) != 1 || again[0].Spec != "text" {
+		t.Errorf("sent again: %+v", again)
+	}
+}
+
+// A worker restarts under its old id just when a start reaches it, and the new
+// incarnation accepts it. If the run were reported as lost with all that ran before, its
+// task would be started a second time beside it.
+func TestStartAtARestartedWorker(t *testing.T) {
+	tests := []struct {
+		name    string
+		running bool
+	}{{"it is in the list", true}, {"it is still in flight", false}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			wl, poll, old := newRunningLease(t)
+			wl.Start(ms(20), alice, order("b", 1))
+			s := takeActions(wl).starts[0]
+			r := Result{Verdict: OK, Clock: 4, Incarnation: 8}
+			if tt.running {
+				r.Running = []ListedRun{{Run: s.Run}}
+			}
+			wl.HoldAnswered(ms(21), poll, r)
+			got := takeActions(wl)
+			wantEnd(t, got.reports, alice, Lost, "")
+			if got.reports[0].End.Run != old.Run {
+				t.Errorf("%v is lost", got.reports[0].End.Run)
+			}
+			wl.StartAnswered(ms(22), s, Result{Verdict: OK, Clock: 5})
+			for range 2 {
+				for _, h := range takeActions(wl).holds {
+					wl.HoldAnswered(ms(30), h, Result{Verdict: OK, Clock: 9, Incarnation: 8, Running: []ListedRun{{Run: s.Run}}})
+				}
+			}
+			if got := takeActions(wl).reports; len(got) != 0 {
+				t.Errorf("reported %+v of the run on the new incarnation", got)
+			}
+			if n := len(wl.Snapshot(ms(40)).Runs); n != 1 {
+				t.Errorf("%d runs, want that of the new incarnation", n)
+			}
+		})
+	}
+}
+
+// The worker refuses a start for lack of resources although there seem to be some: it
+// runs something that is unknown here. If these resources were granted again and again,
+// pending tasks would be kept from resources that are really free.
+func TestRefusalForResourcesBlocksStarts(t *testing.T) {
+	wl, poll := newOpenLease(t)
+	wl.Start(ms(10), alice, order("a", 1))
+	s := takeActions(wl).starts[0]
+	wl.StartAnswered(ms(11), s, Result{Verdict: Refused, Reason: InsufficientResources, Clock: 5011})
+	got := takeActions(wl)
+	wantEnd(t, got.reports, alice, NeverStarted, InsufficientResources)
+	if len(got.holds) != 1 || wl.State(ms(12)).Open {
+		t.Fatalf("calls %+v, open %v; want a check, and no more starts", got.holds, wl.State(ms(12)).Open)
+	}
+	wl.Start(ms(13), alice, order("b", 1))
+	wantEnd(t, takeActions(wl).reports, alice, NeverStarted, InsufficientResources)
+	wl.HoldAnswered(ms(14), got.holds[0], listResult(ms(14), nil))
+	if !wl.State(ms(15)).Open {
+		t.Error("not open after the list")
+	}
+	_ = poll
+}
