node: a new planner without the store asks others to read after 350 ms

Found on reading the change again: the planner's own reads counted as in order for a second from the begin of its term, so it asked nobody before, although its list counts as old by the silence of the former planner. Now both count from there.

TestNewPlannerWithoutTheStoreAsksSoon fails without the change (nobody is asked by 400 ms). Tests of node and model pass.

--- a/node/readers.go
+++ b/node/readers.go
@@ -84,7 +84,7 @@
 	c.stopReaders(now, mesh.ID{})
 	r := &c.readers
 	r.lastSerial++
-	r.own, r.ownReadAt, r.nextAsk = r.lastSerial, now, time.Time{}
+	r.own, r.ownReadAt, r.nextAsk = r.lastSerial, now.Add(-c.cell.ListAge(now)), time.Time{}
 	c.readFor = ListReading{}
 }
 
@@ -115,8 +115,11 @@
 func (c *Core) expectsRead(now time.Time, from mesh.ID, l cell.WorkerList) bool {
 	r := &c.readers
 	if from == c.self.ID {
+		if l.Serial != r.own {
+			return false
+		}
 		r.ownReadAt = now.Add(-l.Age)
-		return l.Serial == r.own
+		return true
 	}
 	reader := r.asked[from]
 	if reader == nil || reader.serial != l.Serial {
--- a/node/readers_test.go
+++ b/node/readers_test.go
@@ -191,3 +191,15 @@
 		t.Errorf("asked %v, want the second", asked)
 	}
 }
+
+// The planner is lost, and the next one does not reach the store. Its list is as old as the silence
+// of the former one at least, so it must ask others sooner than a planner whose reads begin to fail.
+func TestNewPlannerWithoutTheStoreAsksSoon(t *testing.T) {
+	planner, _, _ := threeCores()
+	if asked := tickUntil(planner, 50, 300); len(asked) != 0 {
+		t.Errorf("asked %v within 300 ms, which a read may take", asked)
+	}
+	if asked := tickUntil(planner, 350, 400); len(asked) != 2 {
+		t.Errorf("asked %v, want both others", asked)
+	}
+}
