--- a/model/faults_test.go
+++ b/model/faults_test.go
@@ -117,4 +117,18 @@
 func TestLateOrderReachesTheNextLife(t *testing.T) {
 	t.Parallel()
 	play(t, drawnDay(910248))
+	play(t, crashesAndLateOrders(15))
+}
+
+// crashesAndLateOrders returns a day on which a tenth of the calls to workers is carried out
+// late, and workers crash and return all the time.
+func crashesAndLateOrders(seed uint64) Config {
+	cfg := Lakeshore()
+	cfg.Seed, cfg.Load, cfg.Length, cfg.Tail = seed, 0.9, 8*time.Second, 12*time.Second
+	cfg.Faults = []Fault{{time.Second, DelayCalls(0.1, 7*time.Second)}}
+	for i := range 16 {
+		first := int(seed)*7 + i*11
+		cfg.Faults = append(cfg.Faults, Fault{time.Duration(i) * 500 * time.Millisecond, CrashWorkers(first, 6, 900*time.Millisecond)})
+	}
+	return cfg
 }
