--- a/node/list_test.go
+++ b/node/list_test.go
@@ -218,46 +218,54 @@
 	}
 }
 
+// pauses are pauses of a process, and whether others may have planned meanwhile.
+var pauses = []struct {
+	name  string
+	pause time.Duration
+	stale bool
+}{
+	{"short", 600 * time.Millisecond, false},
+	{"long", 3 * time.Second, true},
+}
+
 // The planner does not run for seconds, and another process plans meanwhile: workers get other
 // holders, and some drain. If the planner goes on with what it knew, it assigns and grants
 // workers that have long announced that they drain, and takes others from their holders.
 func TestPlannerForgetsWhatItKnewBeforeAPause(t *testing.T) {
-	tests := []struct {
-		name    string
-		pause   time.Duration
-		forgets bool
-	}{
-		{"short", 600 * time.Millisecond, false},
-		{"long", 3 * time.Second, true},
-	}
-	for _, tt := range tests {
-		planner, second, _ := threeCores()
+	for _, tt := range pauses {
+		planner, _, _ := threeCores()
 		listed(planner, ms(10), fullList("w"))
 		planner.Take(ms(10))
 		before := planner.ListReading()
 		back := ms(20).Add(tt.pause)
 		planner.Resumed(back, tt.pause)
 		out := planner.Take(back)
-		if got := planner.ListReading() != before; got != tt.forgets {
-			t.Errorf("%s: reads the list anew: %v, want %v", tt.name, got, tt.forgets)
+		if got := planner.ListReading() != before; got != tt.stale {
+			t.Errorf("%s: reads the list anew: %v, want %v", tt.name, got, tt.stale)
 		}
-		if got := len(planner.Status(back).Cell.Holders) == 0; got != tt.forgets {
-			t.Errorf("%s: knows no workers: %v, want %v", tt.name, got, tt.forgets)
+		if got := len(planner.Status(back).Cell.Holders) == 0; got != tt.stale {
+			t.Errorf("%s: knows no workers: %v, want %v", tt.name, got, tt.stale)
 		}
 		advertised := slices.ContainsFunc(out, func(o Output) bool { return o.Advertise != nil && o.Advertise.PlannerTerms == 2 })
-		if advertised != tt.forgets {
-			t.Errorf("%s: advertises a new term: %v, want %v", tt.name, advertised, tt.forgets)
+		if advertised != tt.stale {
+			t.Errorf("%s: advertises a new term: %v, want %v", tt.name, advertised, tt.stale)
 		}
+	}
+}
 
-		// The planner's list on a deputy that did not run is as old.
-		planner, second, _ = threeCores()
+// A deputy does not run for seconds, and plans when it resumes, since its sessions have ended. Its
+// copy of the planner's list is as old as the pause.
+func TestDeputyForgetsItsListInAPause(t *testing.T) {
+	for _, tt := range pauses {
+		planner, deputy, _ := threeCores()
 		listed(planner, ms(10), fullList("w"))
-		deliver(ms(11), planner, second, planner.Take(ms(10)))
-		second.Take(ms(11))
-		second.Resumed(back, tt.pause)
-		second.MemberDown(back, planner.Self().ID, 1, ms(20))
-		if got := len(second.Status(back).Cell.Holders) == 0; got != tt.forgets {
-			t.Errorf("%s: a deputy knows no workers: %v, want %v", tt.name, got, tt.forgets)
+		deliver(ms(11), planner, deputy, planner.Take(ms(10)))
+		deputy.Take(ms(11))
+		back := ms(20).Add(tt.pause)
+		deputy.Resumed(back, tt.pause)
+		deputy.MemberDown(back, planner.Self().ID, 1, ms(20))
+		if got := len(deputy.Status(back).Cell.Holders) == 0; got != tt.stale {
+			t.Errorf("%s: knows no workers: %v, want %v", tt.name, got, tt.stale)
 		}
 	}
 }
