--- a/node/readers.go
+++ b/node/readers.go
@@ -162,12 +162,11 @@
 	c.send(now, id, Message{ReadList: &ReadList{}})
 }
 
-// dropSilentReaders stops members that have delivered nothing for long, or say that they
-// do not reach the store.
+// dropSilentReaders stops members that have delivered nothing for long.
 func (c *Core) dropSilentReaders(now time.Time) {
 	r := &c.readers
 	for _, id := range sortedIDs(r.asked) {
-		if now.Sub(r.asked[id].heardAt) >= readerTimeout || c.members[id].StoreUnreachable {
+		if now.Sub(r.asked[id].heardAt) >= readerTimeout {
 			c.stopReader(now, id)
 		}
 	}
@@ -193,9 +192,10 @@
 	}
 }
 
-// readerCandidates returns the members that may reach the store and were not asked yet, in
-// the order in which they are asked: members of this cell first, and in turn from each
-// data centre, this process's own last, since most cuts hit one data centre.
+// readerCandidates returns the members that were not asked yet, in the order in which they
+// are asked: members of this cell first, and in turn from each data centre, this process's
+// own last, since most cuts hit one data centre. Members that say that they do not reach
+// the store come last: they may have noticed its loss, but not yet its return.
 func (c *Core) readerCandidates() []mesh.ID {
 	reachable := c.reachableMembers()
 	slices.SortFunc(reachable, c.comparePriority)
@@ -211,10 +211,11 @@
 	}
 	reachable = slices.DeleteFunc(reachable, func(m mesh.Member) bool {
 		_, tried := c.readers.tried[m.ID]
-		return tried || m.ID == c.self.ID || m.Leaving || m.StoreUnreachable
+		return tried || m.ID == c.self.ID || m.Leaving
 	})
 	slices.SortStableFunc(reachable, func(x, y mesh.Member) int {
 		return cmp.Or(
+			compareBool(x.StoreUnreachable, y.StoreUnreachable),
 			-compareBool(inCell[x.ID], inCell[y.ID]),
 			cmp.Compare(turn[x.ID], turn[y.ID]),
 			compareBool(x.DataCenter == c.self.DataCenter, y.DataCenter == c.self.DataCenter),
