--- a/event/table.go
+++ b/event/table.go
@@ -180,7 +180,7 @@
 	{PlannerBegan, slog.LevelInfo, "planning begins", "This process plans for the cell from now on.", "0.2"},
 	{PlannerEnded, slog.LevelInfo, "planning ends", "Another process plans from now on.", "0.2"},
 	{WorkerListed, slog.LevelInfo, "worker listed", "The platform lists a worker that was not known before.", "0.2"},
-	{WorkerDraining, slog.LevelInfo, "worker drains", "The worker is draining; it gets no new tasks. source says who brought the news: the platform's list, as read or copied by the process given so long ago, or the worker's holder.", "0.2"},
+	{WorkerDraining, slog.LevelInfo, "worker drains", "The worker is draining; it gets no new tasks. source says who brought the news: the platform's list, as read or copied by the process given, or the worker's holder. read_ms_ago is the age of a read; a copy has no age and shows 0.", "0.2"},
 	{WorkerForgotten, slog.LevelInfo, "worker forgotten", "The platform no longer lists the worker, and no holder reaches it.", "0.2"},
 	{WorkerAssigned, slog.LevelInfo, "worker given to a member", "The planner assigns the worker to a member. floor is the highest fencing token known; list_age_ms is how long ago the list of workers was current for certain.", "0.2"},
 	{WorkerReleaseRequested, slog.LevelInfo, "worker taken from a member", "The planner asks the holder to release the worker, so that another member can hold it.", "0.2"},
--- a/node/readers.go
+++ b/node/readers.go
@@ -37,7 +37,7 @@
 
 const (
 	// askInterval is the time between two rounds in which a planner without a current list
-	// asks further members to read it. It is some times what a read takes.
+	// asks further members to read it. A read takes a fraction of it.
 	askInterval = 200 * time.Millisecond
 	// readersPerRound is how many members are asked in a round.
 	readersPerRound = 4
