Read the operator's evacuations and pass them on; a test that nobody acts on them

The operator can ask that nothing more be started on the workers of a data centre. Nobody read the record, so tasks went on starting there until the request was taken back.

The adapter turns the record into a data centre and its offset. The set of evacuations carries the offset up to which the operator's topic is known, so that for each data centre the newest offset wins whatever the order of arrival, and a data centre that is missing from a set known further on has been taken back, without a trace having to be kept. That covers records that were dropped before this process read them, and a member that has read more or less.

It travels as the configuration does, by the same request: each process advertises up to where it knows, a member asks for what is newer, and the evacuations are sent and applied before the routes. No process has routes without knowing where nothing may be started.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,6 +1,6 @@
-// Package catalog holds the operator's routes and pools as the platform
-// publishes them: which queue a caller's request belongs to, and which pool of
-// workers runs its tasks.
+// Package catalog holds what the operator asks for, as the platform publishes it: the
+// routes and pools, which say to which queue a caller's request belongs and which pool
+// of workers runs its tasks, and the data centres to evacuate.
 //
 // A catalog is immutable. A Store holds the catalog in force and accepts only
 // higher versions: records arrive late, twice and from several sources (the
--- a/event/table.go
+++ b/event/table.go
@@ -110,6 +110,8 @@
 	WorkerListCurrent     ID = 929
 	ListReadersAsked      ID = 930
 	ListReaderAsked       ID = 931
+	EvacuationBegan       ID = 932
+	EvacuationEnded       ID = 933
 )
 
 var table = []Entry{
@@ -174,7 +176,7 @@
 	{SettingsUnusable, slog.LevelError, "settings can't be used", "The changed settings file can't be read or contradicts itself. The previous settings stay in force.", "0.2"},
 	{LogLinesDropped, slog.LevelWarn, "log lines dropped", "More lines were logged than could be written; the number given was dropped so that requests are not delayed.", "0.2"},
 	{MemberForgotten, slog.LevelInfo, "process forgotten", "A process has not renewed its record for minutes in which the store accepted records, and no longer counts towards the quorum; the planner deletes the record.", "0.2"},
-	{MemberStateChanged, slog.LevelInfo, "member news", "A member advertises a changed state: its number, whether it is leaving, whether it can't reach the store (blind), how often it began to plan, its version of the configuration.", "0.2"},
+	{MemberStateChanged, slog.LevelInfo, "member news", "A member advertises a changed state: its number, whether it is leaving, whether it can't reach the store (blind), how often it began to plan, its version of the configuration, up to which offset it knows the evacuations.", "0.2"},
 	{MemberOverdue, slog.LevelInfo, "member late", "The heartbeat of a watched member is overdue; it has been silent for the time given. Until it is heard from, no lease is renewed beyond the time at which the callers that it may have lost retry; if it is the planner, all members are watched for a second.", "0.2"},
 	{PlannerChosen, slog.LevelInfo, "planner chosen", "This process has elected the planner given for the cell, from the members that it can reach.", "0.2"},
 	{PlannerBegan, slog.LevelInfo, "planning begins", "This process plans for the cell from now on.", "0.2"},
@@ -208,4 +210,6 @@
 	{WorkerListCurrent, slog.LevelInfo, "list of workers current", "The planner has a current list of workers again, read by the process given.", "0.2"},
 	{ListReadersAsked, slog.LevelInfo, "members asked to read the list", "The planner has no current list of workers and asks the members given to read it as well. Further ones are asked every 200 ms until one of them delivers.", "0.2"},
 	{ListReaderAsked, slog.LevelInfo, "asked to read the list", "A planner asks this process to read the list of workers for it, or, with serial 0, no longer to. reads_for is the planner for which it reads now, if any.", "0.2"},
+	{EvacuationBegan, slog.LevelInfo, "data centre is evacuated", "The operator asks that no tasks be started on the workers of the data centre. From now on this process grants and starts none there; what runs there ends in peace. source is the store or the process that brought the news, offset the request's place in the operator's topic, late_ms_at_most how old the news can be (-1 if that is unknown).", "0.2"},
+	{EvacuationEnded, slog.LevelInfo, "evacuation ended", "The operator has taken the evacuation back, before the offset end; tasks may be started in the data centre again.", "0.2"},
 }
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -23,6 +23,7 @@
 	"github.com/go-faster/errors"
 
 	"snipehub.example/catalog"
+	"snipehub.example/registry"
 )
 
 // ID identifies one incarnation of a process: its address in the mesh and a number that
@@ -115,4 +116,7 @@
 	PlannerTerms uint64 `json:"plans,omitempty" cbor:"8,keyasint,omitzero"`
 	// Catalog is the version of the routes and pools that are in force on the process.
 	Catalog catalog.Version `json:"catalog" cbor:"9,keyasint,omitzero"`
+	// Evacuations is the offset in the operator's topic up to which the process knows the
+	// evacuations of data centres.
+	Evacuations registry.Offset `json:"evacuations,omitempty" cbor:"10,keyasint,omitzero"`
 }
--- a/model/drain_test.go
+++ b/model/drain_test.go
@@ -9,7 +9,7 @@
 	"snipehub.example/node"
 )
 
-var allDrains = flag.Bool("all-drains", false, "play each fault after a drain at 46 moments of the reads of the store")
+var allDrains = flag.Bool("all-drains", false, "play each fault after a drain at 46 moments of the reads of the store, and each one around an evacuation at 12")
 
 // onAll applies a fault to each VM that match selects, given the planner's VM.
 func onAll(match func(planner, n *vm) bool, do func(vm int) func(*World)) func(*World) {
--- a/model/model.go
+++ b/model/model.go
@@ -58,6 +58,9 @@
 	// DrainBound is how long after a worker has announced that it drains a sound process may
 	// still start tasks there; 0 means that this is not checked.
 	DrainBound time.Duration
+	// EvacuationBound is the same for starts in a data centre whose evacuation was
+	// requested.
+	EvacuationBound time.Duration
 	// Policy is the planner's policy; the zero value is the default policy.
 	Policy cell.Policy
 	// Objective, if set, replaces the objectives of the classes in the catalog that processes
@@ -159,6 +162,7 @@
 	workersByID      map[string]*worker
 	lastMemberNumber uint64
 	catalog          *catalog.Catalog
+	operator         operatorLog
 	// specFiller pads the specs of jobs to their length.
 	specFiller string
 	// storeDown is set while the store is unreachable for all processes.
@@ -239,6 +243,7 @@
 	}
 	w.log = slog.New(slog.NewTextHandler(cfg.Log, &slog.HandlerOptions{ReplaceAttr: w.replaceTime}))
 	w.start = w.now.Add(cfg.Lead)
+	w.operator = operatorLog{end: 1, current: make(map[string]time.Time)}
 	w.catalog = w.makeCatalog()
 	for _, cl := range cfg.Classes {
 		if cl.SpecSize > len(w.specFiller) {
--- a/model/score.go
+++ b/model/score.go
@@ -25,6 +25,8 @@
 	// LastDrainedStart is how long after a worker announced that it drains a start was sent
 	// to it, at most.
 	LastDrainedStart time.Duration
+	// LastEvacuatedStart is the same for the request to evacuate the worker's data centre.
+	LastEvacuatedStart time.Duration
 	// Violations describes the violated guarantees, at most maxBroken of them.
 	Violations []string
 }
--- a/model/vm.go
+++ b/model/vm.go
@@ -10,6 +10,7 @@
 	"snipehub.example/lease"
 	"snipehub.example/mesh"
 	"snipehub.example/node"
+	"snipehub.example/registry"
 
 	"snipehub.example/catalog"
 )
@@ -42,6 +43,8 @@
 	lastWaiter entry.Waiter
 	// storeLost is set while the process knows that the store does not answer.
 	storeLost bool
+	// operatorNext is the offset in the operator's topic from which the process reads on.
+	operatorNext registry.Offset
 	// watchedSince maps each member that the process watches to when it began to.
 	watchedSince map[mesh.ID]time.Time
 	// in and out are the two directions of the VM's link.
@@ -103,7 +106,7 @@
 	n.core = node.NewCore(w.log.With("vm", n.name), self, &catalog.Store{}, w.cfg.Policy)
 	n.waiters = make(map[entry.Waiter]func(entry.Answer))
 	n.backlog = nil
-	n.storeLost = false
+	n.storeLost, n.operatorNext = false, 0
 	n.watchedSince = make(map[mesh.ID]time.Time)
 	n.impairedAt = w.now
 	boots := n.boots
@@ -141,10 +144,10 @@
 		known = append(known, address(1, o.index))
 	}
 	n.do(func(now time.Time) {
-		n.core.Catalog(now, w.catalog, "store")
 		n.core.SetRecordedAddrs(now, known)
 		n.core.Advertise(now, func(m *mesh.Member) { m.Number = number })
 	})
+	n.readOperator(boots)
 }
 
 // storeUnreachable reports whether the process cannot reach the store.
@@ -204,6 +207,7 @@
 	}
 	n.world.after(pollWait, func() {
 		if !n.storeUnreachable() {
+			n.readOperator(boots)
 			n.advertiseStore(boots, false)
 			n.pollStore(boots)
 			return
@@ -333,6 +337,7 @@
 
 func (n *vm) start(id string, c lease.StartCall) {
 	n.checkDrain(id, c)
+	n.checkEvacuation(id, c)
 	n.call(id, c.Timeout, startBytes+len(c.Spec),
 		func(x *worker, respond func(lease.Result)) { respond(x.start(c)) },
 		func(now time.Time, r lease.Result) { n.core.StartAnswered(now, id, c, r) })
--- a/node/core.go
+++ b/node/core.go
@@ -25,7 +25,7 @@
 	Report         *cell.Report     `cbor:"7,keyasint,omitzero"`
 	Drain          *cell.Drain      `cbor:"8,keyasint,omitzero"`
 	WorkerList     *cell.WorkerList `cbor:"9,keyasint,omitzero"`
-	CatalogRequest *CatalogRequest  `cbor:"10,keyasint,omitzero"`
+	OperatorRequest *OperatorRequest `cbor:"10,keyasint,omitzero"`
 	Catalog        *catalog.Catalog `cbor:"11,keyasint,omitzero"`
 	Start          *entry.Start     `cbor:"12,keyasint,omitzero"`
 	Stop           *entry.Stop      `cbor:"13,keyasint,omitzero"`
@@ -34,12 +34,7 @@
 	Held           *entry.Held      `cbor:"16,keyasint,omitzero"`
 	Unheld         *entry.Unheld    `cbor:"17,keyasint,omitzero"`
 	ReadList       *ReadList        `cbor:"18,keyasint,omitzero"`
-}
-
-// CatalogRequest asks a member for its catalog. Version is the version that the member
-// advertised; its catalog may be newer by now.
-type CatalogRequest struct {
-	Version catalog.Version `cbor:"1,keyasint,omitzero"`
+	Evacuations *catalog.Evacuations `cbor:"19,keyasint,omitzero"`
 }
 
 // Output is an action that Core asks its driver to perform. Exactly one of the pointers
@@ -78,6 +73,8 @@
 	log      *slog.Logger
 	self     mesh.Member
 	catalogs *catalog.Store
+	// evacuations are the data centres in which no tasks may be started.
+	evacuations catalog.Evacuations
 	members  map[mesh.ID]peerState
 	// recordedAddrs are the addresses of the processes that the store lists.
 	recordedAddrs map[netip.AddrPort]struct{}
@@ -317,12 +314,12 @@
 		c.handleWorkerList(now, from, *m.WorkerList)
 	case m.ReadList != nil:
 		c.handleReadList(from, *m.ReadList)
-	case m.CatalogRequest != nil:
-		if have := c.catalogs.Current(); have.Version != 0 {
-			c.send(now, from, Message{Catalog: have})
-		}
+	case m.OperatorRequest != nil:
+		c.answerOperatorRequest(now, from, *m.OperatorRequest)
 	case m.Catalog != nil:
-		c.Catalog(now, m.Catalog, "member")
+		c.Catalog(now, m.Catalog, from.String())
+	case m.Evacuations != nil:
+		c.setEvacuations(now, c.evacuations.Merge(*m.Evacuations), from.String(), time.Time{})
 	case m.Release != nil:
 		c.releaseWorker(now, m.Release.Worker)
 	case m.Start != nil:
@@ -370,23 +367,6 @@
 	}
 }
 
-// Catalog brings a catalog into force if it is newer, and advertises its version.
-func (c *Core) Catalog(now time.Time, cat *catalog.Catalog, source string) {
-	if !c.catalogs.Put(cat) {
-		return
-	}
-	event.CatalogInForce.Log(c.log, "version", uint64(cat.Version), "queues", len(cat.Queues), "pools", len(cat.Pools), "source", source)
-	c.Advertise(now, func(m *mesh.Member) { m.Catalog = cat.Version })
-}
-
-// requestNewerCatalog asks a member for its catalog if that is newer: the store may
-// reject this process while it serves the others.
-func (c *Core) requestNewerCatalog(now time.Time, m mesh.Member) {
-	if m.Catalog > c.catalogs.Current().Version {
-		c.send(now, m.ID, Message{CatalogRequest: &CatalogRequest{Version: m.Catalog}})
-	}
-}
-
 // Tick does the work that is due by time.
 func (c *Core) Tick(now time.Time) {
 	for _, id := range sortedIDs(c.lostMembers) {
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -33,7 +33,7 @@
 		addrs = append(addrs, member(k).ID.Address)
 	}
 	c.SetRecordedAddrs(ms(0), addrs)
-	c.Catalog(ms(0), &catalog.Catalog{Version: 1}, "store")
+	c.OperatorRead(ms(0), OperatorRead{Full: true, End: 1, Catalogs: []*catalog.Catalog{{Version: 1}}})
 	c.Advertise(ms(0), func(m *mesh.Member) { m.Number = uint64(n) })
 	c.Take(ms(0))
 	return c
@@ -138,10 +138,10 @@
 	a, b := newCore(1, 2), newCore(2, 1)
 	a.Catalog(ms(1), &catalog.Catalog{Version: 7}, "store")
 	b.MemberUp(ms(2), a.Self(), 1)
-	var want *CatalogRequest
+	var want *OperatorRequest
 	for _, m := range messagesTo(b.Take(ms(2)), a.Self().ID) {
-		if m.CatalogRequest != nil {
-			want = m.CatalogRequest
+		if m.OperatorRequest != nil {
+			want = m.OperatorRequest
 		}
 	}
 	if want == nil {
@@ -149,7 +149,7 @@
 	}
 	a.MemberUp(ms(2), b.Self(), 1)
 	a.Take(ms(2))
-	a.Receive(ms(3), b.Self().ID, 1, []Message{{CatalogRequest: want}})
+	a.Receive(ms(3), b.Self().ID, 1, []Message{{OperatorRequest: want}})
 	b.Receive(ms(4), a.Self().ID, 1, messagesTo(a.Take(ms(3)), b.Self().ID))
 	if v := b.Self().Catalog; v != 7 {
 		t.Errorf("catalog version %d, want 7", v)
--- a/node/members.go
+++ b/node/members.go
@@ -22,7 +22,7 @@
 	}
 	c.entry.HolderReachable(m.ID)
 	c.announceHeld(now, m.ID)
-	c.requestNewerCatalog(now, m)
+	c.requestNewer(now, m)
 	c.updateWatches(now)
 	if len(c.readers.asked) == 0 {
 		c.readers.nextAsk = now
@@ -106,16 +106,16 @@
 	if !ok {
 		return
 	}
-	event.MemberStateChanged.Log(c.log, "member", m.VM, "id", m.ID, "number", m.Number, "leaving", m.Leaving, "blind", m.StoreUnreachable, "plans", m.PlannerTerms, "catalog", uint64(m.Catalog))
+	event.MemberStateChanged.Log(c.log, "member", m.VM, "id", m.ID, "number", m.Number, "leaving", m.Leaving, "blind", m.StoreUnreachable, "plans", m.PlannerTerms, "catalog", uint64(m.Catalog), "evacuations", uint64(m.Evacuations))
 	formerPlanner, previous := c.planner, p.Member
 	began := m.PlannerTerms != p.PlannerTerms
 	p.Member = m
 	c.members[m.ID] = p
-	c.requestNewerCatalog(now, m)
-	previous.Catalog = m.Catalog
+	c.requestNewer(now, m)
+	previous.Catalog, previous.Evacuations = m.Catalog, m.Evacuations
 	if previous == m {
-		// Only the catalog version differs, which does not affect the election. Each change
-		// of the configuration causes one such message from every member at once.
+		// Only what it knows of the operator differs, which does not affect the election.
+		// Each change of the operator's causes one such message from every member at once.
 		return
 	}
 	c.elect(now)
--- a/node/node.go
+++ b/node/node.go
@@ -72,11 +72,13 @@
 	Operator, WorkerList registry.Source
 	Members              Topic
 	// IsCatalog reports whether a record is the operator's configuration; Catalog and
-	// Worker parse records.
-	IsCatalog func(registry.Record) bool
-	Catalog   func(registry.Record) (*catalog.Catalog, error)
-	Worker    func(registry.Record) (cell.ListedWorker, error)
-	Workers   Workers
+	// Worker parse records. Evacuation parses those of the operator's topic that are about
+	// the evacuation of a data centre, and returns false for others.
+	IsCatalog  func(registry.Record) bool
+	Catalog    func(registry.Record) (*catalog.Catalog, error)
+	Evacuation func(registry.Record) (catalog.EvacuationChange, bool)
+	Worker     func(registry.Record) (cell.ListedWorker, error)
+	Workers    Workers
 	// Callers returns the handler of callers' requests.
 	Callers func(*Node) http.Handler
 	// Dial opens connections to other processes.
--- /dev/null
+++ b/node/operator.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"time"
+
+	"snipehub.example/catalog"
+	"snipehub.example/event"
+	"snipehub.example/mesh"
+	"snipehub.example/registry"
+)
+
+// OperatorRead is what one read of the operator's topic has returned.
+type OperatorRead struct {
+	// Full is set if the read returned the latest record of every key; otherwise it
+	// returned those that follow the previous read.
+	Full        bool
+	Evacuations []catalog.EvacuationChange
+	Catalogs    []*catalog.Catalog
+	// End is the offset after the last record.
+	End registry.Offset
+	// At is when the read began: whatever changed before was known from earlier reads,
+	// unless this is the first one.
+	At time.Time
+}
+
+// OperatorRequest asks a member for what it knows of the operator's topic. Its fields are
+// what the member has advertised, or 0 for what is not wanted; it may know more by now.
+type OperatorRequest struct {
+	Catalog     catalog.Version `cbor:"1,keyasint,omitzero"`
+	Evacuations registry.Offset `cbor:"2,keyasint,omitzero"`
+}
+
+// sourceStore is the source, in logs, of what this process has read itself.
+const sourceStore = "store"
+
+// OperatorRead brings into force what this process has read of the operator's topic. The
+// evacuations come first, so that no process has routes by which to start tasks without
+// knowing where none may be started.
+func (c *Core) OperatorRead(now time.Time, r OperatorRead) {
+	if r.Full {
+		c.setEvacuations(now, c.evacuations.Merge(catalog.NewEvacuations(r.Evacuations, r.End)), sourceStore, time.Time{})
+	} else {
+		c.setEvacuations(now, c.evacuations.Apply(r.Evacuations, r.End), sourceStore, r.At)
+	}
+	for _, cat := range r.Catalogs {
+		c.Catalog(now, cat, sourceStore)
+	}
+}
+
+// setEvacuations records evacuations and tells the members. since is the time of the last read
+// without the change, or zero if that is unknown.
+func (c *Core) setEvacuations(now time.Time, next catalog.Evacuations, source string, since time.Time) {
+	previous := c.evacuations
+	c.evacuations = next
+	begun, ended := next.Since(previous)
+	if previous.Known() && len(begun)+len(ended) == 0 {
+		return
+	}
+	late := time.Duration(-1)
+	if !since.IsZero() {
+		late = now.Sub(since)
+	}
+	for _, e := range begun {
+		event.EvacuationBegan.Log(c.log, "data_center", e.DataCenter, "offset", uint64(e.Offset), "source", source, "late_ms_at_most", late.Milliseconds())
+	}
+	for _, e := range ended {
+		event.EvacuationEnded.Log(c.log, "data_center", e.DataCenter, "offset", uint64(e.Offset), "end", uint64(next.End), "source", source, "late_ms_at_most", late.Milliseconds())
+	}
+	c.Advertise(now, func(m *mesh.Member) { m.Evacuations = next.End })
+}
+
+// Catalog brings a catalog into force if it is newer, and advertises its version.
+func (c *Core) Catalog(now time.Time, cat *catalog.Catalog, source string) {
+	if !c.catalogs.Put(cat) {
+		return
+	}
+	event.CatalogInForce.Log(c.log, "version", uint64(cat.Version), "queues", len(cat.Queues), "pools", len(cat.Pools), "source", source)
+	c.Advertise(now, func(m *mesh.Member) { m.Catalog = cat.Version })
+}
+
+// requestNewer asks a member for its catalog and evacuations if they are newer: the store
+// may reject this process while it serves the others.
+func (c *Core) requestNewer(now time.Time, m mesh.Member) {
+	var r OperatorRequest
+	if m.Catalog > c.catalogs.Current().Version {
+		r.Catalog = m.Catalog
+	}
+	if m.Evacuations > c.evacuations.End {
+		r.Evacuations = m.Evacuations
+	}
+	if r != (OperatorRequest{}) {
+		c.send(now, m.ID, Message{OperatorRequest: &r})
+	}
+}
+
+// answerOperatorRequest sends what a member has asked for, the evacuations first.
+func (c *Core) answerOperatorRequest(now time.Time, from mesh.ID, r OperatorRequest) {
+	if r.Evacuations != 0 && c.evacuations.Known() {
+		e := c.evacuations
+		c.send(now, from, Message{Evacuations: &e})
+	}
+	if have := c.catalogs.Current(); r.Catalog != 0 && have.Version != 0 {
+		c.send(now, from, Message{Catalog: have})
+	}
+}
--- a/node/store.go
+++ b/node/store.go
@@ -56,24 +56,35 @@
 	return f
 }
 
-// followOperator brings the operator's configuration into force.
+// followOperator brings the operator's configuration and evacuations into force.
 func (n *Node) followOperator() *registry.Follower {
 	return n.follower(registry.Config{Name: topicOperator, Wait: operatorPollWait}, n.platform.Operator, nil, func(ctx context.Context, update registry.Update) {
-		for _, r := range update.Records {
-			if n.platform.IsCatalog(r) {
-				n.applyCatalog(ctx, r)
-			}
+		if update.Full || len(update.Records) > 0 {
+			read := n.operatorRead(update)
+			n.enqueue(ctx, func(now time.Time, c *Core) { c.OperatorRead(now, read) })
 		}
 	})
 }
 
-func (n *Node) applyCatalog(ctx context.Context, r registry.Record) {
-	c, err := n.platform.Catalog(r)
-	if err != nil {
-		event.RecordUnreadable.Log(n.log, "topic", topicOperator, "offset", uint64(r.Offset), "error", err)
-		return
+// operatorRead parses what was read of the operator's topic.
+func (n *Node) operatorRead(update registry.Update) OperatorRead {
+	read := OperatorRead{Full: update.Full, End: update.Next, At: update.At}
+	for _, r := range update.Records {
+		if e, ok := n.platform.Evacuation(r); ok {
+			read.Evacuations = append(read.Evacuations, e)
+			continue
+		}
+		if !n.platform.IsCatalog(r) {
+			continue
+		}
+		c, err := n.platform.Catalog(r)
+		if err != nil {
+			event.RecordUnreadable.Log(n.log, "topic", topicOperator, "offset", uint64(r.Offset), "error", err)
+			continue
+		}
+		read.Catalogs = append(read.Catalogs, c)
 	}
-	n.enqueue(ctx, func(now time.Time, core *Core) { core.Catalog(now, c, "store") })
+	return read
 }
 
 // advertise changes the state that this process advertises to the members.
