Start nothing in an evacuated data centre

Cause: the request was known to all processes and acted on by none.

The planner counts the workers of the data centre as taking no new tasks, in granting, in the look-ahead's slots and among workers that are about to get a holder, so what no longer fits is refused at once; if all data centres are evacuated, with a reason of its own and four seconds to retry. The holder turns down what was granted before, also a start that it would send again, with the reason "evacuated", and its owner has the task placed elsewhere. Runs end in peace, and the workers keep their holders, so that they are in use again as soon as the request is taken back. A process that knows nothing yet, after a restart of all, grants and starts nothing.

--- a/cell/admit.go
+++ b/cell/admit.go
@@ -36,7 +36,11 @@
 	queue = slices.DeleteFunc(queue, func(p *pendingRequest) bool { return pl.scheduleInTime(p, groups) || p.Begun })
 	pl.refusedDelay = 0
 	reason := reasonOthersFirst
-	if len(groups) == 0 {
+	switch {
+	case len(groups) == 0 && pl.allEvacuated():
+		reason = reasonEvacuated
+		pl.refusedDelay = evacuatedRetryAfter
+	case len(groups) == 0:
 		reason = reasonNoWorkers
 	}
 	for _, p := range queue {
@@ -116,6 +120,9 @@
 	// reasonNoWorkers is the reason when no worker accepts tasks: none is known, or none
 	// has a holder.
 	reasonNoWorkers = "no_workers"
+	// reasonEvacuated is the reason when all workers that would accept tasks are in data
+	// centres that are being evacuated.
+	reasonEvacuated = "evacuated"
 )
 
 // slots is a heap of the times at which slots become free, on workers of about the same
@@ -216,13 +223,13 @@
 // changesHolder reports whether a worker accepted tasks until a moment ago and is
 // expected to do so again under its next holder.
 func (w *worker) changesHolder(now time.Time) bool {
-	return !w.open && w.listed && !w.draining && w.failures == 0 && now.Sub(w.closedAt) < handoverWindow
+	return !w.open && w.listed && w.takesNew() && w.failures == 0 && now.Sub(w.closedAt) < handoverWindow
 }
 
 // awaitsHolder reports whether a worker was just assigned to a holder that has not
 // reported it yet or is waiting for the worker's first answer.
 func (w *worker) awaitsHolder(now time.Time) bool {
-	if w.open || !w.listed || w.draining || w.failures > 0 || w.holder == (mesh.ID{}) {
+	if w.open || !w.listed || !w.takesNew() || w.failures > 0 || w.holder == (mesh.ID{}) {
 		return false
 	}
 	return !w.confirmed && now.Sub(w.assignedAt) < assignmentRepeatInterval || now.Sub(w.heldSince) < handoverWindow
--- a/cell/admit_test.go
+++ b/cell/admit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"testing"
 	"time"
 
@@ -82,7 +81,7 @@
 // worker; half a second later all workers are held again. A fifth of the callers of these
 // seconds was refused at once, most of whom could have been served in time.
 func TestNobodyIsRefusedBeforeTheWorkersAreThere(t *testing.T) {
-	pl := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
+	pl := newIdlePlanner(Policy{})
 	pl.Begin(ms(0))
 	pl.SetMembers(ms(0), members(1), members(1), false, false)
 	pl.Report(ms(1), memberID(0), Report{Full: true})
@@ -123,7 +122,7 @@
 // is unreachable. Callers were told that other jobs come first, so operators looked for a
 // load that was not there.
 func TestRefusalTellsThatNoWorkerTakesTasks(t *testing.T) {
-	pl := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
+	pl := newIdlePlanner(Policy{})
 	pl.Begin(ms(0))
 	pl.SetMembers(ms(0), members(1), members(1), false, false)
 	pl.Report(ms(1), memberID(0), Report{Full: true})
--- a/cell/assign_test.go
+++ b/cell/assign_test.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"log/slog"
 	"slices"
 	"testing"
 
@@ -132,7 +131,7 @@
 // platform's list. Tasks that it started on a draining worker would be killed with the
 // worker.
 func TestDrainingIsKnownFromTheHolder(t *testing.T) {
-	pl := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
+	pl := newIdlePlanner(Policy{})
 	pl.Begin(ms(0))
 	pl.SetMembers(ms(0), members(2), members(2), true, false)
 	w := testWorker(0)
--- a/cell/listage_test.go
+++ b/cell/listage_test.go
@@ -52,7 +52,7 @@
 		{"store away", false, int(reportGracePeriod.Milliseconds())},
 	}
 	for _, tt := range tests {
-		pl := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
+		pl := newIdlePlanner(Policy{})
 		pl.Begin(ms(0))
 		pl.AwaitList(ms(0))
 		pl.SetMembers(ms(0), members(2), members(2), true, true)
--- a/cell/place.go
+++ b/cell/place.go
@@ -89,7 +89,7 @@
 // that cannot meet their objective. It does nothing if nothing has changed since the last
 // call, so that a burst of events costs one pass over the queue.
 func (pl *Planner) Place(now time.Time) {
-	if !pl.active || !pl.needsPlanning || pl.awaitsList(now) {
+	if !pl.active || !pl.needsPlanning || pl.awaitsList(now) || !pl.evacuations.Known() {
 		return
 	}
 	pl.needsPlanning = false
@@ -153,9 +153,13 @@
 
 // acceptsTasks reports whether tasks may be started on a worker.
 func (w *worker) acceptsTasks() bool {
-	return w.open && !w.draining && (w.listed || w.failures == 0)
+	return w.open && w.takesNew() && (w.listed || w.failures == 0)
 }
 
+// takesNew reports whether a worker is to get new tasks at all: it does not drain, and its
+// data centre is not being evacuated.
+func (w *worker) takesNew() bool { return !w.draining && !w.evacuated }
+
 func minCPU(queue []*pendingRequest) int {
 	least := queue[0].Resources.CPU
 	for _, p := range queue {
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -21,6 +21,7 @@
 	"log/slog"
 	"time"
 
+	"snipehub.example/catalog"
 	"snipehub.example/event"
 	"snipehub.example/lease"
 	"snipehub.example/mesh"
@@ -40,6 +41,8 @@
 	// listed is set if the platform lists the worker, draining if it accepts no new
 	// tasks.
 	listed, draining bool
+	// evacuated is set while no tasks may be started in the worker's data centre.
+	evacuated bool
 	// holder is the member that holds the worker, or zero; heldSince is when it was
 	// assigned, or first reported the worker.
 	holder    mesh.ID
@@ -176,6 +179,9 @@
 	listRead bool
 	listAsOf time.Time
 	listLate bool
+	// evacuations are the data centres in which no tasks may be started, which this process
+	// knows whether it plans or not.
+	evacuations catalog.Evacuations
 	// awaitListUntil is how long no tasks are granted unless the list has been read.
 	awaitListUntil time.Time
 }
@@ -345,11 +351,11 @@
 func (pl *Planner) updateListed(l ListedWorker, from mesh.ID, age time.Duration) {
 	w := pl.workers[l.ID]
 	if w == nil {
-		w = &worker{runs: make(map[lease.Run]activeRun)}
-		pl.workers[l.ID], pl.byID = w, nil
+		w = pl.addWorker(l.Worker)
 		event.WorkerListed.Log(pl.log, "worker", l.ID, "address", l.Address, "pool", l.Pool, "data_center", l.DataCenter, "kind", l.Kind, "rack", l.Rack, "cpu", l.Resources.CPU, "memory", l.Resources.Memory)
 	}
 	w.Worker, w.listed = l.Worker, true
+	w.evacuated = pl.evacuations.Includes(w.DataCenter)
 	if l.Draining && !w.draining {
 		w.draining = true
 		event.WorkerDraining.Log(pl.log, "worker", l.ID, "source", "list", "from", from, "read_ms_ago", age.Milliseconds())
@@ -357,6 +363,13 @@
 	}
 }
 
+// addWorker adds a worker that was not known before.
+func (pl *Planner) addWorker(l lease.Worker) *worker {
+	w := &worker{Worker: l, evacuated: pl.evacuations.Includes(l.DataCenter), runs: make(map[lease.Run]activeRun)}
+	pl.workers[l.ID], pl.byID = w, nil
+	return w
+}
+
 // sendDrain has the holder refuse starts on a draining worker: grants may still be on
 // their way, and the next planner learns of the drain from the holder before it has read
 // the platform's list.
--- a/cell/planner_test.go
+++ b/cell/planner_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"snipehub.example/catalog"
 	"snipehub.example/lease"
 	"snipehub.example/mesh"
 )
@@ -31,10 +32,18 @@
 	return lease.Worker{ID: fmt.Sprintf("w%d", n), Pool: "p", DataCenter: fmt.Sprintf("dc%d", n%2), Kind: "a", Rack: fmt.Sprintf("r%d", n%3), Resources: lease.Resources{CPU: 60, Memory: 100}}
 }
 
+// newIdlePlanner returns a Planner that is not active yet and knows that no data centre is
+// evacuated.
+func newIdlePlanner(policy Policy) *Planner {
+	pl := New(slog.New(slog.DiscardHandler), memberID(0), policy)
+	pl.SetEvacuations(catalog.Evacuations{End: 1})
+	return pl
+}
+
 // newPlanner returns an active Planner with n members and k workers that nobody holds yet.
 func newPlanner(t testing.TB, n, k int) *Planner {
 	t.Helper()
-	pl := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
+	pl := newIdlePlanner(Policy{})
 	pl.Begin(ms(0))
 	pl.SetMembers(ms(0), members(n), members(n), true, false)
 	l := WorkerList{Full: true}
@@ -201,7 +210,7 @@
 }
 
 func benchmarkPlace(b *testing.B, n, workers, most int) {
-	pl := New(slog.New(slog.DiscardHandler), memberID(0), Policy{})
+	pl := newIdlePlanner(Policy{})
 	pl.Begin(ms(0))
 	pl.SetMembers(ms(0), members(n), members(n), true, false)
 	l := WorkerList{Full: true}
--- a/cell/report.go
+++ b/cell/report.go
@@ -56,8 +56,8 @@
 			return
 		}
 		// The platform's store may be unreachable, while its workers are still held.
-		w = &worker{Worker: *s.Worker, listed: !pl.listRead, runs: make(map[lease.Run]activeRun)}
-		pl.workers[s.ID], pl.byID = w, nil
+		w = pl.addWorker(*s.Worker)
+		w.listed = !pl.listRead
 	}
 	if w.holder != from {
 		if s.Released || s.Fence < w.fence {
--- a/cell/view.go
+++ b/cell/view.go
@@ -29,6 +29,8 @@
 	Fence    lease.Fence   `json:"fence"`
 	Open     bool          `json:"open"`
 	Draining bool          `json:"draining,omitempty"`
+	// Evacuated is set while no tasks may be started in the worker's data centre.
+	Evacuated bool `json:"evacuated,omitempty"`
 	Listed   bool          `json:"listed"`
 	Runs     int           `json:"runs"`
 	Speed    lease.Speed   `json:"speed"`
@@ -52,6 +54,7 @@
 			Fence:    w.fence,
 			Open:     w.open,
 			Draining: w.draining,
+			Evacuated: w.evacuated,
 			Listed:   w.listed,
 			Runs:     len(w.runs),
 			Speed:    w.speed,
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -173,6 +173,8 @@
 	// Unusable: the worker does not answer, or does not accept hold calls.
 	Unusable  Reason = "unsound"
 	Draining  Reason = "draining"
+	// Evacuated: no tasks may be started in the worker's data centre.
+	Evacuated Reason = "evacuated"
 	Unhealthy Reason = "unhealthy"
 	// Late: the order had expired when it reached the worker.
 	Late Reason = "late"
--- a/lease/start.go
+++ b/lease/start.go
@@ -34,8 +34,8 @@
 	switch {
 	case wl.phase != open:
 		return NotHeld
-	case wl.draining:
-		return Draining
+	case wl.closedToNew() != "":
+		return wl.closedToNew()
 	case !wl.usable:
 		return Unusable
 	case wl.resourcesRefused || !wl.usedResources().Plus(o.Resources).Fits(wl.worker.Resources):
@@ -44,6 +44,18 @@
 	return ""
 }
 
+// closedToNew returns why the worker takes no new tasks for now, whatever its state: it
+// drains, or its data centre is being evacuated.
+func (wl *WorkerLease) closedToNew() Reason {
+	switch {
+	case wl.draining:
+		return Draining
+	case wl.evacuated:
+		return Evacuated
+	}
+	return ""
+}
+
 // sendStart issues the start of a run. A worker would run whatever text comes with the
 // order, so a text that is not the job's is not sent; the owner has the task placed
 // again.
@@ -118,8 +130,8 @@
 	}
 	sendAgain := c.Fence < wl.fence && e.state == starting && wl.phase == open
 	switch {
-	case sendAgain && wl.draining:
-		why = Draining
+	case sendAgain && wl.closedToNew() != "":
+		why = wl.closedToNew()
 	case sendAgain:
 		wl.sendStart(now, e)
 		return
--- a/lease/start_test.go
+++ b/lease/start_test.go
@@ -66,14 +66,36 @@
 	}
 }
 
-// The order to drain a worker overtakes starts that were granted before.
-func TestDrainingWorker(t *testing.T) {
+// The order to drain a worker, or the evacuation of its data centre, overtakes starts that were
+// granted before.
+func TestStartsOnAWorkerThatTakesNoNewTasks(t *testing.T) {
+	tests := []struct {
+		name  string
+		close func(*WorkerLease)
+		why   Reason
+	}{
+		{"draining", func(wl *WorkerLease) { wl.Drain() }, Draining},
+		{"evacuated", func(wl *WorkerLease) { wl.SetEvacuated(true) }, Evacuated},
+	}
+	for _, tt := range tests {
+		wl, _ := newOpenLease(t)
+		tt.close(wl)
+		wl.Start(ms(10), alice, order("a", 1))
+		wantEnd(t, takeActions(wl).reports, alice, NeverStarted, tt.why)
+		if s := wl.State(ms(11)); s.Draining != (tt.why == Draining) {
+			t.Errorf("%s: the state shows draining %v", tt.name, s.Draining)
+		}
+	}
+}
+
+// An evacuation that is taken back leaves the worker as it was.
+func TestStartAfterAnEvacuation(t *testing.T) {
 	wl, _ := newOpenLease(t)
-	wl.Drain()
+	wl.SetEvacuated(true)
+	wl.SetEvacuated(false)
 	wl.Start(ms(10), alice, order("a", 1))
-	wantEnd(t, takeActions(wl).reports, alice, NeverStarted, Draining)
-	if s := wl.State(ms(11)); !s.Draining {
-		t.Error("the state does not show that the worker drains")
+	if got := takeActions(wl); len(got.starts) != 1 {
+		t.Errorf("%+v, want one start", got)
 	}
 }
 
@@ -93,22 +115,32 @@
 	}
 }
 
-// As above, but the holder has been told in between that the worker drains. The run has not begun,
-// so its task can be started elsewhere; here it would end with the worker.
-func TestStartFencedByOwnRoundOnADrainingWorker(t *testing.T) {
-	wl, _ := newOpenLease(t)
-	wl.Start(ms(10), alice, order("a", 1))
-	wl.Start(ms(10), alice, order("b", 1))
-	starts := takeActions(wl).starts
-	wl.StartAnswered(ms(90), starts[0], Result{Verdict: NoAnswer})
-	wl.Drain()
-	takeActions(wl)
-	wl.StartAnswered(ms(91), starts[1], Result{Verdict: Refused, Reason: Fenced, Clock: 5091})
-	got := takeActions(wl)
-	if len(got.starts) != 0 || wl.Closed() {
-		t.Errorf("sends %+v to a draining worker; closed %v", got.starts, wl.Closed())
+// As above, but the holder has been told in between that the worker drains, or that its data centre
+// is evacuated. The run has not begun, so its task can be started elsewhere; here it would end with
+// the worker.
+func TestStartFencedByOwnRoundOnAWorkerThatTakesNoNewTasks(t *testing.T) {
+	tests := []struct {
+		close func(*WorkerLease)
+		why   Reason
+	}{
+		{func(wl *WorkerLease) { wl.Drain() }, Draining},
+		{func(wl *WorkerLease) { wl.SetEvacuated(true) }, Evacuated},
+	}
+	for _, tt := range tests {
+		wl, _ := newOpenLease(t)
+		wl.Start(ms(10), alice, order("a", 1))
+		wl.Start(ms(10), alice, order("b", 1))
+		starts := takeActions(wl).starts
+		wl.StartAnswered(ms(90), starts[0], Result{Verdict: NoAnswer})
+		tt.close(wl)
+		takeActions(wl)
+		wl.StartAnswered(ms(91), starts[1], Result{Verdict: Refused, Reason: Fenced, Clock: 5091})
+		got := takeActions(wl)
+		if len(got.starts) != 0 || wl.Closed() {
+			t.Errorf("%s: sends %+v; closed %v", tt.why, got.starts, wl.Closed())
+		}
+		wantEnd(t, got.reports, alice, NeverStarted, tt.why)
 	}
-	wantEnd(t, got.reports, alice, NeverStarted, Draining)
 }
 
 // A start gets lost, and another one for the same worker raises the round; meanwhile the
--- a/lease/workerlease.go
+++ b/lease/workerlease.go
@@ -164,6 +164,8 @@
 
 	// draining is set if the worker takes no new tasks.
 	draining bool
+	// evacuated is set while no tasks may be started in the worker's data centre.
+	evacuated bool
 
 	speed Speed
 	pool  *PoolStats
@@ -282,6 +284,10 @@
 	return true
 }
 
+// SetEvacuated sets whether starts are refused because the worker's data centre is being
+// evacuated.
+func (wl *WorkerLease) SetEvacuated(on bool) { wl.evacuated = on }
+
 // Release gives the worker up for another holder: nothing is started any more, and the
 // WorkerLease closes once no start is unanswered.
 func (wl *WorkerLease) Release(now time.Time) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -100,6 +100,13 @@
 	s.Histogram(string(name), buckets).RecordDuration(d)
 }
 
+// Duration records a duration in a histogram without labels.
+func (m *Meter) Duration(name Name, d time.Duration) {
+	if m != nil {
+		m.root.Histogram(string(name), buckets).RecordDuration(d)
+	}
+}
+
 // scope returns the scope of a series, or the shared one if the limit is reached. Without
 // the limit, a caller that makes up kinds would fill the memory of every dispatcher and
 // of the system that collects the metrics.
--- a/meter/table.go
+++ b/meter/table.go
@@ -76,6 +76,8 @@
 	PlannerGrants    Name = "planner_grants"
 	PlannerRefusals  Name = "planner_refusals"
 	PlannerListAge   Name = "planner_list_age_seconds"
+	DataCentersEvacuated Name = "data_centers_evacuated"
+	EvacuationDelay Name = "evacuation_delay_seconds"
 )
 
 // Kind is the type of a metric.
@@ -174,4 +176,6 @@
 	{910, PlannerGrants, Counter, "tasks", nil, "Tasks that this process has granted workers as the planner.", "0.2"},
 	{911, PlannerRefusals, Counter, "jobs", byCode, "Jobs that this process has refused as the planner; the code is the reason.", "0.2"},
 	{912, PlannerListAge, Gauge, "seconds", nil, "How long ago the platform's list of workers was current for certain, at the planner; 0 elsewhere.", "0.2"},
+	{913, DataCentersEvacuated, Gauge, "data centres", nil, "Data centres in which this process starts no tasks because the operator evacuates them.", "0.2"},
+	{914, EvacuationDelay, Histogram, "seconds", nil, "How late, at most, this process read from the store that an evacuation was requested or taken back; what other processes told it sooner is not counted.", "0.2"},
 }
--- a/node/core.go
+++ b/node/core.go
@@ -75,6 +75,9 @@
 	catalogs *catalog.Store
 	// evacuations are the data centres in which no tasks may be started.
 	evacuations catalog.Evacuations
+	// evacuationDelays are how late, at most, changes of the evacuations were read from the
+	// store since they were last exported.
+	evacuationDelays []time.Duration
 	members  map[mesh.ID]peerState
 	// recordedAddrs are the addresses of the processes that the store lists.
 	recordedAddrs map[netip.AddrPort]struct{}
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -23,9 +23,14 @@
 	refused              map[string]int64
 	ended                map[lease.Outcome]int64
 	notStarted           map[lease.Reason]int64
+	// evacuated is the number of evacuated data centres, evacuationDelays what was learned
+	// since the last copy.
+	evacuated        int
+	evacuationDelays []time.Duration
 }
 
-// coreStats returns a copy that other goroutines may read.
+// coreStats returns a copy that other goroutines may read. The delays in it are returned
+// once.
 func (c *Core) coreStats(now time.Time) coreStats {
 	stats := coreStats{
 		sessions:   len(c.members),
@@ -36,7 +41,11 @@
 		refused:    copied(c.cell.Counts().Refused),
 		ended:      copied(c.entry.Counts().Ended),
 		notStarted: copied(c.entry.Counts().NotStarted),
+		evacuated:  len(c.evacuations.Requested),
+
+		evacuationDelays: c.evacuationDelays,
 	}
+	c.evacuationDelays = nil
 	if stats.isPlanner {
 		stats.view = c.cell.View(now)
 	}
@@ -82,6 +91,10 @@
 	m.Gauge(meter.PlannerWorkers, float64(stats.view.Workers))
 	m.Gauge(meter.PlannerFreeCores, stats.view.FreeCores)
 	m.Gauge(meter.PlannerListAge, stats.view.ListAge.Seconds())
+	m.Gauge(meter.DataCentersEvacuated, float64(stats.evacuated))
+	for _, d := range stats.evacuationDelays {
+		m.Duration(meter.EvacuationDelay, d)
+	}
 	m.Count(meter.PlannerGrants, stats.granted-last.granted)
 	for why, v := range stats.refused {
 		m.CountCode(meter.PlannerRefusals, why, v-last.refused[why])
--- a/node/holder.go
+++ b/node/holder.go
@@ -22,7 +22,9 @@
 	c.dropHolding(a.Worker.ID)
 	c.sortedHeld = nil
 	minFence := max(a.MinFence, c.maxUsedFence)
-	c.held[a.Worker.ID] = lease.NewWorkerLease(now, a.Worker, lease.NewFence(c.self.Number), minFence, a.Speed, c.statsOf(a.Worker.Pool))
+	wl := lease.NewWorkerLease(now, a.Worker, lease.NewFence(c.self.Number), minFence, a.Speed, c.statsOf(a.Worker.Pool))
+	wl.SetEvacuated(!c.mayStart(a.Worker.DataCenter))
+	c.held[a.Worker.ID] = wl
 }
 
 // drainWorker has no more tasks started on a worker, as a planner asks.
--- a/node/operator.go
+++ b/node/operator.go
@@ -47,7 +47,8 @@
 	}
 }
 
-// setEvacuations records evacuations and tells the members. since is the time of the last read
+// setEvacuations brings evacuations into force: this process starts no more tasks in the
+// data centres, neither as a planner nor as a holder. since is the time of the last read
 // without the change, or zero if that is unknown.
 func (c *Core) setEvacuations(now time.Time, next catalog.Evacuations, source string, since time.Time) {
 	previous := c.evacuations
@@ -59,6 +60,7 @@
 	late := time.Duration(-1)
 	if !since.IsZero() {
 		late = now.Sub(since)
+		c.evacuationDelays = append(c.evacuationDelays, late)
 	}
 	for _, e := range begun {
 		event.EvacuationBegan.Log(c.log, "data_center", e.DataCenter, "offset", uint64(e.Offset), "source", source, "late_ms_at_most", late.Milliseconds())
@@ -66,9 +68,20 @@
 	for _, e := range ended {
 		event.EvacuationEnded.Log(c.log, "data_center", e.DataCenter, "offset", uint64(e.Offset), "end", uint64(next.End), "source", source, "late_ms_at_most", late.Milliseconds())
 	}
+	for _, id := range c.heldIDs() {
+		wl := c.held[id]
+		wl.SetEvacuated(!c.mayStart(wl.Worker().DataCenter))
+	}
+	c.cell.SetEvacuations(next)
 	c.Advertise(now, func(m *mesh.Member) { m.Evacuations = next.End })
 }
 
+// mayStart reports whether tasks may be started in a data centre. A process that has just
+// started and knows of no evacuations can't tell, and starts none.
+func (c *Core) mayStart(dataCenter string) bool {
+	return c.evacuations.Known() && !c.evacuations.Includes(dataCenter)
+}
+
 // Catalog brings a catalog into force if it is newer, and advertises its version.
 func (c *Core) Catalog(now time.Time, cat *catalog.Catalog, source string) {
 	if !c.catalogs.Put(cat) {
--- a/node/status.go
+++ b/node/status.go
@@ -15,6 +15,8 @@
 	Planner   mesh.ID         `json:"planner"`
 	IsPlanner bool            `json:"plans"`
 	Catalog   catalog.Version `json:"catalog"`
+	// Evacuations are the data centres in which the process starts no tasks.
+	Evacuations catalog.Evacuations `json:"evacuations"`
 	Members   []mesh.Member   `json:"members"`
 	Jobs      int             `json:"jobs"`
 	Workers   []lease.State   `json:"workers"`
@@ -26,7 +28,7 @@
 
 // Status returns the state for operators.
 func (c *Core) Status(now time.Time) Status {
-	s := Status{Self: c.self, Planner: c.planner, IsPlanner: c.IsPlanner(), Members: c.reachableMembers(), Jobs: c.entry.Len()}
+	s := Status{Self: c.self, Planner: c.planner, IsPlanner: c.IsPlanner(), Members: c.reachableMembers(), Jobs: c.entry.Len(), Evacuations: c.evacuations}
 	for _, id := range c.heldIDs() {
 		s.Workers = append(s.Workers, c.held[id].Snapshot(now))
 	}
--- a/operator/cell.go
+++ b/operator/cell.go
@@ -93,6 +93,9 @@
 		fmt.Fprintf(w, "%-32s %-12s %-6g %-8d %-8d %s\n", m.VM, m.DataCenter, m.Cores, m.Number, m.Catalog, strings.Join(notes, ", "))
 	}
 	writeStoreAges(w, s.StoreAge)
+	for _, e := range s.Evacuations.Requested {
+		fmt.Fprintf(w, "evacuated: %s, requested at offset %d; no tasks are started there\n", e.DataCenter, e.Offset)
+	}
 	if planner.Cell == nil {
 		return
 	}
@@ -120,7 +123,7 @@
 	fmt.Fprintf(w, "%-20s %-32s %-10s %-6s %-5s %-7s %s\n", "worker", "holder", "for", "term", "runs", "factor", "")
 	for _, h := range c.Holders {
 		var notes []string
-		for note, applies := range map[string]bool{"not open": !h.Open, "draining": h.Draining, "not listed": !h.Listed, fmt.Sprintf("%d bad in a row", h.Speed.BadJobs): h.Speed.BadJobs > 0} {
+		for note, applies := range map[string]bool{"not open": !h.Open, "draining": h.Draining, "evacuated": h.Evacuated, "not listed": !h.Listed, fmt.Sprintf("%d bad in a row", h.Speed.BadJobs): h.Speed.BadJobs > 0} {
 			if applies {
 				notes = append(notes, note)
 			}
