cell: assign the workers as soon as most have restarted, if nobody holds one

After a power failure of all, callers were refused (no_room_in_time) from the first process's return until the last one's: the planner gives workers away when all recorded processes have reported, or after 0.5 s.

The wait protects holders that the planner does not see yet. If more than half have reported and none of them holds a worker, there are none to protect but by a chance that costs a takeover, which the fencing token makes safe. A planner that was cut off waits as before, and so does one to whom anybody reports a worker.

cell.TestWorkersAreAssignedWhenMostHaveRestarted fails without the change (0 of 6 assigned).

--- a/cell/assign.go
+++ b/cell/assign.go
@@ -62,8 +62,17 @@
 // off, or whose other members have just started, would take the workers of those that it
 // can't reach. One that was cut off for a while would take them from the holders that they
 // have had since, and give workers that drain to members that have not been told.
+//
+// If nobody in sight holds a worker, all processes have just started, as after a power
+// failure, and nothing is lost by not waiting for those that are still missing.
 func (pl *Planner) mayAssign(now time.Time) bool {
-	return pl.mayReassign && (!now.Before(pl.assignFrom) || pl.allReachable && pl.allReported())
+	switch {
+	case !pl.mayReassign:
+		return false
+	case !now.Before(pl.assignFrom):
+		return true
+	}
+	return pl.allReported() && (pl.allReachable || !pl.foundHeld)
 }
 
 // allReported reports whether all members have sent a full report.
--- a/cell/assign_test.go
+++ b/cell/assign_test.go
@@ -100,6 +100,49 @@
 	}
 }
 
+// All VMs have lost power and come back one after the other. Once more than half have reported,
+// none of which holds a worker, callers must not be refused until the last one is there.
+func TestWorkersAreAssignedWhenMostHaveRestarted(t *testing.T) {
+	tests := []struct {
+		name string
+		// held is set if a member has kept a worker, so that some have not restarted.
+		held bool
+		// before is set if this planner was cut off before.
+		before bool
+		want   int
+	}{
+		{"nobody holds a worker", false, false, 6},
+		{"somebody does", true, false, 0},
+		{"the planner was cut off", false, true, 0},
+	}
+	for _, tt := range tests {
+		pl := newIdlePlanner(Policy{})
+		pl.Begin(ms(0))
+		pl.SetMembers(ms(1), members(1), members(1), false, false)
+		l := WorkerList{Full: true}
+		for i := range 6 {
+			l.Workers = append(l.Workers, ListedWorker{Worker: testWorker(i)})
+		}
+		pl.UpdateWorkers(ms(1), memberID(0), l)
+		if tt.before {
+			pl.SetMembers(ms(2), members(3), members(3), true, false)
+			pl.SetMembers(ms(3), members(1), members(1), false, false)
+			pl.TakeActions()
+		}
+		pl.SetMembers(ms(4), members(3), members(3), true, false)
+		for i := range 3 {
+			r := Report{Full: true}
+			if tt.held && i == 2 {
+				r.States = []lease.State{{ID: testWorker(0).ID, Fence: lease.NewFence(9), Open: true}}
+			}
+			pl.Report(ms(5), memberID(i), r)
+		}
+		if got := takeAssignments(pl); len(got) != tt.want {
+			t.Errorf("%s: %d assignments, want %d", tt.name, len(got), tt.want)
+		}
+	}
+}
+
 // A leaving member is asked to release its workers. They are assigned to other members
 // once it has released them, and not back to it.
 func TestLeavingMember(t *testing.T) {
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -172,6 +172,9 @@
 	hadQuorum bool
 	// assignFrom is when workers may be assigned although not all members have reported.
 	assignFrom time.Time
+	// foundHeld is set once a member has reported a worker that this planner has not
+	// assigned to it, or the planner was cut off from the others.
+	foundHeld bool
 	actions    []Action
 	counts     Counts
 	// listRead is set once the platform's worker list has been read. listAsOf is the time
@@ -205,7 +208,7 @@
 	pl.requestQueue = requestQueue{order: pl.policy.Order}
 	pl.bySpeed, pl.byID = nil, nil
 	pl.listRead, pl.listAsOf, pl.listLate = false, time.Time{}, false
-	pl.mayReassign, pl.hadQuorum = false, false
+	pl.mayReassign, pl.hadQuorum, pl.foundHeld = false, false, false
 	pl.awaitListUntil = time.Time{}
 }
 
@@ -270,7 +273,7 @@
 	}
 	pl.members = next
 	if joined && mayReassign && !pl.mayReassign && pl.hadQuorum {
-		pl.assignFrom = now.Add(reportGracePeriod)
+		pl.assignFrom, pl.foundHeld = now.Add(reportGracePeriod), true
 	}
 	pl.hadQuorum = pl.hadQuorum || mayReassign
 	pl.mayReassign, pl.allReachable = mayReassign, allReachable
--- a/cell/report.go
+++ b/cell/report.go
@@ -63,6 +63,7 @@
 		if s.Released || s.Fence < w.fence {
 			return
 		}
+		pl.foundHeld = true
 		w.formerHolder, w.holder, w.heldSince = w.holder, from, now
 		w.releaseSentAt = time.Time{}
 	}
