--- a/load/bound_test.go
+++ b/load/bound_test.go
@@ -27,7 +27,7 @@
 
 func TestBoundOfUnknownSite(t *testing.T) {
 	for _, name := range []string{"nowhere", "bound_test.go"} {
-		if _, err := findBoundSite(name); err == nil {
+		if _, err := findPlayedSite(name, nil); err == nil {
 			t.Errorf("%s: no error", name)
 		}
 	}
--- a/load/model.go
+++ b/load/model.go
@@ -12,7 +12,6 @@
 	"github.com/urfave/cli/v3"
 
 	"snipehub.example/cell"
-	"snipehub.example/internal/program"
 	"snipehub.example/model"
 )
 
@@ -37,57 +36,58 @@
 	return &cli.Command{
 		Name:  "model",
 		Usage: "play days in virtual time, with workers under leases, and compare the planner's policies",
-		Description: "Each row is a policy: the part of all worth that callers earned over the seeds with\n" +
+		Description: "Each row is a policy: the part of the worth that callers earned by the site's goal over the seeds with\n" +
 			"its standard error, the mean difference to the default on the same seeds with its\n" +
 			"standard error, the worth of the two worst windows, and what was late and refused.",
 		Flags: []cli.Flag{
-			siteFlag(),
-			&cli.StringFlag{Name: "day", Value: "busy", Usage: "calm, busy, full or lossy"},
+			siteOrFileFlag(),
+			daysFlag(),
 			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "how many"},
-			&cli.StringFlag{Name: "plots", Usage: "write a plot of the worth by seed into this directory"},
+			&cli.StringSliceFlag{Name: "policy", Usage: "only these, besides the default"},
+			&cli.StringFlag{Name: "plots", Usage: "write plots of the worth by seed into this directory"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			site, err := siteFromFlag(c)
+			s, err := findPlayedSite(c.String("site"), c.StringSlice("day"))
 			if err != nil {
 				return err
 			}
-			i := slices.IndexFunc(model.Days, func(d model.Day) bool { return d.Name == c.String("day") })
-			if i < 0 {
-				return cli.Exit(fmt.Sprintf("no day %q", c.String("day")), program.ExitUsage)
-			}
-			day := model.Days[i]
-			fmt.Fprintf(c.Root().Writer, "%s, %s: %s; %d seeds\n", c.String("site"), day.Name, day.Summary, c.Int("seeds"))
-			curves := comparePolicies(c.Root().Writer, site, day, c.Int("seeds"))
-			if dir := c.String("plots"); dir != "" {
-				d := drawing{
-					name: c.String("site") + "-" + day.Name + "-policies", title: day.Summary,
-					x: "seed", y: "worth", curves: curves,
+			for _, day := range s.days {
+				fmt.Fprintf(c.Root().Writer, "%s, %s; %d seeds\n", c.String("site"), day.name, c.Int("seeds"))
+				curves := comparePolicies(c.Root().Writer, s.goal, day, c.Int("seeds"), c.StringSlice("policy"))
+				if dir := c.String("plots"); dir != "" {
+					d := drawing{name: day.name + "-policies", title: day.name, x: "seed", y: "worth", curves: curves}
+					if err := d.save(dir, "svg"); err != nil {
+						return err
+					}
 				}
-				return d.save(dir, "svg")
 			}
 			return nil
 		},
 	}
 }
 
-// comparePolicies plays the day with each policy and writes a table.
-func comparePolicies(w io.Writer, site func() model.Config, day model.Day, seeds int) []curve {
+// comparePolicies plays the day with each policy, or only with those named and the default,
+// and writes a table. The worth is weighed by the site's goal.
+func comparePolicies(w io.Writer, goal model.Parts, day playedDay, seeds int, only []string) []curve {
 	fmt.Fprintf(w, "%-24s %-16s %-18s %-8s %-8s %-8s %s\n", "policy", "worth", "to default", "worst", "late", "refused", "by kind")
 	var curves []curve
 	var baseline []float64
-	for _, p := range comparedPolicies {
+	for i, p := range comparedPolicies {
+		if i > 0 && len(only) > 0 && !slices.Contains(only, p.name) {
+			continue
+		}
 		var worth, worst []float64
 		late, refused := 0, 0
 		kinds := make(map[string]float64)
 		began := time.Now()
 		cv := curve{name: p.name}
-		for seed := 1; seed <= seeds; seed++ {
-			cfg := site()
-			cfg.Seed, cfg.Policy = uint64(seed), p.policy
-			day.Apply(&cfg)
+		for seed := range seeds {
+			cfg := day.config(seed)
+			cfg.Policy = p.policy
 			r := model.New(cfg).Run()
-			worth, worst = append(worth, r.Worth), append(worst, r.WorstWindows)
-			cv.points = append(cv.points, Point{X: float64(seed), Y: r.Worth})
+			earned := r.Parts.By(goal)
+			worth, worst = append(worth, earned), append(worst, r.WorstWindows)
+			cv.points = append(cv.points, Point{X: float64(seed), Y: earned})
 			for _, t := range r.Classes {
 				late, refused = late+t.Late, refused+t.Refused
 				kinds[t.Name] += t.Share() / float64(seeds)
--- a/model/evacuation.go
+++ b/model/evacuation.go
@@ -25,18 +25,15 @@
 const storeDelay = 4 * time.Millisecond
 
 // Evacuate has the operator request the evacuation of a data centre, and take it back after
-// a time; 0 means never. Data centre indexes wrap around.
-func Evacuate(dc int, d time.Duration) func(*World) {
+// a time.
+func Evacuate(dc string, d time.Duration) func(*World) {
 	return func(w *World) {
-		name := w.cfg.DataCenters[dc%len(w.cfg.DataCenters)].Name
-		w.operator.current[name] = w.now
-		w.appendOperator(name, false)
-		if d > 0 {
-			w.after(d, func() {
-				delete(w.operator.current, name)
-				w.appendOperator(name, true)
-			})
-		}
+		w.operator.current[dc] = w.now
+		w.appendOperator(dc, false)
+		w.after(d, func() {
+			delete(w.operator.current, dc)
+			w.appendOperator(dc, true)
+		})
 	}
 }
 
--- a/model/evacuation_test.go
+++ b/model/evacuation_test.go
@@ -32,7 +32,7 @@
 		{time.Second, CompactStore()},
 	}, false},
 	{"all lose power while it stands", []Fault{{time.Second, PowerOffAll(500 * time.Millisecond)}}, false},
-	{"a second data centre", []Fault{{100 * time.Millisecond, Evacuate(2, 3*time.Second)}}, false},
+	{"a second data centre", []Fault{{100 * time.Millisecond, Evacuate("cleveland", 3*time.Second)}}, false},
 	{"a drain and a configuration at once", []Fault{{0, Retire(3, 5*time.Second)}, {0, ChangeCatalog()}, {10 * time.Millisecond, Retire(20, 5*time.Second)}}, false},
 	{"sessions are reset", []Fault{{-5 * time.Millisecond, onAll(isPlanner, ResetSessions)}, {20 * time.Millisecond, onAll(isPlanner, ResetSessions)}}, false},
 	{"its own processes are killed", []Fault{{0, onAll(inItsDataCenter, kill)}}, false},
@@ -48,7 +48,8 @@
 	cfg.EvacuationBound = evacuationBound
 	cfg.DrainBound = 2 * time.Second
 	at := 5*time.Second + time.Duration(seed-1)*50*time.Millisecond
-	cfg.Faults = append(cfg.Faults, Fault{at, Evacuate(seed, 6*time.Second)}, Fault{at + 9*time.Second, Evacuate(seed+1, 2*time.Second)})
+	dc := func(i int) string { return cfg.DataCenters[i%len(cfg.DataCenters)].Name }
+	cfg.Faults = append(cfg.Faults, Fault{at, Evacuate(dc(seed), 6*time.Second)}, Fault{at + 9*time.Second, Evacuate(dc(seed+1), 2*time.Second)})
 	for _, f := range faults {
 		cfg.Faults = append(cfg.Faults, Fault{at + f.At, f.Do})
 	}
@@ -101,10 +102,10 @@
 		cfg := Lakeshore()
 		cfg.Seed, cfg.Load, cfg.Length, cfg.Tail = uint64(seed), 1.2, 11*time.Second, time.Second
 		end := 9 * time.Second
-		cfg.Faults = []Fault{{3 * time.Second, Evacuate(seed, 6*time.Second)}}
+		dc := cfg.DataCenters[seed%len(cfg.DataCenters)].Name
+		cfg.Faults = []Fault{{3 * time.Second, Evacuate(dc, 6*time.Second)}}
 		w := New(cfg)
 		w.Run()
-		dc := cfg.DataCenters[seed%len(cfg.DataCenters)].Name
 		used := make(map[string]struct{})
 		for _, b := range w.begun {
 			since := b.at.Sub(w.start) - end
