--- a/cell/planner.go
+++ b/cell/planner.go
@@ -175,8 +175,8 @@
 	// foundHeld is set once a member has reported a worker that this planner has not
 	// assigned to it, or the planner was cut off from the others.
 	foundHeld bool
-	actions    []Action
-	counts     Counts
+	actions   []Action
+	counts    Counts
 	// listRead is set once the platform's worker list has been read. listAsOf is the time
 	// as of which it is known, and listLate is set while that is more than MaxListAge ago.
 	listRead bool
--- a/cell/view.go
+++ b/cell/view.go
@@ -30,10 +30,10 @@
 	Open     bool          `json:"open"`
 	Draining bool          `json:"draining,omitempty"`
 	// Evacuated is set while no tasks may be started in the worker's data centre.
-	Evacuated bool `json:"evacuated,omitempty"`
-	Listed   bool          `json:"listed"`
-	Runs     int           `json:"runs"`
-	Speed    lease.Speed   `json:"speed"`
+	Evacuated bool        `json:"evacuated,omitempty"`
+	Listed    bool        `json:"listed"`
+	Runs      int         `json:"runs"`
+	Speed     lease.Speed `json:"speed"`
 }
 
 // View returns the planner's state for operators.
@@ -48,16 +48,16 @@
 			v.FreeCores += float64(w.free().CPU) / 1000
 		}
 		v.Holders = append(v.Holders, HeldWorker{
-			Worker:   w.ID,
-			Holder:   w.holder,
-			For:      now.Sub(w.heldSince),
-			Fence:    w.fence,
-			Open:     w.open,
-			Draining: w.draining,
+			Worker:    w.ID,
+			Holder:    w.holder,
+			For:       now.Sub(w.heldSince),
+			Fence:     w.fence,
+			Open:      w.open,
+			Draining:  w.draining,
 			Evacuated: w.evacuated,
-			Listed:   w.listed,
-			Runs:     len(w.runs),
-			Speed:    w.speed,
+			Listed:    w.listed,
+			Runs:      len(w.runs),
+			Speed:     w.speed,
 		})
 	}
 	return v
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -171,8 +171,8 @@
 	InsufficientResources Reason = "room"
 	NotHeld               Reason = "not_held"
 	// Unusable: the worker does not answer, or does not accept hold calls.
-	Unusable  Reason = "unsound"
-	Draining  Reason = "draining"
+	Unusable Reason = "unsound"
+	Draining Reason = "draining"
 	// Evacuated: no tasks may be started in the worker's data centre.
 	Evacuated Reason = "evacuated"
 	Unhealthy Reason = "unhealthy"
--- a/lease/workerlease_test.go
+++ b/lease/workerlease_test.go
@@ -298,4 +298,3 @@
 		t.Errorf("closed %v, state %+v", wl.Closed(), s)
 	}
 }
-
--- a/load/site.go
+++ b/load/site.go
@@ -103,4 +103,3 @@
 	}
 	return s
 }
-
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -220,4 +220,3 @@
 		}
 	}
 }
-
--- a/node/core.go
+++ b/node/core.go
@@ -16,25 +16,25 @@
 
 // Message is a message between processes. Exactly one field is set.
 type Message struct {
-	Request        *cell.Request    `cbor:"1,keyasint,omitzero"`
-	Grant          *cell.Grant      `cbor:"2,keyasint,omitzero"`
-	Refusal        *cell.Refusal    `cbor:"3,keyasint,omitzero"`
-	Withdraw       *cell.Withdrawal `cbor:"4,keyasint,omitzero"`
-	Assignment     *cell.Assignment `cbor:"5,keyasint,omitzero"`
-	Release        *cell.Release    `cbor:"6,keyasint,omitzero"`
-	Report         *cell.Report     `cbor:"7,keyasint,omitzero"`
-	Drain          *cell.Drain      `cbor:"8,keyasint,omitzero"`
-	WorkerList     *cell.WorkerList `cbor:"9,keyasint,omitzero"`
-	OperatorRequest *OperatorRequest `cbor:"10,keyasint,omitzero"`
-	Catalog        *catalog.Catalog `cbor:"11,keyasint,omitzero"`
-	Start          *entry.Start     `cbor:"12,keyasint,omitzero"`
-	Stop           *entry.Stop      `cbor:"13,keyasint,omitzero"`
-	Claim          *entry.Claim     `cbor:"14,keyasint,omitzero"`
-	Ended          *entry.Ended     `cbor:"15,keyasint,omitzero"`
-	Held           *entry.Held      `cbor:"16,keyasint,omitzero"`
-	Unheld         *entry.Unheld    `cbor:"17,keyasint,omitzero"`
-	ReadList       *ReadList        `cbor:"18,keyasint,omitzero"`
-	Evacuations *catalog.Evacuations `cbor:"19,keyasint,omitzero"`
+	Request         *cell.Request        `cbor:"1,keyasint,omitzero"`
+	Grant           *cell.Grant          `cbor:"2,keyasint,omitzero"`
+	Refusal         *cell.Refusal        `cbor:"3,keyasint,omitzero"`
+	Withdraw        *cell.Withdrawal     `cbor:"4,keyasint,omitzero"`
+	Assignment      *cell.Assignment     `cbor:"5,keyasint,omitzero"`
+	Release         *cell.Release        `cbor:"6,keyasint,omitzero"`
+	Report          *cell.Report         `cbor:"7,keyasint,omitzero"`
+	Drain           *cell.Drain          `cbor:"8,keyasint,omitzero"`
+	WorkerList      *cell.WorkerList     `cbor:"9,keyasint,omitzero"`
+	OperatorRequest *OperatorRequest     `cbor:"10,keyasint,omitzero"`
+	Catalog         *catalog.Catalog     `cbor:"11,keyasint,omitzero"`
+	Start           *entry.Start         `cbor:"12,keyasint,omitzero"`
+	Stop            *entry.Stop          `cbor:"13,keyasint,omitzero"`
+	Claim           *entry.Claim         `cbor:"14,keyasint,omitzero"`
+	Ended           *entry.Ended         `cbor:"15,keyasint,omitzero"`
+	Held            *entry.Held          `cbor:"16,keyasint,omitzero"`
+	Unheld          *entry.Unheld        `cbor:"17,keyasint,omitzero"`
+	ReadList        *ReadList            `cbor:"18,keyasint,omitzero"`
+	Evacuations     *catalog.Evacuations `cbor:"19,keyasint,omitzero"`
 }
 
 // Output is an action that Core asks its driver to perform. Exactly one of the pointers
@@ -78,7 +78,7 @@
 	// evacuationDelays are how late, at most, changes of the evacuations were read from the
 	// store since they were last exported.
 	evacuationDelays []time.Duration
-	members  map[mesh.ID]peerState
+	members          map[mesh.ID]peerState
 	// recordedAddrs are the addresses of the processes that the store lists.
 	recordedAddrs map[netip.AddrPort]struct{}
 	planner       mesh.ID
--- a/node/status.go
+++ b/node/status.go
@@ -17,9 +17,9 @@
 	Catalog   catalog.Version `json:"catalog"`
 	// Evacuations are the data centres in which the process starts no tasks.
 	Evacuations catalog.Evacuations `json:"evacuations"`
-	Members   []mesh.Member   `json:"members"`
-	Jobs      int             `json:"jobs"`
-	Workers   []lease.State   `json:"workers"`
+	Members     []mesh.Member       `json:"members"`
+	Jobs        int                 `json:"jobs"`
+	Workers     []lease.State       `json:"workers"`
 	// Cell is the planner's view, or nil if this process is not the planner.
 	Cell *cell.View `json:"cell,omitempty"`
 	// StoreAge is the time since each topic of the store was last read.
