cell: assign workers early only where callers wait, and within their data centre

Now nobody waiting means the ordinary, even spread, and workers of a data centre without a member wait for one. Both tests pass; the new cases of TestWorkersAreAssignedWhenMostHaveRestarted fail without the change.

--- a/cell/assign.go
+++ b/cell/assign.go
@@ -64,7 +64,8 @@
 // have had since, and give workers that drain to members that have not been told.
 //
 // If nobody in sight holds a worker, all processes have just started, as after a power
-// failure, and nothing is lost by not waiting for those that are still missing.
+// failure. Then callers who are already waiting are served without waiting for the processes
+// that are still missing. Otherwise the workers are better spread over all of them.
 func (pl *Planner) mayAssign(now time.Time) bool {
 	switch {
 	case !pl.mayReassign:
@@ -72,7 +73,14 @@
 	case !now.Before(pl.assignFrom):
 		return true
 	}
-	return pl.allReported() && (pl.allReachable || !pl.foundHeld)
+	return pl.allReported() && (pl.allReachable || !pl.foundHeld && len(pl.pending) > 0)
+}
+
+// assignsEarly reports whether workers are assigned before all processes are there. Then
+// those of a data centre without a member wait: a holder elsewhere would lose them if either
+// data centre were cut off before they are moved back.
+func (pl *Planner) assignsEarly(now time.Time) bool {
+	return now.Before(pl.assignFrom) && !pl.allReachable
 }
 
 // allReported reports whether all members have sent a full report.
@@ -136,7 +144,7 @@
 		return
 	}
 	m := pl.chooseHolder(now, w, load)
-	if m == nil {
+	if m == nil || pl.assignsEarly(now) && m.DataCenter != w.DataCenter {
 		return
 	}
 	load[w.holder]--
--- a/cell/assign_test.go
+++ b/cell/assign_test.go
@@ -105,15 +105,21 @@
 func TestWorkersAreAssignedWhenMostHaveRestarted(t *testing.T) {
 	tests := []struct {
 		name string
+		// waiting is set if a caller waits.
+		waiting bool
 		// held is set if a member has kept a worker, so that some have not restarted.
 		held bool
-		// before is set if this planner was cut off before.
-		before bool
-		want   int
+		// cutOff is set if this planner was cut off before.
+		cutOff bool
+		// members is how many are there.
+		members int
+		want    int
 	}{
-		{"nobody holds a worker", false, false, 6},
-		{"somebody does", true, false, 0},
-		{"the planner was cut off", false, true, 0},
+		{"nobody holds a worker", true, false, false, 3, 6},
+		{"no member in one data centre yet", true, false, false, 1, 3},
+		{"nobody waits", false, false, false, 3, 0},
+		{"somebody holds a worker", true, true, false, 3, 0},
+		{"the planner was cut off", true, false, true, 3, 0},
 	}
 	for _, tt := range tests {
 		pl := newIdlePlanner(Policy{})
@@ -124,13 +130,16 @@
 			l.Workers = append(l.Workers, ListedWorker{Worker: testWorker(i)})
 		}
 		pl.UpdateWorkers(ms(1), memberID(0), l)
-		if tt.before {
+		if tt.cutOff {
 			pl.SetMembers(ms(2), members(3), members(3), true, false)
 			pl.SetMembers(ms(3), members(1), members(1), false, false)
 			pl.TakeActions()
 		}
-		pl.SetMembers(ms(4), members(3), members(3), true, false)
-		for i := range 3 {
+		pl.SetMembers(ms(4), members(tt.members), members(tt.members), true, false)
+		if tt.waiting {
+			pl.Request(ms(4), memberID(0), newRequest("a", 1))
+		}
+		for i := range tt.members {
 			r := Report{Full: true}
 			if tt.held && i == 2 {
 				r.States = []lease.State{{ID: testWorker(0).ID, Fence: lease.NewFence(9), Open: true}}
