node: an evacuation of unknown age is not logged as learned at once

Cause: the value for "unknown" was one nanosecond below zero, which is 0 in milliseconds. Found by reading the change again. node.TestUnknownDelayOfAnEvacuationIsLogged fails before (0).

--- a/cell/place.go
+++ b/cell/place.go
@@ -87,7 +87,8 @@
 
 // Place grants workers to pending requests in the order of the queue, and refuses jobs
 // that cannot meet their objective. It does nothing if nothing has changed since the last
-// call, so that a burst of events costs one pass over the queue.
+// call, so that a burst of events costs one pass over the queue, nor before it is known which
+// data centres are evacuated.
 func (pl *Planner) Place(now time.Time) {
 	if !pl.active || !pl.needsPlanning || pl.awaitsList(now) || !pl.evacuations.Known() {
 		return
--- a/node/operator.go
+++ b/node/operator.go
@@ -30,6 +30,9 @@
 	Evacuations registry.Offset `cbor:"2,keyasint,omitzero"`
 }
 
+// unknownDelay is logged where nothing bounds how late a change was learned.
+const unknownDelay = -time.Millisecond
+
 // sourceStore is the source, in logs, of what this process has read itself.
 const sourceStore = "store"
 
@@ -57,7 +60,7 @@
 	if previous.Known() && len(begun)+len(ended) == 0 {
 		return
 	}
-	late := time.Duration(-1)
+	late := unknownDelay
 	if !since.IsZero() {
 		late = now.Sub(since)
 		c.evacuationDelays = append(c.evacuationDelays, late)
--- a/node/operator_test.go
+++ b/node/operator_test.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"bytes"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -142,3 +145,24 @@
 		t.Error("still evacuated")
 	}
 }
+
+// An evacuation that a member tells of, or that the first read of the topic shows, may have stood
+// for any time. The log must not say that it was learned at once.
+func TestUnknownDelayOfAnEvacuationIsLogged(t *testing.T) {
+	var log bytes.Buffer
+	c := newCore(1)
+	c.log = slog.New(slog.NewTextHandler(&log, nil))
+	e := catalog.Evacuations{End: 6, Requested: []catalog.Evacuation{{DataCenter: "dc", Offset: 5}}}
+	c.handleMessage(ms(1), member(2).ID, Message{Evacuations: &e})
+	back := takenBack()
+	back.At = ms(10)
+	c.OperatorRead(ms(30), back)
+	for _, want := range []string{
+		"event=932 data_center=dc offset=5 source=" + member(2).ID.String() + " late_ms_at_most=-1",
+		"event=933 data_center=dc offset=5 end=8 source=store late_ms_at_most=20",
+	} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("no %q in\n%s", want, log.String())
+		}
+	}
+}
