--- a/load/model.go
+++ b/load/model.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -52,10 +53,10 @@
 				return err
 			}
 			for _, day := range s.days {
-				fmt.Fprintf(c.Root().Writer, "%s, %s; %d seeds\n", c.String("site"), day.name, c.Int("seeds"))
+				fmt.Fprintf(c.Root().Writer, "%s, %s: %s; %d seeds\n", s.name, day.name, cmp.Or(day.summary, "standard day"), c.Int("seeds"))
 				curves := comparePolicies(c.Root().Writer, s.goal, day, c.Int("seeds"), c.StringSlice("policy"))
 				if dir := c.String("plots"); dir != "" {
-					d := drawing{name: day.name + "-policies", title: day.name, x: "seed", y: "worth", curves: curves}
+					d := drawing{name: s.name + "-" + day.name + "-policies", title: cmp.Or(day.summary, day.name), x: "seed", y: "worth", curves: curves}
 					if err := d.save(dir, "svg"); err != nil {
 						return err
 					}
--- a/load/site.go
+++ b/load/site.go
@@ -41,12 +41,15 @@
 
 // playedSite is a deployment with its days, and the weights of the parts of a day's worth.
 type playedSite struct {
+	name string
 	goal model.Parts
 	days []playedDay
 }
 
 type playedDay struct {
 	name string
+	// summary describes the load and faults of the day; empty for a day of a site file.
+	summary string
 	// config returns the day for a seed, counted from 0.
 	config func(seed int) model.Config
 	// notes describe what the model plays differently, or not at all.
@@ -68,7 +71,7 @@
 
 func readPlayedSite(name string) (playedSite, error) {
 	if site, ok := model.Sites[name]; ok {
-		return modelSite(site), nil
+		return modelSite(name, site), nil
 	}
 	if _, err := os.Stat(name); err != nil {
 		return playedSite{}, cli.Exit(fmt.Sprintf("no site %q", name), program.ExitUsage)
@@ -77,7 +80,7 @@
 	if err != nil {
 		return playedSite{}, err
 	}
-	s := playedSite{goal: read.Goal}
+	s := playedSite{name: read.Name, goal: read.Goal}
 	for _, d := range read.Days {
 		b := playedDay{name: d.Name, config: func(seed int) model.Config { return d.Config(uint64(seed)) }}
 		if len(d.Unsupported) > 0 {
@@ -91,10 +94,10 @@
 	return s, nil
 }
 
-func modelSite(site func() model.Config) playedSite {
-	s := playedSite{goal: model.Parts{Whole: 1}}
+func modelSite(name string, site func() model.Config) playedSite {
+	s := playedSite{name: name, goal: model.Parts{Whole: 1}}
 	for _, d := range model.Days {
-		s.days = append(s.days, playedDay{name: d.Name, config: func(seed int) model.Config {
+		s.days = append(s.days, playedDay{name: d.Name, summary: d.Summary, config: func(seed int) model.Config {
 			cfg := site()
 			cfg.Seed = uint64(seed) + 1
 			d.Apply(&cfg)
