--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -1,9 +1,9 @@
 // Package memnet is an in-memory network for tests on a fake clock: hosts with IP
-// addresses that can be frozen or have their connections reset, and links that have a
-// delay and can be cut in one direction.
+// addresses that can be frozen or have their connections reset, links that have a delay and
+// can be cut in one direction, and hosts with a limited bandwidth.
 //
-// Limits: a connection buffers up to a few thousand writes in memory; limited bandwidth
-// and packet loss are not simulated.
+// Limits: a connection buffers up to a few thousand writes in memory, or some 80 KB if the
+// bandwidth of one of its hosts is limited; packet loss is not simulated.
 package memnet
 
 import (
@@ -31,6 +31,15 @@
 	// conns holds the dialing end of each connection.
 	conns     map[*conn]struct{}
 	sentBytes map[netip.Addr]int64
+	access    map[netip.Addr]*access
+}
+
+// access is the connection of a host to the network. All that the host sends shares one
+// direction of it, all that it receives the other.
+type access struct {
+	bytesPerSecond int
+	// sends and receives are when each direction has passed on what waits for it.
+	sends, receives time.Time
 }
 
 // New returns a network whose links have the delay latency.
@@ -43,6 +52,7 @@
 		frozenHosts:  make(map[netip.Addr]bool),
 		conns:        make(map[*conn]struct{}),
 		sentBytes:    make(map[netip.Addr]int64),
+		access:       make(map[netip.Addr]*access),
 	}
 }
 
@@ -86,6 +96,62 @@
 	n.update(func() { n.cutLinks[[2]netip.Addr{from, to}] = isCut })
 }
 
+// SetBandwidth limits what a host sends and receives, in bytes a second each. It must be
+// called before the host has connections.
+func (n *Net) SetBandwidth(h netip.Addr, bytesPerSecond int) {
+	n.update(func() { n.access[h] = &access{bytesPerSecond: bytesPerSecond} })
+}
+
+// limited reports whether the bandwidth of one of the hosts is limited.
+func (n *Net) limited(a, b netip.Addr) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.access[a] != nil || n.access[b] != nil
+}
+
+// transmit queues bytes at both ends and returns how long they take.
+func (n *Net) transmit(from, to netip.Addr, size int) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	done := now
+	if a := n.access[from]; a != nil {
+		done = a.pass(&a.sends, done, size)
+	}
+	if a := n.access[to]; a != nil {
+		done = a.pass(&a.receives, done, size)
+	}
+	return done.Sub(now)
+}
+
+// pass queues bytes in one direction and returns when they have passed.
+func (a *access) pass(direction *time.Time, from time.Time, size int) time.Time {
+	if direction.Before(from) {
+		*direction = from
+	}
+	*direction = direction.Add(time.Duration(size) * time.Second / time.Duration(a.bytesPerSecond))
+	return *direction
+}
+
+// Receive waits until the host has received bytes from a server whose own bandwidth is
+// unlimited, or until ctx ends. It calls arrived, if not nil, after each segment.
+func (h *Host) Receive(ctx context.Context, size int, arrived func()) error {
+	for size > 0 && ctx.Err() == nil {
+		segment := min(size, limitedBufferBytes)
+		t := time.NewTimer(h.net.transmit(netip.Addr{}, h.ip, segment))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+		size -= segment
+		if arrived != nil {
+			arrived()
+		}
+	}
+	return ctx.Err()
+}
+
 // SetFrozen holds back all data from and to a host, or releases it.
 func (n *Net) SetFrozen(h netip.Addr, isFrozen bool) {
 	n.update(func() { n.frozenHosts[h] = isFrozen })
@@ -285,13 +351,26 @@
 	return nil
 }
 
+// The buffers of one direction of a connection: how many writes it holds, and how much of a
+// write is sent at a time.
+const (
+	bufferedWrites        = 4096
+	bufferBytes           = 32 << 10
+	limitedBufferedWrites = 4
+	limitedBufferBytes    = 16 << 10
+)
+
 // pump copies bytes from one host to the other. What it has read from the sender is kept
 // in memory while the link is cut.
 func (n *Net) pump(src, dst net.Conn, c *conn, from, to netip.Addr) {
-	queue := make(chan []byte, 4096)
+	writes, size := bufferedWrites, bufferBytes
+	if n.limited(from, to) {
+		writes, size = limitedBufferedWrites, limitedBufferBytes
+	}
+	queue := make(chan []byte, writes)
 	go func() {
 		defer close(queue)
-		buf := make([]byte, 32<<10)
+		buf := make([]byte, size)
 		for {
 			k, err := src.Read(buf)
 			n.mu.Lock()
@@ -317,7 +396,7 @@
 		if c.discard.Load() {
 			continue
 		}
-		time.Sleep(n.latency)
+		time.Sleep(n.transmit(from, to, len(b)) + n.latency)
 		if _, err := dst.Write(b); err != nil {
 			if err != io.ErrClosedPipe {
 				_ = c.Close()
--- a/node/node.go
+++ b/node/node.go
@@ -123,6 +123,8 @@
 	// startedAt is when this process started, as the time since boot.
 	quorum    atomic.Bool
 	startedAt time.Duration
+	// sinceBoot reads the clock that also runs while the VM is suspended.
+	sinceBoot func() time.Duration
 	planner   atomic.Pointer[mesh.ID]
 	// reading is the reads of the list of workers that this process is to make.
 	reading atomic.Pointer[ListReading]
@@ -146,6 +148,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return newNode(cfg, p, log, ln), nil
+}
+
+// newNode creates the process with listeners on its addresses.
+func newNode(cfg Config, p Platform, log *slog.Logger, ln listeners) *Node {
 	self := mesh.Member{
 		ID:         mesh.ID{Address: cfg.Peers, Boot: rand.Uint64()},
 		VM:         cfg.VM,
@@ -163,6 +170,7 @@
 		catalogs:       catalogs,
 		core:           NewCore(log, self, catalogs, cfg.Policy),
 		work:           make(chan work, eventQueueSize),
+		sinceBoot:      clock.SinceBoot,
 		startedAt:      clock.SinceBoot(),
 		waiters:        make(map[entry.Waiter]chan entry.Answer),
 		listenerClosed: make(chan struct{}),
@@ -170,7 +178,7 @@
 	}
 	n.meter = meter.New(maxMetricSeries, func() { event.MetricsFull.Log(log) })
 	n.mesh = mesh.New(log, self, ln.peers, p.Dial, n.handleMeshEvent)
-	return n, nil
+	return n
 }
 
 // maxMetricSeries bounds the metric series that are kept apart by queue, status or code.
@@ -289,7 +297,7 @@
 func (n *Node) runCore(ctx context.Context) error {
 	sub := n.clock.Subscribe(tickInterval)
 	defer sub.Stop()
-	last := clock.SinceBoot()
+	last := n.sinceBoot()
 	for {
 		var w work
 		select {
@@ -300,7 +308,7 @@
 			w = func(_ time.Time, c *Core) { c.Tick(now) }
 		}
 		now := time.Now()
-		boot := clock.SinceBoot()
+		boot := n.sinceBoot()
 		if pause := boot - last; pause > suspendThreshold {
 			event.ProcessResumed.Log(n.log, "pause_ms", pause.Milliseconds())
 			n.core.Resumed(now, pause)
