--- a/node/deployment_test.go
+++ b/node/deployment_test.go
@@ -274,4 +274,3 @@
 		})
 	}
 }
-
