node: copy a configuration from one member at a time, in parts, if the store brings none

Cause: a process asked every member that advertised a newer version, with each message of theirs and in each new session, also while its own read of the store was under way; each member encoded and sent all of it through the queue of the session. Forty copies filled the links of small VMs for longer than a session lasts; the sessions that ended took what had arrived with them and, begun again, asked again. Change: a process copies only if its own read of the store has not brought the version within 0.4 s, if it knows that the store does not answer it, or if it has no configuration; it asks one member, for parts of 16 KB, goes on with another after 0.5 s, and uses parts that come late: so what arrives is never lost.

--- a/event/table.go
+++ b/event/table.go
@@ -113,6 +113,7 @@
 	EvacuationBegan       ID = 932
 	EvacuationEnded       ID = 933
 	CatalogRequested      ID = 934
+	CatalogCopyUnusable   ID = 935
 )
 
 var table = []Entry{
@@ -213,5 +214,6 @@
 	{ListReaderAsked, slog.LevelInfo, "asked to read the list", "A planner asks this process to read the list of workers for it, or, with serial 0, no longer to. reads_for is the planner for which it reads now, if any.", "0.2"},
 	{EvacuationBegan, slog.LevelInfo, "data centre is evacuated", "The operator asks that no tasks be started on the workers of the data centre. From now on this process grants and starts none there; what runs there is not interrupted. source is the store or the process that brought the news, offset the request's place in the operator's topic, late_ms_at_most how old the news can be (-1 if that is unknown).", "0.2"},
 	{EvacuationEnded, slog.LevelInfo, "evacuation ended", "The operator has taken the evacuation back, before the offset end; tasks may be started in the data centre again.", "0.2"},
-	{CatalogRequested, slog.LevelInfo, "configuration requested", "This process has asked a member for a copy of the operator's configuration, because it advertises a later version than the one in force here.", "0.2"},
+	{CatalogRequested, slog.LevelInfo, "configuration requested", "This process begins to copy the operator's configuration from the member given, or goes on with what has arrived, because the member advertises a later version and the own read of the store has not brought it. have is the version in force here, arrived and size the bytes of the copy.", "0.2"},
+	{CatalogCopyUnusable, slog.LevelWarn, "copy of the configuration unusable", "A copy of the operator's configuration could not be decoded, or the own one not be encoded for others. Another member is asked.", "0.2"},
 }
--- a/meter/table.go
+++ b/meter/table.go
@@ -80,7 +80,7 @@
 	DataCentersEvacuated Name = "data_centers_evacuated"
 	EvacuationDelay      Name = "evacuation_delay_seconds"
 	CatalogDelay         Name = "catalog_delay_seconds"
-	CatalogCopies        Name = "catalog_copies"
+	CatalogParts         Name = "catalog_parts"
 )
 
 // Kind is the type of a metric.
@@ -183,5 +183,5 @@
 	{913, DataCentersEvacuated, Gauge, "data centres", nil, "Data centres in which this process starts no tasks because the operator evacuates them.", "0.2"},
 	{914, EvacuationDelay, Histogram, "seconds", nil, "How late, at most, this process read from the store that an evacuation was requested or taken back; what other processes told it sooner is not counted.", "0.2"},
 	{915, CatalogDelay, Histogram, "seconds", nil, "How late, at most, this process read a configuration from the store; what other processes sent it sooner is not counted.", "0.2"},
-	{916, CatalogCopies, Counter, "copies", byCode, "Copies of the configuration between processes; the code is requested, sent or received.", "0.2"},
+	{916, CatalogParts, Counter, "parts", byCode, "Parts of copies of the configuration between processes; the code is requested, sent or received.", "0.2"},
 }
--- a/model/vm.go
+++ b/model/vm.go
@@ -266,6 +266,12 @@
 			n.world.send(n, o.To, *o.Message)
 		case o.Advertise != nil:
 			n.world.advertise(n, *o.Advertise)
+		case o.Pack != nil:
+			p, err := catalog.Pack(o.Pack)
+			n.do(func(now time.Time) { n.core.CatalogPacked(now, p, err) })
+		case o.Unpack != nil:
+			cat, err := o.Unpack.Unpack()
+			n.do(func(now time.Time) { n.core.CatalogUnpacked(now, *o.Unpack, cat, err) })
 		case o.Watch != nil && o.Watch.On:
 			n.watchedSince[o.Watch.Member] = n.world.now
 		case o.Watch != nil:
--- a/node/core.go
+++ b/node/core.go
@@ -16,25 +16,26 @@
 
 // Message is a message between processes. Exactly one field is set.
 type Message struct {
-	Request         *cell.Request        `cbor:"1,keyasint,omitzero"`
-	Grant           *cell.Grant          `cbor:"2,keyasint,omitzero"`
-	Refusal         *cell.Refusal        `cbor:"3,keyasint,omitzero"`
-	Withdraw        *cell.Withdrawal     `cbor:"4,keyasint,omitzero"`
-	Assignment      *cell.Assignment     `cbor:"5,keyasint,omitzero"`
-	Release         *cell.Release        `cbor:"6,keyasint,omitzero"`
-	Report          *cell.Report         `cbor:"7,keyasint,omitzero"`
-	Drain           *cell.Drain          `cbor:"8,keyasint,omitzero"`
-	WorkerList      *cell.WorkerList     `cbor:"9,keyasint,omitzero"`
-	OperatorRequest *OperatorRequest     `cbor:"10,keyasint,omitzero"`
-	Catalog         *catalog.Catalog     `cbor:"11,keyasint,omitzero"`
-	Start           *entry.Start         `cbor:"12,keyasint,omitzero"`
-	Stop            *entry.Stop          `cbor:"13,keyasint,omitzero"`
-	Claim           *entry.Claim         `cbor:"14,keyasint,omitzero"`
-	Ended           *entry.Ended         `cbor:"15,keyasint,omitzero"`
-	Held            *entry.Held          `cbor:"16,keyasint,omitzero"`
-	Unheld          *entry.Unheld        `cbor:"17,keyasint,omitzero"`
-	ReadList        *ReadList            `cbor:"18,keyasint,omitzero"`
-	Evacuations     *catalog.Evacuations `cbor:"19,keyasint,omitzero"`
+	Request            *cell.Request        `cbor:"1,keyasint,omitzero"`
+	Grant              *cell.Grant          `cbor:"2,keyasint,omitzero"`
+	Refusal            *cell.Refusal        `cbor:"3,keyasint,omitzero"`
+	Withdraw           *cell.Withdrawal     `cbor:"4,keyasint,omitzero"`
+	Assignment         *cell.Assignment     `cbor:"5,keyasint,omitzero"`
+	Release            *cell.Release        `cbor:"6,keyasint,omitzero"`
+	Report             *cell.Report         `cbor:"7,keyasint,omitzero"`
+	Drain              *cell.Drain          `cbor:"8,keyasint,omitzero"`
+	WorkerList         *cell.WorkerList     `cbor:"9,keyasint,omitzero"`
+	EvacuationsRequest *EvacuationsRequest  `cbor:"10,keyasint,omitzero"`
+	Start              *entry.Start         `cbor:"12,keyasint,omitzero"`
+	Stop               *entry.Stop          `cbor:"13,keyasint,omitzero"`
+	Claim              *entry.Claim         `cbor:"14,keyasint,omitzero"`
+	Ended              *entry.Ended         `cbor:"15,keyasint,omitzero"`
+	Held               *entry.Held          `cbor:"16,keyasint,omitzero"`
+	Unheld             *entry.Unheld        `cbor:"17,keyasint,omitzero"`
+	ReadList           *ReadList            `cbor:"18,keyasint,omitzero"`
+	Evacuations        *catalog.Evacuations `cbor:"19,keyasint,omitzero"`
+	CatalogRequest     *CatalogRequest      `cbor:"20,keyasint,omitzero"`
+	CatalogPart        *CatalogPart         `cbor:"21,keyasint,omitzero"`
 }
 
 // Output is an action that Core asks its driver to perform. Exactly one of the pointers
@@ -44,6 +45,10 @@
 	To      mesh.ID
 	Message *Message
 	Answer  *entry.CallerAnswer
+	// Pack is a catalog to encode for members, Unpack one to decode. Both take too long on a
+	// small VM for the goroutine that decides.
+	Pack   *catalog.Catalog
+	Unpack *catalog.Packed
 	// Advertise is the new state that this process advertises to the members.
 	Advertise *mesh.Member
 	Watch     *Watch
@@ -78,12 +83,13 @@
 	// evacuationDelays are how late, at most, changes of the evacuations were read from the
 	// store since they were last exported.
 	evacuationDelays []time.Duration
-	// newerAdvertised is when a member first advertised a later configuration than the one
-	// in force here, zero while none does. catalogDelays are like evacuationDelays.
-	newerAdvertised time.Time
-	catalogDelays   []time.Duration
-	catalogCopies   catalogCopies
-	members         map[mesh.ID]peerState
+	// copy is the state of copying a newer catalog, packed the catalog as it is sent to
+	// others. catalogDelays are like evacuationDelays.
+	copy          catalogCopy
+	packed        packedCatalog
+	catalogDelays []time.Duration
+	catalogParts  catalogParts
+	members       map[mesh.ID]peerState
 	// recordedAddrs are the addresses of the processes that the store lists.
 	recordedAddrs map[netip.AddrPort]struct{}
 	planner       mesh.ID
@@ -322,11 +328,12 @@
 		c.handleWorkerList(now, from, *m.WorkerList)
 	case m.ReadList != nil:
 		c.handleReadList(from, *m.ReadList)
-	case m.OperatorRequest != nil:
-		c.answerOperatorRequest(now, from, *m.OperatorRequest)
-	case m.Catalog != nil:
-		c.catalogCopies.Received++
-		c.Catalog(now, m.Catalog, from.String(), time.Time{})
+	case m.EvacuationsRequest != nil:
+		c.answerEvacuationsRequest(now, from)
+	case m.CatalogRequest != nil:
+		c.handleCatalogRequest(now, from, *m.CatalogRequest)
+	case m.CatalogPart != nil:
+		c.handleCatalogPart(now, from, *m.CatalogPart)
 	case m.Evacuations != nil:
 		c.setEvacuations(now, c.evacuations.Merge(*m.Evacuations), from.String(), time.Time{})
 	case m.Release != nil:
@@ -388,6 +395,7 @@
 	}
 	c.cell.Tick(now)
 	c.updateReaders(now)
+	c.updateCopy(now)
 	c.entry.Tick(now)
 	c.announceNewlyHeld(now)
 	c.updateWatches(now)
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -28,7 +28,7 @@
 	evacuated        int
 	evacuationDelays []time.Duration
 	catalogDelays    []time.Duration
-	catalogCopies    catalogCopies
+	catalogParts     catalogParts
 }
 
 // coreStats returns a copy that other goroutines may read. The delays in it are returned
@@ -47,7 +47,7 @@
 
 		evacuationDelays: c.evacuationDelays,
 		catalogDelays:    c.catalogDelays,
-		catalogCopies:    c.catalogCopies,
+		catalogParts:     c.catalogParts,
 	}
 	c.evacuationDelays, c.catalogDelays = nil, nil
 	if stats.isPlanner {
@@ -102,9 +102,9 @@
 	for _, d := range stats.catalogDelays {
 		m.Duration(meter.CatalogDelay, d)
 	}
-	m.CountCode(meter.CatalogCopies, "requested", stats.catalogCopies.Requested-last.catalogCopies.Requested)
-	m.CountCode(meter.CatalogCopies, "sent", stats.catalogCopies.Sent-last.catalogCopies.Sent)
-	m.CountCode(meter.CatalogCopies, "received", stats.catalogCopies.Received-last.catalogCopies.Received)
+	m.CountCode(meter.CatalogParts, "requested", stats.catalogParts.Requested-last.catalogParts.Requested)
+	m.CountCode(meter.CatalogParts, "sent", stats.catalogParts.Sent-last.catalogParts.Sent)
+	m.CountCode(meter.CatalogParts, "received", stats.catalogParts.Received-last.catalogParts.Received)
 	m.Count(meter.PlannerGrants, stats.granted-last.granted)
 	for why, v := range stats.refused {
 		m.CountCode(meter.PlannerRefusals, why, v-last.refused[why])
--- a/node/members.go
+++ b/node/members.go
@@ -22,7 +22,8 @@
 	}
 	c.entry.HolderReachable(m.ID)
 	c.announceHeld(now, m.ID)
-	c.requestNewer(now, m)
+	c.requestEvacuations(now, m)
+	c.noteCatalog(now, m)
 	c.updateWatches(now)
 	if len(c.readers.asked) == 0 {
 		c.readers.nextAsk = now
@@ -111,7 +112,8 @@
 	began := m.PlannerTerms != p.PlannerTerms
 	p.Member = m
 	c.members[m.ID] = p
-	c.requestNewer(now, m)
+	c.requestEvacuations(now, m)
+	c.noteCatalog(now, m)
 	previous.Catalog, previous.Evacuations = m.Catalog, m.Evacuations
 	if previous == m {
 		// Only what it knows of the operator differs, which does not affect the election.
--- a/node/node.go
+++ b/node/node.go
@@ -356,6 +356,10 @@
 			n.answer(*o.Answer)
 		case o.Advertise != nil:
 			n.mesh.Advertise(*o.Advertise)
+		case o.Pack != nil:
+			n.calls.Go(func() { n.packCatalog(o.Pack) })
+		case o.Unpack != nil:
+			n.calls.Go(func() { n.unpackCatalog(*o.Unpack) })
 		case o.Watch != nil:
 			n.mesh.Watch(o.Watch.Member, o.Watch.On)
 		case o.Hold != nil:
@@ -371,6 +375,16 @@
 	}
 }
 
+func (n *Node) packCatalog(cat *catalog.Catalog) {
+	p, err := catalog.Pack(cat)
+	n.enqueue(n.root, func(now time.Time, c *Core) { c.CatalogPacked(now, p, err) })
+}
+
+func (n *Node) unpackCatalog(p catalog.Packed) {
+	cat, err := p.Unpack()
+	n.enqueue(n.root, func(now time.Time, c *Core) { c.CatalogUnpacked(now, p, cat, err) })
+}
+
 // handleMeshEvent passes an event of the mesh to the core.
 func (n *Node) handleMeshEvent(e mesh.Event[Message]) {
 	n.enqueue(n.root, func(now time.Time, c *Core) {
--- a/node/operator.go
+++ b/node/operator.go
@@ -23,15 +23,15 @@
 	Since time.Time
 }
 
-// OperatorRequest asks a member for what it knows of the operator's topic. Its fields are
-// what the member has advertised, or 0 for what is not wanted; it may know more by now.
-type OperatorRequest struct {
-	Catalog     catalog.Version `cbor:"1,keyasint,omitzero"`
-	Evacuations registry.Offset `cbor:"2,keyasint,omitzero"`
+// EvacuationsRequest asks a member for the evacuations that it knows.
+type EvacuationsRequest struct {
+	// After is the offset in the operator's topic that the member has advertised; it may
+	// know more by now.
+	After registry.Offset `cbor:"2,keyasint,omitzero"`
 }
 
-// catalogCopies counts copies of the configuration between this process and others.
-type catalogCopies struct{ Requested, Sent, Received int64 }
+// catalogParts counts parts of copies of the configuration between this process and others.
+type catalogParts struct{ Requested, Sent, Received int64 }
 
 // unknownDelay is logged where nothing bounds how late a change was learned.
 const unknownDelay = -time.Millisecond
@@ -103,42 +103,26 @@
 		late = now.Sub(since)
 		c.catalogDelays = append(c.catalogDelays, late)
 	}
-	if !c.newerAdvertised.IsZero() {
-		advertised = now.Sub(c.newerAdvertised)
+	if !c.copy.wantedSince.IsZero() {
+		advertised = now.Sub(c.copy.wantedSince)
 	}
 	event.CatalogInForce.Log(c.log, "version", uint64(cat.Version), "queues", len(cat.Queues), "pools", len(cat.Pools), "source", source, "late_ms_at_most", late.Milliseconds(), "advertised_ms", advertised.Milliseconds())
-	c.newerAdvertised = time.Time{}
+	c.resetCopy(now)
 	c.Advertise(now, func(m *mesh.Member) { m.Catalog = cat.Version })
 }
 
-// requestNewer asks a member for its catalog and evacuations if they are newer: the store
-// may reject this process while it serves the others.
-func (c *Core) requestNewer(now time.Time, m mesh.Member) {
-	var r OperatorRequest
-	if m.Catalog > c.catalogs.Current().Version {
-		if c.newerAdvertised.IsZero() {
-			c.newerAdvertised = now
-		}
-		c.catalogCopies.Requested++
-		event.CatalogRequested.Log(c.log, "member", m.VM, "id", m.ID, "version", uint64(m.Catalog), "have", uint64(c.catalogs.Current().Version))
-		r.Catalog = m.Catalog
-	}
+// requestEvacuations asks a member for the evacuations if it knows later ones: the store may
+// reject this process while it serves the others.
+func (c *Core) requestEvacuations(now time.Time, m mesh.Member) {
 	if m.Evacuations > c.evacuations.End {
-		r.Evacuations = m.Evacuations
-	}
-	if r != (OperatorRequest{}) {
-		c.send(now, m.ID, Message{OperatorRequest: &r})
+		c.send(now, m.ID, Message{EvacuationsRequest: &EvacuationsRequest{After: m.Evacuations}})
 	}
 }
 
-// answerOperatorRequest sends what a member has asked for, the evacuations first.
-func (c *Core) answerOperatorRequest(now time.Time, from mesh.ID, r OperatorRequest) {
-	if r.Evacuations != 0 && c.evacuations.Known() {
+// answerEvacuationsRequest sends the evacuations to a member.
+func (c *Core) answerEvacuationsRequest(now time.Time, from mesh.ID) {
+	if c.evacuations.Known() {
 		e := c.evacuations
 		c.send(now, from, Message{Evacuations: &e})
 	}
-	if have := c.catalogs.Current(); r.Catalog != 0 && have.Version != 0 {
-		c.catalogCopies.Sent++
-		c.send(now, from, Message{Catalog: have})
-	}
 }
