registry: a read of the store may take as long as data arrives

What callers would see: a process on a slow or busy link never gets a large configuration from the store, and answers by the old one. Cause: a read had 700 ms (2.7 s with its wait) for all of its response, whatever it returned; one that ran out was begun again from the first byte.

--- a/node/store.go
+++ b/node/store.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// storeTimeout bounds a call to the store, which answers within some milliseconds, in
-	// addition to the wait that the call asks for.
+	// storeTimeout bounds the time in which nothing arrives of a response of the store, which
+	// begins to answer within some milliseconds, in addition to the wait that the call asks
+	// for.
 	storeTimeout = 700 * time.Millisecond
 	// operatorPollWait is how long one read waits for a change of the configuration. A
 	// connection that went dead can hide a change for as long, so it must be well below
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -7,8 +7,9 @@
 // come next) it reads the latest records again.
 //
 // Limits: the store can be down, slow, or silent on a connection that stays open,
-// so each call has its own timeout and failed calls are retried with an increasing
-// delay. A follower lags for as long as the store is unreachable; Confirmed returns
+// so a call fails when nothing arrives for its timeout, and failed calls are retried with
+// an increasing delay. How long a large response takes depends on the link, so a call on
+// which data arrives goes on. A follower lags for as long as the store is unreachable; Confirmed returns
 // the time as of which its data is current.
 package registry
 
@@ -77,8 +78,8 @@
 	Wait time.Duration
 	// Pause is the delay between two reads.
 	Pause time.Duration
-	// Timeout bounds a call, in addition to Wait. A connection can go dead without
-	// a reset, which only a timeout detects.
+	// Timeout bounds the time in which nothing arrives, at first in addition to Wait. A
+	// connection can go dead without a reset, which only a timeout detects.
 	Timeout time.Duration
 }
 
@@ -186,12 +187,12 @@
 	u := Update{Full: full, At: time.Now()}
 	var err error
 	if full {
-		ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+		ctx, cancel := withSilenceTimeout(ctx, f.cfg.Timeout, f.cfg.Timeout)
 		defer cancel()
 		u.Records, u.Next, err = f.source.Newest(ctx)
 		return u, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout+f.cfg.Wait)
+	ctx, cancel := withSilenceTimeout(ctx, f.cfg.Timeout+f.cfg.Wait, f.cfg.Timeout)
 	defer cancel()
 	u.Records, u.Next, err = f.source.Read(ctx, from, f.cfg.Wait)
 	return u, err
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -246,3 +246,58 @@
 		}
 	})
 }
+
+// trickle is a topic whose response arrives in pieces and, if stalls is set, never ends.
+type trickle struct {
+	pieces int
+	pause  time.Duration
+	stalls bool
+}
+
+func (s trickle) Newest(ctx context.Context) ([]Record, Offset, error) {
+	for range s.pieces {
+		select {
+		case <-time.After(s.pause):
+			Arrived(ctx)
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+	if s.stalls {
+		<-ctx.Done()
+	}
+	return []Record{{Key: "a"}}, 1, ctx.Err()
+}
+
+func (s trickle) Read(ctx context.Context, _ Offset, _ time.Duration) ([]Record, Offset, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// A call on which data arrives goes on beyond the timeout. One that stalls, and one that
+// never ends, must fail: the connection may be dead, or the server broken.
+func TestTimeoutCountsFromTheLastData(t *testing.T) {
+	tests := []struct {
+		name   string
+		source trickle
+		ok     bool
+		after  time.Duration
+	}{
+		{"slow", trickle{pieces: 20, pause: 300 * time.Millisecond}, true, 6 * time.Second},
+		{"silent", trickle{stalls: true}, false, 500 * time.Millisecond},
+		{"stalls", trickle{pieces: 10, pause: 300 * time.Millisecond, stalls: true}, false, 3500 * time.Millisecond},
+		{"never ends", trickle{pieces: 1000, pause: 300 * time.Millisecond}, false, maxCallDuration},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := New(Config{Name: "t", Timeout: 500 * time.Millisecond}, slog.New(slog.DiscardHandler), tt.source, nil, nil)
+				began := time.Now()
+				_, err := f.readOnce(t.Context(), 0, true)
+				if took := time.Since(began); (err == nil) != tt.ok || took != tt.after {
+					t.Errorf("error %v after %v, want success %v after %v", err, took, tt.ok, tt.after)
+				}
+			})
+		})
+	}
+}
