mesh: a member whose large message is arriving is not silent

What callers would see: where a list of workers, a report or many messages at once take longer on a slow link than a session lasts without a message, the session ends, the sender begins again, and the jobs of both sides are given up or refused meanwhile. Cause: a member counted as heard only when a whole notification had arrived; a write had to get through whole within the timeout of the session. Evidence: TestLargeMessageOnASlowLink, 1 MB on 256 KB a second: without the change both sides lose the session, and neither message arrives. Change: each piece of 16 KB counts as a sign of life, and has the timeout for its own write. TestSilenceInTheMiddleOfALargeMessage: a member that is suspended meanwhile is noticed as before, counted from the last piece.

--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -46,8 +46,13 @@
 	// onNotification is called with the method of each notification, in the goroutine
 	// that reads.
 	onNotification func(method string)
+	// onPiece, if not nil, is called after each piece of a content that takes several.
+	onPiece func()
 }
 
+// pieceBytes is how much of a content is read at a time.
+const pieceBytes = 16 << 10
+
 // setNext sets the method and content of the next notification.
 func (c *codec) setNext(method string, content any) error {
 	for i, m := range methods {
@@ -94,14 +99,14 @@
 		if int(method) >= len(methods) {
 			return errUnknownMethod
 		}
-		if c.incoming, err = readContent(r); err != nil {
+		if c.incoming, err = c.readContent(r); err != nil {
 			return err
 		}
 		c.onNotification(methods[method])
 	}
 }
 
-func readContent(r *bufio.Reader) ([]byte, error) {
+func (c *codec) readContent(r *bufio.Reader) ([]byte, error) {
 	n, err := binary.ReadUvarint(r)
 	if err != nil {
 		return nil, err
@@ -110,6 +115,15 @@
 		return nil, errTooLarge
 	}
 	b := make([]byte, n)
-	_, err = io.ReadFull(r, b)
-	return b, err
+	for read := 0; read < len(b); {
+		end := min(read+pieceBytes, len(b))
+		if _, err := io.ReadFull(r, b[read:end]); err != nil {
+			return nil, err
+		}
+		read = end
+		if c.onPiece != nil && read < len(b) {
+			c.onPiece()
+		}
+	}
+	return b, nil
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -333,7 +333,7 @@
 		done:      make(chan struct{}),
 	}
 	m.mu.Unlock()
-	s.codec.onNotification = s.handle
+	s.codec.onNotification, s.codec.onPiece = s.handle, s.handlePiece
 	stream := jsonrpc2.NewBufferedStream(peer.WithWriteTimeout(c, SessionTimeout), &s.codec)
 	s.conn = jsonrpc2.NewConn(ctx, stream, unused{}, jsonrpc2.SetLogger(discardLogger))
 	m.wg.Go(func() { s.run(ctx) })
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -272,11 +272,13 @@
 	s.wakeWriter()
 }
 
+// handlePiece handles the arrival of a piece of a notification, which shows that the member
+// lives: the rest may take seconds, in which it can send nothing else.
+func (s *session[M]) handlePiece() { s.heard(false) }
+
 // handle handles one notification of the member.
 func (s *session[M]) handle(method string) {
-	if s.noteMessage(true) {
-		s.deliver(Event[M]{Kind: Recovered, Member: Member{ID: s.id}, Session: s.number})
-	}
+	s.heard(true)
 	defer s.noteMessage(false)
 	if err := s.dispatch(method); err != nil {
 		event.PeerRefused.Log(s.mesh.log, "member", s.id, "error", err)
@@ -284,6 +286,14 @@
 	}
 }
 
+// heard records that the member was heard from, and delivers Recovered if that ends a silence
+// for which Overdue was delivered.
+func (s *session[M]) heard(handling bool) {
+	if s.noteMessage(handling) {
+		s.deliver(Event[M]{Kind: Recovered, Member: Member{ID: s.id}, Session: s.number})
+	}
+}
+
 // noteMessage records that the member was heard from and whether its notification is
 // still being handled. It reports whether that ends a silence for which Overdue was
 // delivered.
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -58,23 +58,36 @@
 	return json.Unmarshal(data, v)
 }
 
-// boundedWriteConn sets a deadline for each write. A suspended peer reads nothing; once
-// the buffers of the connection are full, a write would block until the peer resumes,
-// and with it every other call on the connection.
+// boundedWriteConn sets a deadline for each piece of a write. A suspended peer reads nothing;
+// once the buffers of the connection are full, a write would block until the peer resumes,
+// and with it every other call on the connection. A large write on a slow link takes as long
+// as it takes.
 type boundedWriteConn struct {
 	net.Conn
 	timeout time.Duration
 }
 
-// Write writes b within the timeout.
+// writePieceBytes is how much of a write must get through within the timeout.
+const writePieceBytes = 16 << 10
+
+// Write writes b, each piece within the timeout.
 func (c boundedWriteConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
-		return 0, err
+	written := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
+			return written, err
+		}
+		end := min(written+writePieceBytes, len(b))
+		n, err := c.Conn.Write(b[written:end])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
 	}
-	return c.Conn.Write(b)
 }
 
-// WithWriteTimeout returns a connection whose writes fail after the timeout.
+// WithWriteTimeout returns a connection whose writes fail when a piece of them does not get
+// through within the timeout.
 func WithWriteTimeout(c net.Conn, timeout time.Duration) net.Conn {
 	return boundedWriteConn{c, timeout}
 }
