catalog: find a request's queue by its host

What callers would see: each request goes through all routes, 11 us with 1,445 and 71 us with 10,000 on a whole core, seven times that on a small VM. Cause: Find compared each route. Change: an index by host, built at the first request of a version; 0.17 us for 45, 1,445 and 10,000 routes (BenchmarkFind; before 0.5, 10.6 and 70.6 us). TestFind passes before and after. The test of large configurations goes on to 10,000 routes, and its reads of the store report arriving data.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -9,7 +9,9 @@
 package catalog
 
 import (
+	"cmp"
 	"net"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -68,18 +70,41 @@
 	Queues  []Queue `json:"queues"`
 	Pools   []Pool  `json:"pools"`
 	Limits  Limits  `json:"limits"`
+
+	// byHost is built when the first request is looked up.
+	byHost atomic.Pointer[queuesByHost]
+}
+
+// queuesByHost lists the positions of each host's queues, the longest prefix first.
+type queuesByHost map[string][]int
+
+// hosts returns the queues by host. Goroutines that build it at once build the same.
+func (c *Catalog) hosts() queuesByHost {
+	if h := c.byHost.Load(); h != nil {
+		return *h
+	}
+	h := make(queuesByHost)
+	for i, q := range c.Queues {
+		h[q.Host] = append(h[q.Host], i)
+	}
+	for _, positions := range h {
+		slices.SortStableFunc(positions, func(x, y int) int {
+			return cmp.Compare(len(c.Queues[y].Prefix), len(c.Queues[x].Prefix))
+		})
+	}
+	c.byHost.Store(&h)
+	return h
 }
 
 // Find returns the queue of a request, by its host and the longest matching path
 // prefix, and the path without that prefix.
 func (c *Catalog) Find(host, path string) (q Queue, rest string, ok bool) {
-	host = stripPort(host)
-	for _, candidate := range c.Queues {
-		if candidate.Host == host && strings.HasPrefix(path, candidate.Prefix) && (!ok || len(candidate.Prefix) > len(q.Prefix)) {
-			q, ok = candidate, true
+	for _, i := range c.hosts()[stripPort(host)] {
+		if q := c.Queues[i]; strings.HasPrefix(path, q.Prefix) {
+			return q, strings.TrimPrefix(path, q.Prefix), true
 		}
 	}
-	return q, strings.TrimPrefix(path, q.Prefix), ok
+	return Queue{}, path, false
 }
 
 // Queue returns a queue by name.
--- a/model/evacuation.go
+++ b/model/evacuation.go
@@ -40,9 +40,8 @@
 // ChangeCatalog has the operator publish a new version of the configuration.
 func ChangeCatalog() func(*World) {
 	return func(w *World) {
-		next := *w.catalog
-		next.Version++
-		w.catalog = &next
+		c := w.catalog
+		w.catalog = &catalog.Catalog{Version: c.Version + 1, Queues: c.Queues, Pools: c.Pools, Limits: c.Limits}
 		w.operator.end++
 		w.wakeReaders()
 	}
--- a/node/deployment_test.go
+++ b/node/deployment_test.go
@@ -222,7 +222,7 @@
 		return nil, 0, ctx.Err()
 	}
 	for _, record := range records {
-		if err := r.host.Receive(ctx, len(record.Value), nil); err != nil {
+		if err := r.host.Receive(ctx, len(record.Value), func() { registry.Arrived(ctx) }); err != nil {
 			return nil, 0, err
 		}
 	}
@@ -261,7 +261,7 @@
 				for _, h := range d.hosts[:tt.silent] {
 					d.store.setSilent(h, true)
 				}
-				for i, routes := range []int{1445, 2845} {
+				for i, routes := range []int{1445, 2845, 10_000} {
 					v := catalog.Version(i + 2)
 					d.logs.count("session lost")
 					d.store.put(v, routes)
