node: decode only the last configuration of a read

Cause: each record of the topic was decoded, though each configuration is complete. Change: from the last one back until one can be read.

--- a/model/evacuation.go
+++ b/model/evacuation.go
@@ -77,10 +77,10 @@
 		return
 	}
 	r := node.OperatorRead{
-		Full:     n.operatorNext < w.operator.first || n.operatorNext == 0,
-		End:      w.operator.end,
-		Since:    w.now,
-		Catalogs: []*catalog.Catalog{w.catalog},
+		Full:    n.operatorNext < w.operator.first || n.operatorNext == 0,
+		End:     w.operator.end,
+		Since:   w.now,
+		Catalog: w.catalog,
 	}
 	for _, c := range w.operator.changes {
 		_, stands := w.operator.current[c.DataCenter]
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -33,7 +33,7 @@
 		addrs = append(addrs, member(k).ID.Address)
 	}
 	c.SetRecordedAddrs(ms(0), addrs)
-	c.OperatorRead(ms(0), OperatorRead{Full: true, End: 1, Catalogs: []*catalog.Catalog{{Version: 1}}})
+	c.OperatorRead(ms(0), OperatorRead{Full: true, End: 1, Catalog: &catalog.Catalog{Version: 1}})
 	c.Advertise(ms(0), func(m *mesh.Member) { m.Number = uint64(n) })
 	c.Take(ms(0))
 	return c
--- a/node/operator.go
+++ b/node/operator.go
@@ -15,7 +15,8 @@
 	// returned those that follow the previous read.
 	Full        bool
 	Evacuations []catalog.EvacuationChange
-	Catalogs    []*catalog.Catalog
+	// Catalog is the last configuration, nil if none was read.
+	Catalog *catalog.Catalog
 	// End is the offset after the last record.
 	End registry.Offset
 	// Since is when the first read began that could have returned the changes: whatever
@@ -48,13 +49,14 @@
 	} else {
 		c.setEvacuations(now, c.evacuations.Apply(r.Evacuations, r.End), sourceStore, r.Since)
 	}
+	if r.Catalog == nil {
+		return
+	}
 	since := r.Since
 	if r.Full {
 		since = time.Time{}
 	}
-	for _, cat := range r.Catalogs {
-		c.Catalog(now, cat, sourceStore, since)
-	}
+	c.Catalog(now, r.Catalog, sourceStore, since)
 }
 
 // setEvacuations brings evacuations into force: this process starts no more tasks in the
--- a/node/store.go
+++ b/node/store.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
+	"snipehub.example/catalog"
 	"snipehub.example/cell"
 	"snipehub.example/clock"
 	"snipehub.example/event"
@@ -67,27 +69,34 @@
 	})
 }
 
-// operatorRead parses what was read of the operator's topic.
+// operatorRead parses what was read of the operator's topic: all evacuations, and the last
+// configuration that can be read. Each configuration is complete, so decoding earlier ones
+// would only delay the last.
 func (n *Node) operatorRead(update registry.Update) OperatorRead {
 	read := OperatorRead{Full: update.Full, End: update.Next, Since: update.Since}
+	for _, r := range slices.Backward(update.Records) {
+		if n.platform.IsCatalog(r) && read.Catalog == nil {
+			read.Catalog = n.decodeCatalog(r)
+		}
+	}
 	for _, r := range update.Records {
 		if e, ok := n.platform.Evacuation(r); ok {
 			read.Evacuations = append(read.Evacuations, e)
-			continue
-		}
-		if !n.platform.IsCatalog(r) {
-			continue
-		}
-		c, err := n.platform.Catalog(r)
-		if err != nil {
-			event.RecordUnreadable.Log(n.log, "topic", topicOperator, "offset", uint64(r.Offset), "error", err)
-			continue
 		}
-		read.Catalogs = append(read.Catalogs, c)
 	}
 	return read
 }
 
+// decodeCatalog returns the configuration in a record, or nil if it can't be read.
+func (n *Node) decodeCatalog(r registry.Record) *catalog.Catalog {
+	c, err := n.platform.Catalog(r)
+	if err != nil {
+		event.RecordUnreadable.Log(n.log, "topic", topicOperator, "offset", uint64(r.Offset), "error", err)
+		return nil
+	}
+	return c
+}
+
 // advertise changes the state that this process advertises to the members.
 func (n *Node) advertise(ctx context.Context, change func(*mesh.Member)) {
 	n.enqueue(ctx, func(now time.Time, c *Core) { c.Advertise(now, change) })
