node: ask one member at a time for evacuations

Change: one member, the next one after 0.2 s without an answer, which a lost answer did not have before. TestOneMemberIsAskedForEvacuationsAtATime fails on the code before (asks both).

--- a/node/core.go
+++ b/node/core.go
@@ -79,7 +79,8 @@
 	self     mesh.Member
 	catalogs *catalog.Store
 	// evacuations are the data centres in which no tasks may be started.
-	evacuations catalog.Evacuations
+	evacuations      catalog.Evacuations
+	evacuationsQuery evacuationsQuery
 	// evacuationDelays are how late, at most, changes of the evacuations were read from the
 	// store since they were last exported.
 	evacuationDelays []time.Duration
@@ -396,6 +397,7 @@
 	c.cell.Tick(now)
 	c.updateReaders(now)
 	c.updateCopy(now)
+	c.retryEvacuations(now)
 	c.entry.Tick(now)
 	c.announceNewlyHeld(now)
 	c.updateWatches(now)
--- a/node/operator.go
+++ b/node/operator.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"snipehub.example/catalog"
@@ -113,11 +114,41 @@
 	c.Advertise(now, func(m *mesh.Member) { m.Catalog = cat.Version })
 }
 
+// evacuationsQuery is a request for evacuations that may still be answered.
+type evacuationsQuery struct {
+	// after is what the member has advertised, asked the member, at when.
+	after registry.Offset
+	asked mesh.ID
+	at    time.Time
+}
+
+// evacuationsTimeout is the time without an answer after which another member is asked.
+const evacuationsTimeout = 200 * time.Millisecond
+
 // requestEvacuations asks a member for the evacuations if it knows later ones: the store may
-// reject this process while it serves the others.
+// reject this process while it serves the others. It asks one member at a time, since each
+// change of the operator's topic makes all of them advertise a later offset at once.
 func (c *Core) requestEvacuations(now time.Time, m mesh.Member) {
-	if m.Evacuations > c.evacuations.End {
-		c.send(now, m.ID, Message{EvacuationsRequest: &EvacuationsRequest{After: m.Evacuations}})
+	q := &c.evacuationsQuery
+	waits := q.after >= m.Evacuations && now.Sub(q.at) < evacuationsTimeout
+	if m.Evacuations <= c.evacuations.End || waits {
+		return
+	}
+	*q = evacuationsQuery{after: m.Evacuations, asked: m.ID, at: now}
+	c.send(now, m.ID, Message{EvacuationsRequest: &EvacuationsRequest{After: m.Evacuations}})
+}
+
+// retryEvacuations asks another member if the one that was asked has not answered in time.
+func (c *Core) retryEvacuations(now time.Time) {
+	q := c.evacuationsQuery
+	if q.after <= c.evacuations.End || now.Sub(q.at) < evacuationsTimeout {
+		return
+	}
+	c.evacuationsQuery = evacuationsQuery{}
+	ids := sortedIDs(c.members)
+	next := max(0, slices.IndexFunc(ids, func(id mesh.ID) bool { return id.Compare(q.asked) > 0 }))
+	for _, id := range slices.Concat(ids[next:], ids[:next]) {
+		c.requestEvacuations(now, c.members[id].Member)
 	}
 }
 
--- a/node/operator_test.go
+++ b/node/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -185,3 +186,45 @@
 		}
 	}
 }
+
+// The operator's topic changes, and all members advertise its new end at once. Each process
+// must not ask all of them; the next one is asked if the first does not answer.
+func TestOneMemberIsAskedForEvacuationsAtATime(t *testing.T) {
+	c, _, _ := threeCores()
+	asked := func(now time.Time) (members []int) {
+		out := c.Take(now)
+		for n := 2; n <= 3; n++ {
+			for _, m := range messagesTo(out, member(n).ID) {
+				if m.EvacuationsRequest != nil {
+					members = append(members, n)
+				}
+			}
+		}
+		return members
+	}
+	want := func(now time.Time, want ...int) {
+		t.Helper()
+		if got := asked(now); !slices.Equal(got, want) {
+			t.Errorf("asked members %v, want %v", got, want)
+		}
+	}
+	for _, n := range []int{2, 3} {
+		m := member(n)
+		m.Evacuations = 9
+		c.MemberChanged(ms(10), m)
+	}
+	want(ms(10), 2)
+	c.Tick(ms(200))
+	want(ms(200))
+	c.Tick(ms(210))
+	want(ms(210), 3)
+	c.Tick(ms(410))
+	want(ms(410), 2)
+	later := member(3)
+	later.Evacuations = 10
+	c.MemberChanged(ms(420), later)
+	want(ms(420), 3)
+	c.Receive(ms(430), member(3).ID, 1, []Message{{Evacuations: &catalog.Evacuations{End: 10}}})
+	c.Tick(ms(900))
+	want(ms(900))
+}
