--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -5,7 +5,6 @@
 	"io"
 	"log"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -132,15 +131,6 @@
 	wg       sync.WaitGroup
 }
 
-// addressState is the dialling state of an address at which there may be a member.
-type addressState struct {
-	// lastLearned is when the address was last learned or its session ended, nextDial when
-	// it may be dialled again.
-	lastLearned, nextDial time.Time
-	backoff               time.Duration
-	dialing               bool
-}
-
 // New returns a Mesh that accepts connections on the listener once Serve is called. It
 // calls deliver with each event; while deliver blocks, the sender on the other side is
 // slowed down.
@@ -170,32 +160,6 @@
 	}
 }
 
-// AddAddresses adds addresses at which there may be members.
-func (m *Mesh[M]) AddAddresses(addrs ...netip.AddrPort) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := time.Now()
-	for _, a := range addrs {
-		m.addAddress(now, a)
-	}
-}
-
-func (m *Mesh[M]) addAddress(now time.Time, a netip.AddrPort) {
-	if a == m.self.ID.Address || !a.IsValid() {
-		return
-	}
-	if known, ok := m.addresses[a]; ok {
-		known.lastLearned = now
-		return
-	}
-	known := &addressState{lastLearned: now, nextDial: now, backoff: minRedialBackoff}
-	if m.self.ID.Address.Compare(a) > 0 {
-		known.nextDial = now.Add(higherAddressDialDelay)
-	}
-	m.addresses[a] = known
-	m.wakeDialer()
-}
-
 // Send queues messages on the session with a member. Messages to a member without a
 // session are dropped: Down has been delivered for that session, or will be.
 func (m *Mesh[M]) Send(to ID, messages ...M) {
@@ -243,81 +207,6 @@
 	}
 }
 
-// maxDialCheckInterval is the longest time between two checks for addresses that are due.
-const maxDialCheckInterval = time.Second
-
-// dialLoop dials the addresses without a session. The process with the lower address
-// dials at once, the other one only if no connection has come in by then.
-func (m *Mesh[M]) dialLoop(ctx context.Context) {
-	t := time.NewTimer(0)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-m.dialWake:
-		case <-t.C:
-		}
-		out, next := m.dueAddresses(time.Now())
-		for _, a := range out {
-			m.wg.Go(func() { m.dial(ctx, a) })
-		}
-		t.Reset(next)
-	}
-}
-
-// dueAddresses returns the addresses to dial now, and how long until the next one is due.
-// It drops addresses past their retention.
-func (m *Mesh[M]) dueAddresses(now time.Time) (out []netip.AddrPort, next time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	next = maxDialCheckInterval
-	for a, known := range m.addresses {
-		switch {
-		case known.dialing || m.sessions[a] != nil:
-		case now.Before(known.nextDial):
-			next = min(next, known.nextDial.Sub(now))
-		case now.Sub(known.lastLearned) > addressRetention:
-			delete(m.addresses, a)
-		default:
-			known.dialing = true
-			out = append(out, a)
-		}
-	}
-	return out, next
-}
-
-// wakeDialer makes dialLoop check for addresses that are due.
-func (m *Mesh[M]) wakeDialer() {
-	select {
-	case m.dialWake <- struct{}{}:
-	default:
-	}
-}
-
-// dial dials an address and waits until a session has begun there or has failed. Another
-// dial before that would replace the connection whose greeting is under way.
-func (m *Mesh[M]) dial(ctx context.Context, a netip.AddrPort) {
-	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	c, err := m.dialPeer(bounded, "tcp", a.String())
-	if err == nil {
-		s := m.startSession(ctx, c, true)
-		select {
-		case <-s.greeted:
-		case <-s.done:
-		}
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if known := m.addresses[a]; known != nil {
-		known.dialing = false
-		known.nextDial = time.Now().Add(known.backoff/2 + rand.N(known.backoff))
-		known.backoff = min(2*known.backoff, maxRedialBackoff)
-	}
-	m.wakeDialer()
-}
-
 // startSession starts a session on a new connection, on which both sides send their
 // greeting.
 func (m *Mesh[M]) startSession(ctx context.Context, c net.Conn, dialed bool) *session[M] {
--- a/node/core.go
+++ b/node/core.go
@@ -14,51 +14,6 @@
 	"snipehub.example/mesh"
 )
 
-// Message is a message between processes. Exactly one field is set.
-type Message struct {
-	Request            *cell.Request        `cbor:"1,keyasint,omitzero"`
-	Grant              *cell.Grant          `cbor:"2,keyasint,omitzero"`
-	Refusal            *cell.Refusal        `cbor:"3,keyasint,omitzero"`
-	Withdraw           *cell.Withdrawal     `cbor:"4,keyasint,omitzero"`
-	Assignment         *cell.Assignment     `cbor:"5,keyasint,omitzero"`
-	Release            *cell.Release        `cbor:"6,keyasint,omitzero"`
-	Report             *cell.Report         `cbor:"7,keyasint,omitzero"`
-	Drain              *cell.Drain          `cbor:"8,keyasint,omitzero"`
-	WorkerList         *cell.WorkerList     `cbor:"9,keyasint,omitzero"`
-	EvacuationsRequest *EvacuationsRequest  `cbor:"10,keyasint,omitzero"`
-	Start              *entry.Start         `cbor:"12,keyasint,omitzero"`
-	Stop               *entry.Stop          `cbor:"13,keyasint,omitzero"`
-	Claim              *entry.Claim         `cbor:"14,keyasint,omitzero"`
-	Ended              *entry.Ended         `cbor:"15,keyasint,omitzero"`
-	Held               *entry.Held          `cbor:"16,keyasint,omitzero"`
-	Unheld             *entry.Unheld        `cbor:"17,keyasint,omitzero"`
-	ReadList           *ReadList            `cbor:"18,keyasint,omitzero"`
-	Evacuations        *catalog.Evacuations `cbor:"19,keyasint,omitzero"`
-	CatalogRequest     *CatalogRequest      `cbor:"20,keyasint,omitzero"`
-	CatalogPart        *CatalogPart         `cbor:"21,keyasint,omitzero"`
-}
-
-// Output is an action that Core asks its driver to perform. Exactly one of the pointers
-// is set.
-type Output struct {
-	// To is the recipient of Message.
-	To      mesh.ID
-	Message *Message
-	Answer  *entry.CallerAnswer
-	// Pack is a catalog to encode for members, Unpack one to decode. Both take too long on a
-	// small VM for the goroutine that decides.
-	Pack   *catalog.Catalog
-	Unpack *catalog.Packed
-	// Advertise is the new state that this process advertises to the members.
-	Advertise *mesh.Member
-	Watch     *Watch
-	// Worker is the target of Hold, Start or Stop.
-	Worker lease.Worker
-	Hold   *lease.HoldCall
-	Start  *lease.StartCall
-	Stop   *lease.StopCall
-}
-
 const (
 	// orphanStopDelay is how long after the last sign of life of an entry process its runs
 	// are stopped. They must end before a caller that lost its connection retries over
