Tests on a fake clock run on one processor

Cause: all timers of a synctest bubble share one context of the race detector; when several processors run timers at once, the detector crashes (SIGSEGV, or a failed check of its own).

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -7,9 +7,9 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"snipehub.example/internal/bubble"
 	"snipehub.example/internal/memnet"
 )
 
@@ -82,7 +82,7 @@
 
 // withTwoMembersOn is withTwoMembers on a network of its own.
 func withTwoMembersOn(t *testing.T, network func(latency time.Duration) *memnet.Net, test func(t *testing.T, n *memnet.Net, a, b *process)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := network(time.Millisecond)
 		a, b := startProcess(t, n, "127.0.0.1", 1), startProcess(t, n, "127.0.0.2", 2)
 		b.mesh.AddAddresses(a.member.ID.Address)
--- a/node/deployment_test.go
+++ b/node/deployment_test.go
@@ -6,15 +6,14 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"snipehub.example/catalog"
 	"snipehub.example/cell"
+	"snipehub.example/internal/bubble"
 	"snipehub.example/internal/memnet"
 	"snipehub.example/registry"
 )
@@ -36,12 +35,9 @@
 	largeLink = 90_000_000 / 8
 )
 
-// withDeployment runs a test with processes on VMs with the given links. It runs on one
-// processor: the timers of a synctest bubble share one context of the race detector, which
-// crashes if several processors run them at once.
+// withDeployment runs a test with processes on VMs with the given links.
 func withDeployment(t *testing.T, links []int, test func(d *deployment)) {
-	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := &deployment{net: memnet.New(500 * time.Microsecond), store: newOperatorTopic(), logs: &logCounter{seen: make(map[string]int)}}
 		ctx, cancel := context.WithCancel(t.Context())
 		for i, link := range links {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -6,10 +6,11 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"snipehub.example/internal/bubble"
 )
 
 // topic is an in-memory topic. Reads return fail if it is set, and hang while silent is
@@ -79,7 +80,7 @@
 // withFollower runs test with a follower of an in-memory topic. got returns the emitted
 // keys, with "|" before each full update.
 func withFollower(t *testing.T, recipient func() string, test func(s *topic, f *Follower, got func() string)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := &topic{}
 		var mu sync.Mutex
 		text := ""
@@ -218,7 +219,7 @@
 // added since the first failed read: with the start of the read that returned them, the logs
 // would say that a change was learned at once which is seconds old.
 func TestUpdateSaysSinceWhenItsRecordsMayHaveBeenThere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := &topic{}
 		var last Update
 		f := New(Config{Name: "t", Wait: time.Second, Timeout: 500 * time.Millisecond}, slog.New(slog.DiscardHandler), s, nil, func(_ context.Context, u Update) {
@@ -290,7 +291,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := New(Config{Name: "t", Timeout: 500 * time.Millisecond}, slog.New(slog.DiscardHandler), tt.source, nil, nil)
 				began := time.Now()
 				_, err := f.readOnce(t.Context(), 0, true)
