node: no election when a member loses the store or has it back

What callers would see: around a change of the configuration while many processes have no store, heartbeats of small VMs are late and jobs refused at large deployments. Cause: each process that loses the store, or has it back, tells all others; every one of them sorted all members and elected anew for each such message, 157 us with 147 members on a whole core. Whether a member reaches the store does not enter the election. Change: such a change only updates the member, 0.6 us (BenchmarkMemberChanged).

--- a/node/members.go
+++ b/node/members.go
@@ -121,6 +121,11 @@
 		return
 	}
 	event.MemberStateChanged.Log(c.log, "member", m.VM, "id", m.ID, "number", m.Number, "leaving", m.Leaving, "blind", m.StoreUnreachable, "plans", m.PlannerTerms, "catalog", uint64(m.Catalog), "evacuations", uint64(m.Evacuations))
+	if previous.StoreUnreachable = m.StoreUnreachable; previous == m {
+		// Whether it reaches the store does not affect the election either, and may change
+		// for many members at once.
+		return
+	}
 	c.elect(now)
 	if began && m.ID == formerPlanner && m.ID == c.planner {
 		c.syncPlanner(now)
