--- a/node/deployment_test.go
+++ b/node/deployment_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -232,24 +233,24 @@
 // the configuration, which are larger than the links of small VMs carry while a session
 // lasts: sessions are lost, callers are refused, and some processes never get the routes.
 func TestLargeConfigurationReachesAllProcesses(t *testing.T) {
+	thinLink := 2_000_000 / 8
 	tests := []struct {
 		name string
+		// small and large are how many VMs have links of either size.
+		small, large         int
+		smallLink, largeLink int
 		// silent is how many processes, small ones first, get no answer from the store.
 		silent int
+		routes []int
 	}{
-		{"all read the store", 0},
-		{"six get no answer from the store", 6},
+		{"all read the store", 18, 12, smallLink, largeLink, 0, []int{1445, 2845, 10_000}},
+		{"six get no answer from the store", 18, 12, smallLink, largeLink, 6, []int{1445, 2845, 10_000}},
+		{"thin links", 16, 0, thinLink, 0, 0, []int{1445, 2845}},
+		{"thin links, six get no answer from the store", 16, 0, thinLink, 0, 6, []int{1445, 2845}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var links []int
-			for i := range 30 {
-				link := smallLink
-				if i >= 18 {
-					link = largeLink
-				}
-				links = append(links, link)
-			}
+			links := slices.Concat(slices.Repeat([]int{tt.smallLink}, tt.small), slices.Repeat([]int{tt.largeLink}, tt.large))
 			withDeployment(t, links, func(d *deployment) {
 				if w := d.without(1); len(w) != 0 {
 					t.Fatalf("without the first configuration: %v", w)
@@ -257,7 +258,7 @@
 				for _, h := range d.hosts[:tt.silent] {
 					d.store.setSilent(h, true)
 				}
-				for i, routes := range []int{1445, 2845, 10_000} {
+				for i, routes := range tt.routes {
 					v := catalog.Version(i + 2)
 					d.logs.count("session lost")
 					d.store.put(v, routes)
