mesh: a greeting that arrives in pieces is not waited for

Cause: since each piece of a message counts as a sign of life, another program that begins a greeting of a megabyte and sends a piece now and then keeps its connection for minutes; found by reading the change again. TestEndlessGreeting, without the change: open for 32.5 s. Change: pieces count only after the greeting. And the one field of EvacuationsRequest has number 1.

--- a/mesh/greeting_test.go
+++ b/mesh/greeting_test.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"encoding/binary"
+	"io"
 	"net"
 	"net/netip"
 	"slices"
@@ -123,6 +125,27 @@
 	return m.addresses[a].nextDial
 }
 
+// Some other program begins a greeting of a megabyte and sends it slowly. The connection must
+// be closed as if it had sent nothing, or the process runs out of descriptors.
+func TestEndlessGreeting(t *testing.T) {
+	withTwoMembers(t, func(t *testing.T, n *memnet.Net, a, _ *process) {
+		c, err := n.Host("127.0.0.9").DialContext(t.Context(), "tcp", a.member.ID.Address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = io.Copy(io.Discard, c) }()
+		began := time.Now()
+		_, err = c.Write(binary.AppendUvarint([]byte{0}, 1<<20))
+		for err == nil && time.Since(began) < time.Minute {
+			time.Sleep(greetingTimeout / 4)
+			_, err = c.Write(make([]byte, pieceBytes))
+		}
+		if took := time.Since(began); err == nil || took > 2*greetingTimeout {
+			t.Errorf("the connection was open for %v", took)
+		}
+	})
+}
+
 // Some other program connects to the port and sends garbage, or nothing. The connection
 // must be closed without an effect on the members.
 func TestStrangers(t *testing.T) {
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -273,8 +273,13 @@
 }
 
 // handlePiece handles the arrival of a piece of a notification, which shows that the member
-// lives: the rest may take seconds, in which it can send nothing else.
-func (s *session[M]) handlePiece() { s.heard(false) }
+// lives: the rest may take seconds, in which it can send nothing else. A greeting is small, so
+// whoever takes long for one is not waited for.
+func (s *session[M]) handlePiece() {
+	if s.id != (ID{}) {
+		s.heard(false)
+	}
+}
 
 // handle handles one notification of the member.
 func (s *session[M]) handle(method string) {
--- a/node/operator.go
+++ b/node/operator.go
@@ -29,7 +29,7 @@
 type EvacuationsRequest struct {
 	// After is the offset in the operator's topic that the member has advertised; it may
 	// know more by now.
-	After registry.Offset `cbor:"2,keyasint,omitzero"`
+	After registry.Offset `cbor:"1,keyasint,omitzero"`
 }
 
 // catalogParts counts parts of copies of the configuration between this process and others.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -9,8 +9,8 @@
 // Limits: the store can be down, slow, or silent on a connection that stays open,
 // so a call fails when nothing arrives for its timeout, and failed calls are retried with
 // an increasing delay. How long a large response takes depends on the link, so a call on
-// which data arrives goes on. A follower lags for as long as the store is unreachable; Confirmed returns
-// the time as of which its data is current.
+// which data arrives goes on. A follower lags for as long as the store is unreachable;
+// Confirmed returns the time as of which its data is current.
 package registry
 
 import (
