cell: passes over the pending requests are 2 ms apart while some stay pending

Each report of a holder and each request had the planner go over all pending requests, and for each of them build what is needed to choose among holders, also when no worker had room. With 350 workers and more load than they can do, that took the whole of the planner's VM: a path from an entry to the planner and back took 20 ms in place of 2 (with three sizes of entry VMs alike), half of the jobs were refused, and 5,000 tasks a second were granted in place of 6,900 that the workers can do.

While a pass leaves requests pending, the next one is 2 ms later at the earliest, and the driver is told when. A request that fits no worker costs a comparison.

--- a/cell/place.go
+++ b/cell/place.go
@@ -85,22 +85,42 @@
 	probe bool
 }
 
+// passInterval is the minimum time between two passes if the first left requests pending.
+// With a pass for each event, a planner that has more requests than free workers spends its
+// processor time on requests that still find no worker.
+const passInterval = 2 * time.Millisecond
+
+// NextPass returns when Place should be called again at the latest, or the zero time if only
+// an event can make that necessary.
+func (pl *Planner) NextPass(now time.Time) time.Time {
+	if !pl.active || !pl.needsPlanning || pl.awaitsList(now) || !pl.evacuations.Known() {
+		return time.Time{}
+	}
+	return pl.lastPass.Add(passInterval)
+}
+
 // Place grants workers to pending requests in the order of the queue, and refuses jobs
 // that cannot meet their objective. It does nothing if nothing has changed since the last
-// call, so that a burst of events costs one pass over the queue, nor before it is known which
-// data centres are evacuated.
+// call, or if that was less than passInterval ago and left requests pending, so that a burst
+// of events costs one pass over the queue; nor before it is known which data centres are
+// evacuated.
 func (pl *Planner) Place(now time.Time) {
 	if !pl.active || !pl.needsPlanning || pl.awaitsList(now) || !pl.evacuations.Known() {
 		return
 	}
-	pl.needsPlanning = false
+	if pl.passLeftPending && now.Sub(pl.lastPass) < passInterval {
+		return
+	}
+	pl.needsPlanning, pl.passLeftPending, pl.lastPass = false, false, now
 	if len(pl.pending) == 0 {
 		return
 	}
+	pl.counts.Passes++
 	queue := slices.Clone(pl.requestQueue.pending)
 	best := pl.bestFactor()
 	nearFactors := make(map[string]float64)
 	candidates := pl.candidates(now, minCPU(queue))
+	largest := largestFree(candidates)
 	for _, p := range queue {
 		best := best
 		if p.Rack != "" {
@@ -110,9 +130,21 @@
 			pl.refuse(now, p, reasonCannotMeetObjective)
 			continue
 		}
-		pl.grantTasks(now, p, candidates, best)
+		if p.Resources.CPU <= largest && pl.grantTasks(now, p, candidates, best) {
+			largest = largestFree(candidates)
+		}
 	}
 	pl.lookAhead(now)
+	pl.passLeftPending = len(pl.pending) > 0
+}
+
+// largestFree returns the most CPU that is free on one of the candidates.
+func largestFree(candidates []*candidate) int {
+	most := 0
+	for _, c := range candidates {
+		most = max(most, c.free.CPU)
+	}
+	return most
 }
 
 // bestFactorNear returns the lowest factor for tasks whose data is on a rack, given the
@@ -270,10 +302,10 @@
 // reasonCannotMeetObjective is the reason of a refusal when cannotMeetObjective holds.
 const reasonCannotMeetObjective = "no_room_in_time"
 
-// grantTasks grants workers to the tasks of a request.
-func (pl *Planner) grantTasks(now time.Time, p *pendingRequest, candidates []*candidate, best float64) {
+// grantTasks grants workers to the tasks of a request, and reports whether any was granted.
+func (pl *Planner) grantTasks(now time.Time, p *pendingRequest, candidates []*candidate, best float64) bool {
 	if len(candidates) == 0 {
-		return
+		return false
 	}
 	// A request that will miss its objective anyway takes any worker.
 	late := now.Add(scaled(p.Estimate, best)).After(p.objective)
@@ -310,7 +342,7 @@
 			"factor", c.factor, "waited_ms", now.Sub(p.arrivedAt).Milliseconds(), "left_cpu", c.free.CPU, "list_age_ms", pl.ListAge(now).Milliseconds())
 	}
 	if g == nil {
-		return
+		return false
 	}
 	if len(rest) == 0 {
 		pl.dropRequest(p)
@@ -318,6 +350,7 @@
 		pl.requestQueue.change(p, func() { p.Begun, p.Tasks = true, rest })
 	}
 	pl.emit(Action{To: p.owner, Grant: g})
+	return true
 }
 
 // pickCandidate returns the candidate for a task: one of the fastest workers with enough
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -156,6 +156,12 @@
 	candidateBuf []candidate
 	// byID caches the workers in the order of their IDs; nil if it must be rebuilt.
 	byID []*worker
+	// lastPass is when Place last went over the queue, and passLeftPending is set if requests
+	// were pending after that.
+	lastPass        time.Time
+	passLeftPending bool
+	// selector is the buffer for the choice among the holders of one request.
+	selector holderSelector
 	// lastLookAhead is when lookAhead last ran.
 	lastLookAhead time.Time
 	// refusedDelay is how late the job would have been that the current look-ahead refused
@@ -220,10 +226,10 @@
 }
 
 // Counts is what this process has decided as the planner since it started: the granted
-// tasks, and the refused requests by reason.
+// tasks, the refused requests by reason, and the passes over the queue.
 type Counts struct {
-	Granted int64
-	Refused map[string]int64
+	Granted, Passes int64
+	Refused         map[string]int64
 }
 
 // Counts returns the counts. The map in them is not a copy: the Planner continues to change
--- a/cell/selector.go
+++ b/cell/selector.go
@@ -60,16 +60,16 @@
 // full reports whether consider will add no further candidate.
 func (h *holderSelector) full() bool { return len(h.candidates) == maxNearCandidates+maxFarCandidates }
 
-// holderSelector returns the selector for one step's tasks.
+// holderSelector returns the selector for one step's tasks. It is valid until the next call.
 func (pl *Planner) holderSelector(p *pendingRequest) *holderSelector {
-	h := &holderSelector{
-		fewHolders:  pl.policy.FewHolders.on(),
-		owner:       pl.members[p.owner],
-		membersByID: pl.members,
-		tasks:       make(map[*member]int),
-		capacity:    make(map[*member]int),
+	h := &pl.selector
+	if h.tasks == nil {
+		h.tasks, h.capacity = make(map[*member]int), make(map[*member]int)
 	}
-	h.dc = pl.requesters[p.owner]
+	clear(h.tasks)
+	h.fewHolders = pl.policy.FewHolders.on()
+	h.owner, h.dc = pl.members[p.owner], pl.requesters[p.owner]
+	h.membersByID = pl.members
 	return h
 }
 
--- a/model/vm.go
+++ b/model/vm.go
@@ -37,6 +37,8 @@
 	leaving bool
 	// cores is the fraction of a core that the VM gets.
 	cores float64
+	// passScheduled is set while a pass that the planner has put off is scheduled.
+	passScheduled bool
 	// backlog holds what the process does when it resumes.
 	backlog    []func()
 	waiters    map[entry.Waiter]func(entry.Answer)
@@ -105,7 +107,7 @@
 	self := mesh.Member{ID: n.id, VM: n.name, DataCenter: n.dc, Cores: n.cores}
 	n.core = node.NewCore(w.log.With("vm", n.name), self, &catalog.Store{}, w.cfg.Policy)
 	n.waiters = make(map[entry.Waiter]func(entry.Answer))
-	n.backlog = nil
+	n.backlog, n.passScheduled = nil, false
 	n.storeLost, n.operatorNext = false, 0
 	n.watchedSince = make(map[mesh.ID]time.Time)
 	n.impairedAt = w.now
@@ -257,6 +259,23 @@
 	}
 	f(n.world.now)
 	n.perform(n.core.Take(n.world.now))
+	n.schedulePass()
+}
+
+// schedulePass has the core called again for a pass that its planner has put off.
+func (n *vm) schedulePass() {
+	next := n.core.NextPass(n.world.now)
+	if n.passScheduled || next.IsZero() {
+		return
+	}
+	n.passScheduled = true
+	boots := n.boots
+	n.world.after(next.Sub(n.world.now), func() {
+		if n.boots == boots {
+			n.passScheduled = false
+			n.do(func(time.Time) {})
+		}
+	})
 }
 
 func (n *vm) perform(out []node.Output) {
--- a/node/core.go
+++ b/node/core.go
@@ -138,6 +138,11 @@
 	return out
 }
 
+// NextPass returns when Take should be called again at the latest although no event has
+// come, because the planner has put off a pass over its pending requests; it returns the
+// zero time otherwise.
+func (c *Core) NextPass(now time.Time) time.Time { return c.cell.NextPass(now) }
+
 // runActions routes the actions of the entry, the planner and the leases until none is
 // left.
 func (c *Core) runActions(now time.Time) {
--- a/node/loop.go
+++ b/node/loop.go
@@ -45,6 +45,9 @@
 func (n *Node) runCore(ctx context.Context) error {
 	sub := n.clock.Subscribe(tickInterval)
 	defer sub.Stop()
+	pass := time.NewTimer(time.Hour)
+	defer pass.Stop()
+	var passAt time.Time
 	last := n.sinceBoot()
 	for {
 		var w work
@@ -52,6 +55,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case w = <-n.work:
+		case <-pass.C:
+			w, passAt = func(time.Time, *Core) {}, time.Time{}
 		case now := <-sub.C:
 			w = func(_ time.Time, c *Core) { c.Tick(now) }
 		}
@@ -66,6 +71,10 @@
 		n.runQueued(now)
 		n.perform(n.core.Take(now))
 		n.publish()
+		if next := n.core.NextPass(now); passAt.IsZero() && !next.IsZero() {
+			passAt = next
+			pass.Reset(time.Until(next))
+		}
 	}
 }
 
