entry: jobs that cannot wait for the next planner are refused when this one falls silent

Nobody else tells them sooner.

A heartbeat that is overdue (250 ms) says when the next planner can be there at the earliest: when the session has timed out, and 100 ms later. Jobs of which nothing has begun and that would be late then are refused at once, those that arrive meanwhile too; where there is another cell, its planner is asked first. A sign of the planner ends this.

--- a/entry/elsewhere.go
+++ b/entry/elsewhere.go
@@ -18,7 +18,7 @@
 }
 
 // requestFromOtherCell requests workers from another cell's planner for a job that this
-// cell's has refused, and reports whether it did. A cell can be full before the others
+// cell's has refused or would refuse, and reports whether it did. A cell can be full before the others
 // are, by a burst of its own callers or the loss of its workers; if the other one is full
 // too, it answers at once. A hash of the job's id selects the cell, so that jobs refused
 // together spread.
@@ -29,6 +29,7 @@
 	j.otherPlanner = js.otherPlanners[xxhash.Sum64String(j.ID)%uint64(len(js.otherPlanners))]
 	event.JobOfferedToOtherCell.Log(js.log, "job", j.ID, "queue", j.Queue.Name, "planner", j.otherPlanner, "age_ms", now.Sub(j.arrivedAt).Milliseconds())
 	js.repeatRequests(now, j)
+	js.requestReadySteps(now, j)
 	return true
 }
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -82,6 +82,9 @@
 	// runs finds the task of a placed run.
 	runs    map[lease.Run]placedTask
 	planner mesh.ID
+	// nextPlannerAt is when another planner is expected because the heartbeat of this one is
+	// overdue; zero otherwise.
+	nextPlannerAt time.Time
 	// otherPlanners are the planners of other cells.
 	otherPlanners []mesh.ID
 	delay         delay
--- a/entry/late.go
+++ b/entry/late.go
@@ -34,10 +34,44 @@
 		if !j.requestedAt.IsZero() && j.otherPlanner == (mesh.ID{}) {
 			js.delay.addPlannerSilence(now, now.Sub(j.requestedAt))
 		}
-		js.finish(now, j, Answer{Status: Refused, Why: "planner_silent", RetryAfter: minRetryAfter + cell.RetryJitter(j.ID)})
+		js.finish(now, j, Answer{Status: Refused, Why: plannerSilent, RetryAfter: minRetryAfter + cell.RetryJitter(j.ID)})
 	}
 }
 
+// plannerSilent is the reason of a refusal because the planner has not answered.
+const plannerSilent = "planner_silent"
+
+// electionGrace is how long after the session with a planner has timed out the next one is
+// expected to answer: members notice the timeout at different times.
+const electionGrace = 100 * time.Millisecond
+
+// PlannerOverdue records that the planner's heartbeat is overdue. Jobs that could not meet
+// their objective with the next planner either are refused.
+func (js *Jobs) PlannerOverdue(now, lastHeard time.Time) {
+	js.nextPlannerAt = lastHeard.Add(mesh.SessionTimeout + electionGrace)
+	for _, j := range js.sortedJobs() {
+		if j.answer == nil {
+			js.refuseIfPlannerSilent(now, j)
+		}
+	}
+}
+
+// PlannerRecovered records that the planner has been heard from again.
+func (js *Jobs) PlannerRecovered() { js.nextPlannerAt = time.Time{} }
+
+// refuseIfPlannerSilent refuses a job of which nothing has begun and which can't meet its
+// objective if it waits for the next planner, and reports whether it did. Nobody else would
+// tell its caller before the objective has passed.
+func (js *Jobs) refuseIfPlannerSilent(now time.Time, j *job) bool {
+	if js.nextPlannerAt.IsZero() || j.hasBegun() || j.otherPlanner != (mesh.ID{}) || !js.nextPlannerAt.Add(j.minDuration()).After(j.objectiveAt) {
+		return false
+	}
+	if !js.requestFromOtherCell(now, j) {
+		js.finish(now, j, Answer{Status: Refused, Why: plannerSilent, RetryAfter: max(js.nextPlannerAt.Sub(now), minRetryAfter) + cell.RetryJitter(j.ID)})
+	}
+	return true
+}
+
 // plannerAnswered records that the planner has answered for a job, after waiting for free
 // resources for a time.
 func (js *Jobs) plannerAnswered(now time.Time, j *job, waited time.Duration) {
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -68,7 +68,7 @@
 	event.JobAdmitted.Log(js.log, "job", r.ID, "queue", r.Queue.Name, "tasks", len(j.tasks), "steps", len(r.Steps), "text_bytes", len(r.Spec),
 		"estimate_ms", r.Steps[0].Estimate.Milliseconds(), "cpu", r.Steps[0].Resources.CPU, "patience_ms", r.Timeout.Milliseconds(),
 		"aim_ms", j.objectiveAt.Sub(now).Milliseconds(), "delay_ms", js.delay.total(len(j.tasks)).Milliseconds(), "planner", js.planner)
-	if !js.refuseIfMessagesSlow(now, j) {
+	if !js.refuseIfPlannerSilent(now, j) && !js.refuseIfMessagesSlow(now, j) {
 		js.requestReadySteps(now, j)
 	}
 }
@@ -159,7 +159,7 @@
 	if id == js.planner {
 		return
 	}
-	js.planner = id
+	js.planner, js.nextPlannerAt = id, time.Time{}
 	if id == (mesh.ID{}) {
 		return
 	}
--- a/node/watch.go
+++ b/node/watch.go
@@ -33,6 +33,7 @@
 		c.held[w].OwnerUnreachable(id, lastHeard.Add(callerRetryDelay))
 	}
 	if id == c.planner {
+		c.entry.PlannerOverdue(now, lastHeard)
 		c.watchAllUntil = now.Add(watchAllDuration)
 		c.updateWatches(now)
 	}
@@ -46,6 +47,9 @@
 	for _, w := range c.heldIDs() {
 		c.held[w].OwnerReachable(id)
 	}
+	if id == c.planner {
+		c.entry.PlannerRecovered()
+	}
 }
 
 // watch starts to watch a member at once, for example when it has been given a run or has
