Admission levels: entries refuse at once the jobs that the planner cannot use

In overload each job travelled to the planner, waited there until what was ahead of it made it late, and was refused at 0.60 of its objective (median; 0.72 at p90), although the better-ranked work that would come was known by its rate.

The planner measures the work offered and granted by queue. While jobs are refused for lack of workers it admits a share of each queue's jobs, a tenth more than were granted, and tells the processes that may request workers, at most every 100 ms; without overload nothing is sent. Entries refuse the rest on arrival (over_capacity), drawn by a hash of the job's ID, with a Retry-After that grows as the share falls. Requests carry the share under which they were admitted, so the planner knows the whole demand. Levels end after a second without renewal. admission=off in the settings file turns it off.

--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,119 @@
+package admission
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// overcommit is the ratio of the admitted to the granted work of a queue while jobs of it
+	// are refused. Above 1 it keeps requests at hand for workers that become free.
+	overcommit = 1.1
+	// adjustment is the part of the way to the share that measurements suggest that one
+	// update goes.
+	adjustment = 0.5
+	// growth is the factor by which a share grows with each update that finds room.
+	growth = 1.4
+	// roomDelay is the pending work of a queue, as the time in which it is granted workers,
+	// below which there is room for more.
+	roomDelay = 40 * time.Millisecond
+	// minOffered is the rate of offered work below which a queue is forgotten.
+	minOffered = 1e-3
+)
+
+// Controller measures the work that is offered, granted and refused, and computes levels.
+// Work is in any unit of resources times seconds. It is owned by one goroutine.
+type Controller struct {
+	queues map[string]*queue
+}
+
+// queue is what is known of a queue.
+type queue struct {
+	name             string
+	rank             int
+	offered, granted rate
+	// share is the share of the jobs that is admitted.
+	share float64
+	// refused is set if an admitted job was refused since the last update because there were
+	// no workers for it in time.
+	refused bool
+}
+
+// NewController returns a Controller that admits all jobs.
+func NewController() *Controller { return &Controller{queues: make(map[string]*queue)} }
+
+func (c *Controller) queue(name string) *queue {
+	q := c.queues[name]
+	if q == nil {
+		q = &queue{name: name, share: 1}
+		c.queues[name] = q
+	}
+	return q
+}
+
+// Offer records the work of a job that has reached the planner, admitted under a share.
+func (c *Controller) Offer(now time.Time, name string, rank int, work, share float64) {
+	q := c.queue(name)
+	q.rank = rank
+	q.offered.add(now, work/max(share, minShare))
+}
+
+// Grant records work of a queue that was granted workers.
+func (c *Controller) Grant(now time.Time, name string, work float64) {
+	c.queue(name).granted.add(now, work)
+}
+
+// Refuse records that an admitted job of a queue was refused because there were no workers
+// for it in time.
+func (c *Controller) Refuse(name string) { c.queue(name).refused = true }
+
+// Update computes the levels from what was recorded and the pending work of each queue. It
+// is to be called at regular intervals that are short against the objectives of jobs.
+func (c *Controller) Update(now time.Time, pending map[string]float64) Levels {
+	maps.DeleteFunc(c.queues, func(_ string, q *queue) bool { return q.offered.value(now) < minOffered })
+	queues := slices.SortedFunc(maps.Values(c.queues), func(x, y *queue) int {
+		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.name, y.name))
+	})
+	var out Levels
+	better := 1.0
+	for i, q := range queues {
+		if i > 0 && q.rank != queues[i-1].rank {
+			better = leastShare(queues[:i])
+		}
+		q.update(now, pending[q.name], better)
+		if q.share < 1 {
+			out.Queues = append(out.Queues, Level{Queue: q.name, Share: q.share})
+		}
+	}
+	return out
+}
+
+// leastShare returns the least share of some queues.
+func leastShare(queues []*queue) float64 {
+	least := 1.0
+	for _, q := range queues {
+		least = min(least, q.share)
+	}
+	return least
+}
+
+// update adjusts the share. While jobs are refused, it follows the part of the offered work
+// that was granted; while none wait, it grows. Otherwise it is unknown yet whether the
+// pending jobs get workers in time, and the share stays.
+//
+// better is the least share of the queues of better rank, which this queue's does not exceed:
+// its tasks may be long, and hold the workers that the better ranks need in a moment.
+func (q *queue) update(now time.Time, pending, better float64) {
+	granted := q.granted.value(now)
+	share := q.share
+	switch {
+	case q.refused:
+		share += adjustment * (overcommit*granted/q.offered.value(now) - share)
+	case pending <= granted*roomDelay.Seconds():
+		share *= growth
+	}
+	q.refused = false
+	q.share = min(max(share, minShare), q.share*growth, better)
+}
--- a/cell/message.go
+++ b/cell/message.go
@@ -36,6 +36,9 @@
 	MaxPerWorker int    `cbor:"15,keyasint,omitzero"`
 	// Avoid lists workers that have just refused the tasks.
 	Avoid []string `cbor:"16,keyasint,omitzero"`
+	// Share is the share of its queue's jobs of which the job was one when it was admitted;
+	// 0 means all.
+	Share float64 `cbor:"17,keyasint,omitzero"`
 }
 
 // Grant assigns workers to tasks of a job.
--- a/cell/place.go
+++ b/cell/place.go
@@ -19,9 +19,12 @@
 	p := pl.pending[k]
 	if p == nil || p.owner != from {
 		if p != nil {
-			pl.requestQueue.remove(p)
+			pl.dropRequest(p)
 		}
 		p = &pendingRequest{Request: req, stepKey: k, owner: from, arrivedAt: now.Add(-req.Age), objective: now.Add(req.Objective), deadline: now.Add(req.Timeout), requestedAt: now}
+		if !pl.admit(now, p) {
+			return
+		}
 		pl.pending[k] = p
 		pl.requestQueue.add(p)
 	} else {
@@ -295,6 +298,9 @@
 func (pl *Planner) refuse(now time.Time, p *pendingRequest, reason string) {
 	pl.dropRequest(p)
 	pl.counts.Refused[reason]++
+	if reason == reasonOthersFirst || reason == reasonCannotMeetObjective {
+		pl.admission.controller.Refuse(p.Queue)
+	}
 	event.JobRefused.Log(pl.log, "job", p.job, "queue", p.Queue, "why", reason, "waited_ms", now.Sub(p.arrivedAt).Milliseconds(), "aim_ms", p.objective.Sub(now).Milliseconds(), "waiting", len(pl.pending))
 	pl.emit(Action{To: p.owner, Refusal: &Refusal{Job: p.job, Reason: reason, RetryAfter: pl.retryAfter(p.job), Waited: now.Sub(p.requestedAt)}})
 }
@@ -336,7 +342,7 @@
 			it.Estimate = estimate
 		}
 		c.addRun(r, activeRun{resources: p.Resources, startedAt: now, estimate: estimate, unreported: true, job: p.job})
-		pl.counts.Granted++
+		pl.countGrant(now, p)
 		g.Items = append(g.Items, it)
 		event.TaskGranted.Log(pl.log, "job", p.job, "task", r.Task, "run", r.Number, "worker", c.ID, "holder", c.holder,
 			"factor", c.factor, "waited_ms", now.Sub(p.arrivedAt).Milliseconds(), "left_cpu", c.free.CPU, "list_age_ms", pl.ListAge(now).Milliseconds())
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -10,8 +10,9 @@
 // a planner dies, the next one builds its state anew from the members' reports and
 // requests.
 //
-// It decides three things: which member holds which worker (assign.go), which jobs stay
-// pending and which are refused (admit.go), and which worker runs a task (place.go).
+// It decides four things: which member holds which worker (assign.go), which share of the
+// jobs is admitted at all (admission.go), which jobs stay pending and which are refused
+// (admit.go), and which worker runs a task (place.go).
 //
 // Limits: the cost of a decision grows with the number of workers that have free
 // resources and with the number of pending jobs, so a cell has a few hundred workers.
@@ -21,6 +22,7 @@
 	"log/slog"
 	"time"
 
+	"snipehub.example/admission"
 	"snipehub.example/catalog"
 	"snipehub.example/event"
 	"snipehub.example/lease"
@@ -133,6 +135,7 @@
 	Assignment *Assignment
 	Release    *Release
 	Drain      *Drain
+	Levels     *admission.Levels
 }
 
 // Planner is the planner of a cell as a deterministic state machine without I/O: it takes
@@ -161,7 +164,8 @@
 	lastPass        time.Time
 	passLeftPending bool
 	// selector is the buffer for the choice among the holders of one request.
-	selector holderSelector
+	selector  holderSelector
+	admission admissionState
 	// lastLookAhead is when lookAhead last ran.
 	lastLookAhead time.Time
 	// refusedDelay is how late the job would have been that the current look-ahead refused
@@ -202,7 +206,7 @@
 
 // New returns a Planner that is not active yet.
 func New(log *slog.Logger, self mesh.ID, policy Policy) *Planner {
-	pl := &Planner{log: log, self: self, policy: policy.withDefaults(), counts: Counts{Refused: make(map[string]int64)}}
+	pl := &Planner{log: log, self: self, policy: policy.withDefaults(), counts: Counts{Refused: make(map[string]int64), OfferedWork: make(map[string]int64), GrantedWork: make(map[string]int64)}}
 	pl.clear()
 	return pl
 }
@@ -212,6 +216,7 @@
 	pl.workers = make(map[string]*worker)
 	pl.pending = make(map[stepKey]*pendingRequest)
 	pl.requestQueue = requestQueue{order: pl.policy.Order}
+	pl.admission = admissionState{controller: admission.NewController()}
 	pl.bySpeed, pl.byID = nil, nil
 	pl.listRead, pl.listAsOf, pl.listLate = false, time.Time{}, false
 	pl.mayReassign, pl.hadQuorum, pl.foundHeld = false, false, false
@@ -226,14 +231,16 @@
 }
 
 // Counts is what this process has decided as the planner since it started: the granted
-// tasks, the refused requests by reason, and the passes over the queue.
+// tasks, the refused requests by reason, the passes over the queue, and by queue the work
+// that was offered and granted, in core milliseconds.
 type Counts struct {
-	Granted, Passes int64
-	Refused         map[string]int64
+	Granted, Passes          int64
+	Refused                  map[string]int64
+	OfferedWork, GrantedWork map[string]int64
 }
 
-// Counts returns the counts. The map in them is not a copy: the Planner continues to change
-// it.
+// Counts returns the counts. The maps in them are not copies: the Planner continues to change
+// them.
 func (pl *Planner) Counts() Counts { return pl.counts }
 
 // Active reports whether this process is the planner.
@@ -406,6 +413,7 @@
 	pl.assign(now)
 	pl.balance(now)
 	pl.sortBySpeed()
+	pl.updateLevels(now)
 	pl.needsPlanning = true
 }
 
--- a/cell/policy.go
+++ b/cell/policy.go
@@ -20,6 +20,9 @@
 	// with.
 	LookAhead Choice
 	Margin    float64
+	// Admission limits the jobs that are admitted while more work is offered than can be
+	// done.
+	Admission Choice
 	// FewHolders places the tasks of a job on few holders when there is a choice among
 	// equally fast workers.
 	FewHolders Choice
--- a/cell/view.go
+++ b/cell/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"snipehub.example/admission"
 	"snipehub.example/lease"
 	"snipehub.example/mesh"
 )
@@ -19,6 +20,8 @@
 	// ListAge is how long ago the platform's worker list was current for certain.
 	ListAge time.Duration  `json:"list_age"`
 	Queues  map[string]int `json:"queues"`
+	// Admission is the levels of the queues of which not all jobs are admitted.
+	Admission []admission.Level `json:"admission,omitempty"`
 }
 
 // HeldWorker is a worker and its holder.
@@ -38,7 +41,7 @@
 
 // View returns the planner's state for operators.
 func (pl *Planner) View(now time.Time) View {
-	v := View{Waiting: len(pl.pending), Queues: make(map[string]int), ListAge: pl.ListAge(now)}
+	v := View{Waiting: len(pl.pending), Queues: make(map[string]int), ListAge: pl.ListAge(now), Admission: pl.admission.levels.Queues}
 	for _, p := range pl.pending {
 		v.Queues[p.Queue] += len(p.Tasks)
 	}
--- a/entry/elsewhere.go
+++ b/entry/elsewhere.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"snipehub.example/admission"
 	"snipehub.example/event"
 	"snipehub.example/mesh"
 )
@@ -26,7 +27,11 @@
 	if len(js.otherPlanners) == 0 || j.otherPlanner != (mesh.ID{}) || now.Add(j.minDuration()).After(j.objectiveAt) {
 		return false
 	}
-	j.otherPlanner = js.otherPlanners[xxhash.Sum64String(j.ID)%uint64(len(js.otherPlanners))]
+	other := js.otherPlanners[xxhash.Sum64String(j.ID)%uint64(len(js.otherPlanners))]
+	if !admission.Admits(j.ID, js.levels[other].Share(j.Queue.Name)) {
+		return false
+	}
+	j.otherPlanner = other
 	event.JobOfferedToOtherCell.Log(js.log, "job", j.ID, "queue", j.Queue.Name, "planner", j.otherPlanner, "age_ms", now.Sub(j.arrivedAt).Milliseconds())
 	js.repeatRequests(now, j)
 	js.requestReadySteps(now, j)
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -66,6 +66,8 @@
 	// otherPlanner is the planner of another cell from which workers were requested after
 	// this cell's planner refused the job; zero before.
 	otherPlanner mesh.ID
+	// share is the share of the queue's jobs of which the job was one when it was admitted.
+	share float64
 	// ran is set once a run has ended that may have begun.
 	ran bool
 	// answer is nil until the job is over.
@@ -88,8 +90,10 @@
 	// otherPlanners are the planners of other cells.
 	otherPlanners []mesh.ID
 	delay         delay
-	actions       []Action
-	counts        Counts
+	// levels holds what each planner admits.
+	levels  map[mesh.ID]receivedLevels
+	actions []Action
+	counts  Counts
 }
 
 type placedTask struct {
@@ -104,6 +108,7 @@
 		jobs:    make(map[string]*job),
 		waiters: make(map[Waiter]*job),
 		runs:    make(map[lease.Run]placedTask),
+		levels:  make(map[mesh.ID]receivedLevels),
 		counts:  Counts{Ended: make(map[lease.Outcome]int64), NotStarted: make(map[lease.Reason]int64)},
 	}
 }
@@ -199,6 +204,7 @@
 // those that are over.
 func (js *Jobs) Tick(now time.Time) {
 	js.delay.fade(now)
+	js.expireLevels(now)
 	for _, p := range js.expiredRuns(now) {
 		js.handleRunEnd(now, p.j, p.t, lease.End{Run: p.j.lastRun(p.t), Outcome: lease.Lost})
 	}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -68,7 +68,7 @@
 	event.JobAdmitted.Log(js.log, "job", r.ID, "queue", r.Queue.Name, "tasks", len(j.tasks), "steps", len(r.Steps), "text_bytes", len(r.Spec),
 		"estimate_ms", r.Steps[0].Estimate.Milliseconds(), "cpu", r.Steps[0].Resources.CPU, "patience_ms", r.Timeout.Milliseconds(),
 		"aim_ms", j.objectiveAt.Sub(now).Milliseconds(), "delay_ms", js.delay.total(len(j.tasks)).Milliseconds(), "planner", js.planner)
-	if !js.refuseIfPlannerSilent(now, j) && !js.refuseIfMessagesSlow(now, j) {
+	if !js.refuseIfPlannerSilent(now, j) && !js.refuseIfMessagesSlow(now, j) && !js.refuseIfOverCapacity(now, j) {
 		js.requestReadySteps(now, j)
 	}
 }
@@ -135,6 +135,10 @@
 		Rack:         s.Rack,
 		MaxPerWorker: s.MaxPerWorker,
 	}
+	if j.otherPlanner == (mesh.ID{}) {
+		// Another cell is offered all jobs that this one does not admit.
+		req.Share = j.share
+	}
 	for _, t := range tasks {
 		if t.state != pending {
 			t.state = pending
@@ -159,6 +163,7 @@
 	if id == js.planner {
 		return
 	}
+	js.inheritLevels(id)
 	js.planner, js.nextPlannerAt = id, time.Time{}
 	if id == (mesh.ID{}) {
 		return
--- a/event/table.go
+++ b/event/table.go
@@ -114,6 +114,8 @@
 	EvacuationEnded       ID = 933
 	CatalogRequested      ID = 934
 	CatalogCopyUnusable   ID = 935
+	AdmissionLimited      ID = 936
+	AdmissionUnlimited    ID = 937
 )
 
 var table = []Entry{
@@ -207,7 +209,7 @@
 	{TaskGranted, slog.LevelInfo, "task granted", "The planner has chosen a worker for a task. list_age_ms is how long ago the list of workers was current for certain.", "0.2"},
 	{RunEnded, slog.LevelInfo, "run ended", "A run of a task has ended, or was not started (how=never, with the reason).", "0.2"},
 	{JobUnreadable, slog.LevelWarn, "job not understood", "A request could not be read as a job, or asks for something that is not implemented; the caller is told so.", "0.2"},
-	{JobOfferedToOtherCell, slog.LevelInfo, "job offered to another cell", "The planner of this cell has refused the job, and the planner of another cell is asked: this cell has no free resources in time, others may.", "0.2"},
+	{JobOfferedToOtherCell, slog.LevelInfo, "job offered to another cell", "The planner of this cell has refused the job, or does not admit it or is silent, and the planner of another cell is asked: this cell has no free resources in time, others may.", "0.2"},
 	{WorkerListLate, slog.LevelWarn, "list of workers late", "The planner has had no current list of workers for the time given: its reads of the store, or those of the member that reads for it, fail or are slow (802). It asks other members to read (930). Workers that drain meanwhile still get tasks.", "0.2"},
 	{WorkerListCurrent, slog.LevelInfo, "list of workers current", "The planner has a current list of workers again, read by the process given.", "0.2"},
 	{ListReadersAsked, slog.LevelInfo, "members asked to read the list", "The planner has no current list of workers and asks the members given to read it as well. Further ones are asked every 200 ms until one of them delivers.", "0.2"},
@@ -216,4 +218,6 @@
 	{EvacuationEnded, slog.LevelInfo, "evacuation ended", "The operator has taken the evacuation back, before the offset end; tasks may be started in the data centre again.", "0.2"},
 	{CatalogRequested, slog.LevelInfo, "configuration requested", "This process begins to copy the operator's configuration from the member given, or goes on with what has arrived, because the member advertises a later version and the own read of the store has not brought it. have is the version in force here, arrived and size the bytes of the copy.", "0.2"},
 	{CatalogCopyUnusable, slog.LevelWarn, "copy of the configuration unusable", "A copy of the operator's configuration could not be decoded, or the own one not be encoded for others. Another member is asked.", "0.2"},
+	{AdmissionLimited, slog.LevelWarn, "admission limited", "More work is offered than the workers can do: jobs were refused because others go first, and hardly any worker has room. From now on only the given share of each queue's jobs is admitted; entries refuse the others at once with the reason over_capacity. Compare planner_offered_core_ms with planner_granted_core_ms, by queue.", "0.3"},
+	{AdmissionUnlimited, slog.LevelInfo, "admission not limited any more", "All jobs are admitted again: the work that is offered has fitted for a second. lasted_ms is how long admission was limited.", "0.3"},
 }
--- a/meter/table.go
+++ b/meter/table.go
@@ -81,6 +81,9 @@
 	EvacuationDelay      Name = "evacuation_delay_seconds"
 	CatalogDelay         Name = "catalog_delay_seconds"
 	CatalogParts         Name = "catalog_parts"
+	PlannerOffered       Name = "planner_offered_core_ms"
+	PlannerGranted       Name = "planner_granted_core_ms"
+	PlannerPasses        Name = "planner_passes"
 )
 
 // Kind is the type of a metric.
@@ -184,4 +187,7 @@
 	{914, EvacuationDelay, Histogram, "seconds", nil, "How late, at most, this process read from the store that an evacuation was requested or taken back; what other processes told it sooner is not counted.", "0.2"},
 	{915, CatalogDelay, Histogram, "seconds", nil, "How late, at most, this process read a configuration from the store; what other processes sent it sooner is not counted.", "0.2"},
 	{916, CatalogParts, Counter, "parts", byCode, "Parts of copies of the configuration between processes; the code is requested, sent or received.", "0.2"},
+	{917, PlannerOffered, Counter, "core milliseconds", byCode, "Work that was offered to this process as the planner, cores times the estimated time; the code is the queue. Jobs that entries refused by the levels of admission control are counted through those that they admitted.", "0.3"},
+	{918, PlannerGranted, Counter, "core milliseconds", byCode, "Work that this process has granted workers as the planner; the code is the queue.", "0.3"},
+	{919, PlannerPasses, Counter, "passes", nil, "Passes over the pending requests that this process has made as the planner; at most 500 a second while requests wait.", "0.3"},
 }
--- a/node/core.go
+++ b/node/core.go
@@ -201,7 +201,7 @@
 }
 
 func (c *Core) handlePlannerAction(now time.Time, a cell.Action) {
-	c.send(now, a.To, Message{Grant: a.Grant, Refusal: a.Refusal, Assignment: a.Assignment, Release: a.Release, Drain: a.Drain})
+	c.send(now, a.To, Message{Grant: a.Grant, Refusal: a.Refusal, Assignment: a.Assignment, Release: a.Release, Drain: a.Drain, Levels: a.Levels})
 }
 
 func (c *Core) handleLeaseAction(now time.Time, wl *lease.WorkerLease, a lease.Action) {
@@ -272,6 +272,8 @@
 		c.entry.Grant(now, from, *m.Grant)
 	case m.Refusal != nil:
 		c.entry.Refused(now, from, *m.Refusal)
+	case m.Levels != nil:
+		c.entry.SetLevels(now, from, *m.Levels)
 	case m.Ended != nil:
 		c.entry.Ended(now, from, *m.Ended)
 	case m.Held != nil:
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -19,8 +19,7 @@
 	sessions, held, jobs int
 	isPlanner            bool
 	view                 cell.View
-	granted              int64
-	refused              map[string]int64
+	planned              cell.Counts
 	ended                map[lease.Outcome]int64
 	notStarted           map[lease.Reason]int64
 	// evacuated is the number of evacuated data centres, evacuationDelays what was learned
@@ -39,8 +38,7 @@
 		held:       len(c.held),
 		jobs:       c.entry.Len(),
 		isPlanner:  c.IsPlanner(),
-		granted:    c.cell.Counts().Granted,
-		refused:    copied(c.cell.Counts().Refused),
+		planned:    copiedCounts(c.cell.Counts()),
 		ended:      copied(c.entry.Counts().Ended),
 		notStarted: copied(c.entry.Counts().NotStarted),
 		evacuated:  len(c.evacuations.Requested),
@@ -56,6 +54,11 @@
 	return stats
 }
 
+func copiedCounts(n cell.Counts) cell.Counts {
+	n.Refused, n.OfferedWork, n.GrantedWork = copied(n.Refused), copied(n.OfferedWork), copied(n.GrantedWork)
+	return n
+}
+
 func copied[K comparable](m map[K]int64) map[K]int64 {
 	out := make(map[K]int64, len(m))
 	for k, v := range m {
@@ -105,9 +108,16 @@
 	m.CountCode(meter.CatalogParts, "requested", stats.catalogParts.Requested-last.catalogParts.Requested)
 	m.CountCode(meter.CatalogParts, "sent", stats.catalogParts.Sent-last.catalogParts.Sent)
 	m.CountCode(meter.CatalogParts, "received", stats.catalogParts.Received-last.catalogParts.Received)
-	m.Count(meter.PlannerGrants, stats.granted-last.granted)
-	for why, v := range stats.refused {
-		m.CountCode(meter.PlannerRefusals, why, v-last.refused[why])
+	m.Count(meter.PlannerGrants, stats.planned.Granted-last.planned.Granted)
+	m.Count(meter.PlannerPasses, stats.planned.Passes-last.planned.Passes)
+	for why, v := range stats.planned.Refused {
+		m.CountCode(meter.PlannerRefusals, why, v-last.planned.Refused[why])
+	}
+	for queue, v := range stats.planned.OfferedWork {
+		m.CountCode(meter.PlannerOffered, queue, v-last.planned.OfferedWork[queue])
+	}
+	for queue, v := range stats.planned.GrantedWork {
+		m.CountCode(meter.PlannerGranted, queue, v-last.planned.GrantedWork[queue])
 	}
 	for outcome, v := range stats.ended {
 		m.CountCode(meter.RunsEnded, outcome.String(), v-last.ended[outcome])
--- a/node/message.go
+++ b/node/message.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"snipehub.example/admission"
 	"snipehub.example/catalog"
 	"snipehub.example/cell"
 	"snipehub.example/entry"
@@ -30,6 +31,7 @@
 	Evacuations        *catalog.Evacuations `cbor:"19,keyasint,omitzero"`
 	CatalogRequest     *CatalogRequest      `cbor:"20,keyasint,omitzero"`
 	CatalogPart        *CatalogPart         `cbor:"21,keyasint,omitzero"`
+	Levels             *admission.Levels    `cbor:"22,keyasint,omitzero"`
 }
 
 // Output is an action that Core asks its driver to perform. Exactly one of the pointers
