Admission levels: a full rack does not limit other jobs; shares return faster

Jobs whose data is on one rack, or that only some workers may run, are refused when those workers are full although others are idle. They count only while at most a quarter of the workers has room.

A share doubles with each update that finds nothing of its queue pending, so that it is back from the least share, 0.02, in 0.3 s where it took 0.6: after a restart of all processes the first jobs are refused before the workers have holders.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -14,8 +14,10 @@
 	// adjustment is the part of the way to the share that measurements suggest that one
 	// update goes.
 	adjustment = 0.5
-	// growth is the factor by which a share grows with each update that finds room.
-	growth = 1.4
+	// growth is the factor by which a share grows with each update that finds room, and
+	// fastGrowth that with which it grows if no request is pending.
+	growth     = 1.4
+	fastGrowth = 2
 	// roomDelay is the pending work of a queue, as the time in which it is granted workers,
 	// below which there is room for more.
 	roomDelay = 40 * time.Millisecond
@@ -111,9 +113,11 @@
 	switch {
 	case q.refused:
 		share += adjustment * (overcommit*granted/q.offered.value(now) - share)
+	case pending == 0:
+		share *= fastGrowth
 	case pending <= granted*roomDelay.Seconds():
 		share *= growth
 	}
 	q.refused = false
-	q.share = min(max(share, minShare), q.share*growth, better)
+	q.share = min(max(share, minShare), better)
 }
--- a/cell/admission.go
+++ b/cell/admission.go
@@ -60,6 +60,30 @@
 	return false
 }
 
+// maxFreeShare is the share of the workers with room for a task up to which workers are
+// lacking.
+const maxFreeShare = 0.25
+
+// lacksWorkers reports whether a request that gets no workers in time shows that there is
+// more work than the workers can do. One that only some workers may run, such as those of
+// the rack with its data, does not while others have room: no other job is to be refused for
+// it.
+func (pl *Planner) lacksWorkers(p *pendingRequest) bool {
+	if p.Rack == "" && p.Label == "" && p.MaxPerWorker == 0 {
+		return true
+	}
+	free, all := 0, 0
+	for _, w := range pl.workers {
+		if w.Pool == p.Pool && w.acceptsTasks() {
+			all++
+			if p.Resources.Fits(w.free()) {
+				free++
+			}
+		}
+	}
+	return float64(free) <= maxFreeShare*float64(all)
+}
+
 // countGrant records that a task of a request was granted a worker.
 func (pl *Planner) countGrant(now time.Time, p *pendingRequest) {
 	pl.counts.Granted++
--- a/cell/admission_test.go
+++ b/cell/admission_test.go
@@ -144,3 +144,19 @@
 		}
 	}
 }
+
+// Most jobs want the same rack, which is full, while other racks are idle. Those jobs are
+// refused; jobs that any worker can run must not be.
+func TestFullRackDoesNotLimitOthers(t *testing.T) {
+	c := newOverloadedCell(t)
+	c.run(700, 1000, 50)
+	for i := range 200 {
+		req := newRequest(fmt.Sprintf("rack%06d", i), 1)
+		req.Label, req.Objective = "r1", 150*time.Millisecond
+		c.pl.Request(ms(1000+2*i), memberID(1), req)
+		c.run(1000+2*i, 1002+2*i, 50)
+	}
+	if c.late == 0 || c.atEntry+c.atPlanner > 0 {
+		t.Errorf("%d jobs refused for the rack, %d and %d by levels; want some and none", c.late, c.atEntry, c.atPlanner)
+	}
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -298,7 +298,7 @@
 func (pl *Planner) refuse(now time.Time, p *pendingRequest, reason string) {
 	pl.dropRequest(p)
 	pl.counts.Refused[reason]++
-	if reason == reasonOthersFirst || reason == reasonCannotMeetObjective {
+	if (reason == reasonOthersFirst || reason == reasonCannotMeetObjective) && pl.lacksWorkers(p) {
 		pl.admission.controller.Refuse(p.Queue)
 	}
 	event.JobRefused.Log(pl.log, "job", p.job, "queue", p.Queue, "why", reason, "waited_ms", now.Sub(p.arrivedAt).Milliseconds(), "aim_ms", p.objective.Sub(now).Milliseconds(), "waiting", len(pl.pending))
