model, snipeload: overloads in virtual time, with processor time

The model charged no processor time, so it could not see that the planner's processor binds in overload.

--- a/cell/planner.go
+++ b/cell/planner.go
@@ -243,6 +243,9 @@
 // them.
 func (pl *Planner) Counts() Counts { return pl.counts }
 
+// Pending returns the number of pending requests.
+func (pl *Planner) Pending() int { return len(pl.pending) }
+
 // Active reports whether this process is the planner.
 func (pl *Planner) Active() bool { return pl.active }
 
--- a/load/command.go
+++ b/load/command.go
@@ -33,7 +33,7 @@
 	return &cli.Command{
 		Name:     "snipeload",
 		Usage:    "bounded load and measures",
-		Commands: []*cli.Command{demoCommand(), runCommand(), suiteCommand(), slopesCommand(), capacityCommand(), compareCommand(), plotCommand(), modelCommand(), recoveryCommand(), boundCommand(), lossesCommand(), scenariosCommand(), daemon, standIn},
+		Commands: []*cli.Command{demoCommand(), runCommand(), suiteCommand(), slopesCommand(), capacityCommand(), compareCommand(), plotCommand(), modelCommand(), overloadCommand(), recoveryCommand(), boundCommand(), lossesCommand(), scenariosCommand(), daemon, standIn},
 	}
 }
 
--- a/model/caller.go
+++ b/model/caller.go
@@ -303,7 +303,7 @@
 		w.resend(j, try)
 	case entry.Refused:
 		j.refusals++
-		j.finished, j.answer = true, a.Status
+		fallthrough
 	default:
 		j.finished, j.answer, j.responseTime = true, a.Status, w.now.Sub(j.sent)
 	}
--- a/model/model.go
+++ b/model/model.go
@@ -8,7 +8,8 @@
 // no caller submitted, whether a refused job stays unstarted, and whether every caller gets
 // an answer.
 //
-// Limits: processor time costs nothing. Messages have a fixed delay and keep their order, and
+// Limits: processor time costs nothing unless Config.Processor is set, and then the same for
+// all events. Messages have a fixed delay and keep their order, and
 // so do calls to workers unless Config.DelayedCallShare is set; both also take transmission
 // time if link bandwidth is bounded. The platform's store is reduced to the lists that it
 // serves. The simulation therefore says nothing about costs, and the ranking of policies must
@@ -61,6 +62,8 @@
 	// EvacuationBound is the same for starts in a data centre whose evacuation was
 	// requested.
 	EvacuationBound time.Duration
+	// Processor is the processor time that processes take; the zero value means none.
+	Processor Processor
 	// Policy is the planner's policy; the zero value is the default policy.
 	Policy cell.Policy
 	// Objective, if set, replaces the objectives of the classes in the catalog that processes
--- a/model/score.go
+++ b/model/score.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -21,6 +22,9 @@
 	// time of runs that did not end as done.
 	Rejected int
 	Waste    time.Duration
+	// RefusalAges is when each refused job was refused, as a part of its objective, in
+	// increasing order.
+	RefusalAges []float64
 	Messages int
 	// LastDrainedStart is how long after a worker announced that it drains a start was sent
 	// to it, at most.
@@ -120,7 +124,11 @@
 		k := int(j.sent.Sub(w.start) / windowLength)
 		earned[k] += e
 		owed[k] += o
+		if j.finished && j.answer == entry.Refused {
+			r.RefusalAges = append(r.RefusalAges, float64(j.responseTime)/float64(j.objective))
+		}
 	}
+	slices.Sort(r.RefusalAges)
 	totalEarned, totalOwed := 0.0, 0.0
 	for i := range r.Classes {
 		r.Classes[i].Name = w.cfg.Classes[i].Name
@@ -188,6 +196,37 @@
 	return earned, owed
 }
 
+// Goodput is what became of the jobs of a period, a second.
+type Goodput struct {
+	Asked, InTime float64
+	// Worth is what was earned, Refused the refused part of the jobs.
+	Worth, Refused float64
+}
+
+// Goodput returns what became of the jobs that were sent in a period, counted from the first
+// request.
+func (w *World) Goodput(from, to time.Duration) Goodput {
+	var g Goodput
+	refused := 0.0
+	var tally Tally
+	for _, j := range w.jobs {
+		sent := j.sent.Sub(w.start)
+		if sent < from || sent >= to {
+			continue
+		}
+		g.Asked++
+		if j.finished && j.answer == entry.Refused {
+			refused++
+		}
+		onTime := tally.OnTime
+		earned, _ := w.tally(&tally, j)
+		g.InTime += float64(tally.OnTime - onTime)
+		g.Worth += earned
+	}
+	seconds := (to - from).Seconds()
+	return Goodput{Asked: g.Asked / seconds, InTime: g.InTime / seconds, Worth: g.Worth / seconds, Refused: refused / max(g.Asked, 1)}
+}
+
 // worstWindows returns the mean share earned in the two worst windows.
 func worstWindows(earned, owed map[int]float64) float64 {
 	a, b := 1.0, 1.0
--- a/model/vm.go
+++ b/model/vm.go
@@ -37,6 +37,9 @@
 	leaving bool
 	// cores is the fraction of a core that the VM gets.
 	cores float64
+	// busy is set while the process uses its processor, waiting holds what it does after that.
+	busy    bool
+	waiting []func(now time.Time)
 	// passScheduled is set while a pass that the planner has put off is scheduled.
 	passScheduled bool
 	// backlog holds what the process does when it resumes.
@@ -108,6 +111,7 @@
 	n.core = node.NewCore(w.log.With("vm", n.name), self, &catalog.Store{}, w.cfg.Policy)
 	n.waiters = make(map[entry.Waiter]func(entry.Answer))
 	n.backlog, n.passScheduled = nil, false
+	n.busy, n.waiting = false, nil
 	n.storeLost, n.operatorNext = false, 0
 	n.watchedSince = make(map[mesh.ID]time.Time)
 	n.impairedAt = w.now
@@ -257,9 +261,11 @@
 		})
 		return
 	}
-	f(n.world.now)
-	n.perform(n.core.Take(n.world.now))
-	n.schedulePass()
+	if n.busy {
+		n.waiting = append(n.waiting, f)
+		return
+	}
+	n.execute([]func(now time.Time){f})
 }
 
 // schedulePass has the core called again for a pass that its planner has put off.
--- a/node/core.go
+++ b/node/core.go
@@ -125,6 +125,13 @@
 // IsPlanner reports whether this process is the planner.
 func (c *Core) IsPlanner() bool { return c.cell.Active() }
 
+// PlannerPasses returns how many passes over pending requests this process has made as the
+// planner.
+func (c *Core) PlannerPasses() int64 { return c.cell.Counts().Passes }
+
+// PlannerPending returns the number of pending requests at this process as the planner.
+func (c *Core) PlannerPending() int { return c.cell.Pending() }
+
 // Idle reports whether no job is in progress here and no worker is held.
 func (c *Core) Idle() bool { return c.entry.Len() == 0 && len(c.held) == 0 }
 
