--- a/model/score.go
+++ b/model/score.go
@@ -25,7 +25,7 @@
 	// RefusalAges is when each refused job was refused, as a part of its objective, in
 	// increasing order.
 	RefusalAges []float64
-	Messages int
+	Messages    int
 	// LastDrainedStart is how long after a worker announced that it drains a start was sent
 	// to it, at most.
 	LastDrainedStart time.Duration
