Admission levels: only in severe overload, and not in a planner's first 1.5 s

Levels begin where less than 0.75 of the work offered to a pool is granted, and end at 0.85; pools are apart.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -21,6 +21,10 @@
 	// roomDelay is the pending work of a queue, as the time in which it is granted workers,
 	// below which there is room for more.
 	roomDelay = 40 * time.Millisecond
+	// severe is the granted part of the work offered to a pool below which levels begin to
+	// apply, slight that above which they end. In a slight overload the planner refuses by
+	// itself, and better: it picks the jobs that fit into the gaps.
+	severe, slight = 0.75, 0.85
 	// minOffered is the rate of offered work below which a queue is forgotten.
 	minOffered = 1e-3
 )
@@ -29,11 +33,13 @@
 // Work is in any unit of resources times seconds. It is owned by one goroutine.
 type Controller struct {
 	queues map[string]*queue
+	// limited holds the pools to whose queues levels apply.
+	limited map[string]bool
 }
 
 // queue is what is known of a queue.
 type queue struct {
-	name             string
+	name, pool       string
 	rank             int
 	offered, granted rate
 	// share is the share of the jobs that is admitted.
@@ -44,7 +50,9 @@
 }
 
 // NewController returns a Controller that admits all jobs.
-func NewController() *Controller { return &Controller{queues: make(map[string]*queue)} }
+func NewController() *Controller {
+	return &Controller{queues: make(map[string]*queue), limited: make(map[string]bool)}
+}
 
 func (c *Controller) queue(name string) *queue {
 	q := c.queues[name]
@@ -55,10 +63,16 @@
 	return q
 }
 
+// Job describes the queue of a job and the pool whose workers run it.
+type Job struct {
+	Queue, Pool string
+	Rank        int
+}
+
 // Offer records the work of a job that has reached the planner, admitted under a share.
-func (c *Controller) Offer(now time.Time, name string, rank int, work, share float64) {
-	q := c.queue(name)
-	q.rank = rank
+func (c *Controller) Offer(now time.Time, j Job, work, share float64) {
+	q := c.queue(j.Queue)
+	q.pool, q.rank = j.Pool, j.Rank
 	q.offered.add(now, work/max(share, minShare))
 }
 
@@ -75,10 +89,49 @@
 // is to be called at regular intervals that are short against the objectives of jobs.
 func (c *Controller) Update(now time.Time, pending map[string]float64) Levels {
 	maps.DeleteFunc(c.queues, func(_ string, q *queue) bool { return q.offered.value(now) < minOffered })
-	queues := slices.SortedFunc(maps.Values(c.queues), func(x, y *queue) int {
+	pools := make(map[string][]*queue)
+	for _, q := range c.queues {
+		pools[q.pool] = append(pools[q.pool], q)
+	}
+	maps.DeleteFunc(c.limited, func(pool string, _ bool) bool { return pools[pool] == nil })
+	var out Levels
+	for pool, queues := range pools {
+		c.limited[pool] = c.isLimited(now, pool, queues)
+		if c.limited[pool] {
+			out.Queues = append(out.Queues, updatePool(now, queues, pending)...)
+		}
+		for _, q := range queues {
+			q.refused = false
+			if !c.limited[pool] {
+				q.share = 1
+			}
+		}
+	}
+	slices.SortFunc(out.Queues, Level.Compare)
+	return out
+}
+
+// isLimited reports whether levels are to apply to the queues of a pool.
+func (c *Controller) isLimited(now time.Time, pool string, queues []*queue) bool {
+	offered, granted, refused, limited := 0.0, 0.0, false, false
+	for _, q := range queues {
+		offered += q.offered.value(now)
+		granted += q.granted.value(now)
+		refused = refused || q.refused
+		limited = limited || q.share < 1
+	}
+	if c.limited[pool] {
+		return limited && granted < slight*offered
+	}
+	return refused && granted < severe*offered
+}
+
+// updatePool computes the levels of the queues of a pool.
+func updatePool(now time.Time, queues []*queue, pending map[string]float64) []Level {
+	slices.SortFunc(queues, func(x, y *queue) int {
 		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.name, y.name))
 	})
-	var out Levels
+	var out []Level
 	better := 1.0
 	for i, q := range queues {
 		if i > 0 && q.rank != queues[i-1].rank {
@@ -86,7 +139,7 @@
 		}
 		q.update(now, pending[q.name], better)
 		if q.share < 1 {
-			out.Queues = append(out.Queues, Level{Queue: q.name, Share: q.share})
+			out = append(out, Level{Queue: q.name, Share: q.share})
 		}
 	}
 	return out
@@ -118,6 +171,5 @@
 	case pending <= granted*roomDelay.Seconds():
 		share *= growth
 	}
-	q.refused = false
 	q.share = min(max(share, minShare), better)
 }
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -38,7 +38,7 @@
 					s.turnedAway++
 					continue
 				}
-				c.Offer(at(t), s.name, s.rank, 1, share)
+				c.Offer(at(t), Job{Queue: s.name, Pool: "p", Rank: s.rank}, 1, share)
 				s.pending = append(s.pending, t)
 			}
 			for ; free >= 1 && len(s.pending) > 0; free-- {
@@ -102,6 +102,34 @@
 	}
 }
 
+// Little more is asked for than the workers can do. The planner then chooses by itself which
+// jobs fit; levels would turn away others by their IDs.
+func TestSlightOverload(t *testing.T) {
+	c := NewController()
+	s := &stream{name: "q", perSecond: 1100, patience: 150}
+	for _, l := range play(c, 0, 3000, 1000, s) {
+		if len(l.Queues) > 0 {
+			t.Fatalf("levels %v at 1.1 times the capacity", l)
+		}
+	}
+}
+
+// One pool is overloaded. Nobody else may be refused for that.
+func TestPoolsAreSeparate(t *testing.T) {
+	c := NewController()
+	for i := range 100 {
+		now := at(10 * i)
+		c.Offer(now, Job{Queue: "full", Pool: "a", Rank: 1}, 10, 1)
+		c.Offer(now, Job{Queue: "idle", Pool: "b", Rank: 2}, 1, 1)
+		c.Grant(now, "full", 1)
+		c.Grant(now, "idle", 1)
+		c.Refuse("full")
+		if l := c.Update(now, nil); l.Share("idle") < 1 || i > 50 && l.Share("full") > 0.5 {
+			t.Fatalf("levels %v after %d updates", l, i)
+		}
+	}
+}
+
 // A single job is refused in an idle system, for instance because the only rack that holds its
 // data is taken. Nobody else may be refused for that.
 func TestSingleRefusal(t *testing.T) {
--- a/cell/admission.go
+++ b/cell/admission.go
@@ -11,6 +11,10 @@
 )
 
 const (
+	// admissionGrace is how long a new planner admits all jobs. After a restart of all
+	// processes, workers get their holders within a second, and jobs that are refused until
+	// then say nothing of the load.
+	admissionGrace = 1500 * time.Millisecond
 	// levelsInterval is the minimum time between two messages with levels to a process, and
 	// levelsRenewal the maximum while there are any.
 	levelsInterval = 100 * time.Millisecond
@@ -49,7 +53,7 @@
 	if share == 0 || p.Begun {
 		share = 1
 	}
-	pl.admission.controller.Offer(now, p.Queue, p.Rank, p.pendingWork(), share)
+	pl.admission.controller.Offer(now, admission.Job{Queue: p.Queue, Pool: p.Pool, Rank: p.Rank}, p.pendingWork(), share)
 	pl.counts.OfferedWork[p.Queue] += int64(1000 * p.pendingWork() / share)
 	level := pl.admission.levels.Share(p.Queue)
 	if p.Begun || admission.Admits(p.job, level) {
@@ -97,7 +101,7 @@
 // updateLevels computes the levels and sends them to the processes that may
 // request workers.
 func (pl *Planner) updateLevels(now time.Time) {
-	if !pl.policy.Admission.on() {
+	if !pl.policy.Admission.on() || now.Sub(pl.startedAt) < admissionGrace {
 		return
 	}
 	pending := make(map[string]float64)
