entry: levels of no planner do not outlast it

Between two planners, levels are kept under the zero ID. They stayed there for up to a second, and a planner that had ended its levels, was lost and elected again within that second got the old ones. The new case of TestWhichLevelsApply failed before.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -98,8 +98,7 @@
 // ReasonOverCapacity is the reason of a refusal by the levels of admission control.
 const ReasonOverCapacity = "over_capacity"
 
-// updateLevels computes the levels and sends them to the processes that may
-// request workers.
+// updateLevels computes the levels and sends them to the processes that may request workers.
 func (pl *Planner) updateLevels(now time.Time) {
 	if !pl.policy.Admission.on() || now.Sub(pl.startedAt) < admissionGrace {
 		return
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -26,7 +26,11 @@
 // inheritLevels has the levels of the last planner apply until the next one sends its own:
 // the load is the same, and the next planner has yet to measure it.
 func (js *Jobs) inheritLevels(next mesh.ID) {
-	if l, ok := js.levels[js.planner]; ok && len(js.levels[next].Queues) == 0 {
+	l, limited := js.levels[js.planner]
+	// The zero ID stands for no planner: its levels are those of the planner before, and must
+	// not outlast it.
+	delete(js.levels, mesh.ID{})
+	if _, ok := js.levels[next]; limited && !ok {
 		js.levels[next] = l
 	}
 }
--- a/entry/admission_test.go
+++ b/entry/admission_test.go
@@ -64,6 +64,13 @@
 		{"they are not renewed", func(js *Jobs) { js.Tick(ms(1100)) }, 1100, true},
 		{"another planner has not measured yet", func(js *Jobs) { js.SetPlanner(ms(300), mesh.ID{}); js.SetPlanner(ms(300), nextPlanner) }, 400, false},
 		{"another planner has been there for a second", func(js *Jobs) { js.SetPlanner(ms(300), nextPlanner); js.Tick(ms(1100)) }, 1100, true},
+		{"the planner ends them before it is lost and elected again", func(js *Jobs) {
+			js.SetPlanner(ms(100), mesh.ID{})
+			js.SetPlanner(ms(100), planner)
+			js.SetLevels(ms(200), planner, admission.Levels{})
+			js.SetPlanner(ms(300), mesh.ID{})
+			js.SetPlanner(ms(300), planner)
+		}, 400, true},
 		{"another planner sends its own", func(js *Jobs) { js.SetPlanner(ms(300), nextPlanner); js.SetLevels(ms(310), nextPlanner, levelsOf(1)) }, 400, true},
 		{"a former planner sends some", func(js *Jobs) {
 			js.SetPlanner(ms(300), nextPlanner)
--- a/entry/elsewhere.go
+++ b/entry/elsewhere.go
@@ -19,10 +19,10 @@
 }
 
 // requestFromOtherCell requests workers from another cell's planner for a job that this
-// cell's has refused or would refuse, and reports whether it did. A cell can be full before the others
-// are, by a burst of its own callers or the loss of its workers; if the other one is full
-// too, it answers at once. A hash of the job's id selects the cell, so that jobs refused
-// together spread.
+// cell's has refused or would refuse, and reports whether it did. A cell can be full before
+// the others are, by a burst of its own callers or the loss of its workers; if the other one
+// is full too, it answers at once. A hash of the job's id selects the cell, so that jobs
+// refused together spread.
 func (js *Jobs) requestFromOtherCell(now time.Time, j *job) bool {
 	if len(js.otherPlanners) == 0 || j.otherPlanner != (mesh.ID{}) || now.Add(j.minDuration()).After(j.objectiveAt) {
 		return false
