--- /dev/null
+++ b/cell/pass.go
@@ -0,0 +1,68 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+// passInterval is the minimum time between two passes if the first left requests pending.
+// With a pass for each event, a planner that has more requests than free workers spends its
+// processor time on requests that still find no worker.
+const passInterval = 2 * time.Millisecond
+
+// NextPass returns when Place should be called again at the latest, or the zero time if only
+// an event can make that necessary.
+func (pl *Planner) NextPass(now time.Time) time.Time {
+	if !pl.active || !pl.needsPlanning || pl.awaitsList(now) || !pl.evacuations.Known() {
+		return time.Time{}
+	}
+	return pl.lastPass.Add(passInterval)
+}
+
+// Place grants workers to pending requests in the order of the queue, and refuses jobs
+// that cannot meet their objective. It does nothing if nothing has changed since the last
+// call, or if that was less than passInterval ago and left requests pending, so that a burst
+// of events costs one pass over the queue; nor before it is known which data centres are
+// evacuated.
+func (pl *Planner) Place(now time.Time) {
+	if !pl.active || !pl.needsPlanning || pl.awaitsList(now) || !pl.evacuations.Known() {
+		return
+	}
+	if pl.passLeftPending && now.Sub(pl.lastPass) < passInterval {
+		return
+	}
+	pl.needsPlanning, pl.passLeftPending, pl.lastPass = false, false, now
+	if len(pl.pending) == 0 {
+		return
+	}
+	pl.counts.Passes++
+	queue := slices.Clone(pl.requestQueue.pending)
+	best := pl.bestFactor()
+	nearFactors := make(map[string]float64)
+	candidates := pl.candidates(now, minCPU(queue))
+	largest := largestFree(candidates)
+	for _, p := range queue {
+		best := best
+		if p.Rack != "" {
+			best = pl.bestFactorNear(p.Rack, best, nearFactors)
+		}
+		if pl.cannotMeetObjective(now, p, best) {
+			pl.refuse(now, p, reasonCannotMeetObjective)
+			continue
+		}
+		if p.Resources.CPU <= largest && pl.grantTasks(now, p, candidates, best) {
+			largest = largestFree(candidates)
+		}
+	}
+	pl.lookAhead(now)
+	pl.passLeftPending = len(pl.pending) > 0
+}
+
+// largestFree returns the most CPU that is free on one of the candidates.
+func largestFree(candidates []*candidate) int {
+	most := 0
+	for _, c := range candidates {
+		most = max(most, c.free.CPU)
+	}
+	return most
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -7,74 +7,8 @@
 
 	"snipehub.example/event"
 	"snipehub.example/lease"
-	"snipehub.example/mesh"
 )
 
-// Request adds a request for workers, or updates the pending one for the same step.
-func (pl *Planner) Request(now time.Time, from mesh.ID, req Request) {
-	if !pl.active {
-		return
-	}
-	k := stepKey{req.Job, req.Step}
-	p := pl.pending[k]
-	if p == nil || p.owner != from {
-		if p != nil {
-			pl.dropRequest(p)
-		}
-		p = &pendingRequest{Request: req, stepKey: k, owner: from, arrivedAt: now.Add(-req.Age), objective: now.Add(req.Objective), deadline: now.Add(req.Timeout), requestedAt: now}
-		if !pl.admit(now, p) {
-			return
-		}
-		pl.pending[k] = p
-		pl.requestQueue.add(p)
-	} else {
-		pl.requestQueue.change(p, func() {
-			p.Begun, p.Avoid, p.requestedAt = req.Begun, req.Avoid, now
-			p.Tasks = mergeRuns(p.Tasks, req.Tasks)
-		})
-	}
-	pl.needsPlanning = true
-}
-
-// mergeRuns adds the runs of more to those of have, replacing older runs of the same
-// tasks.
-func mergeRuns(have, more []lease.Run) []lease.Run {
-	out := slices.DeleteFunc(slices.Clone(have), func(r lease.Run) bool {
-		return slices.ContainsFunc(more, func(n lease.Run) bool { return n.Task == r.Task })
-	})
-	return append(out, more...)
-}
-
-// Withdraw removes the pending requests of a job, or the grants of the given runs, which
-// won't be used.
-func (pl *Planner) Withdraw(wd Withdrawal) {
-	if !pl.active {
-		return
-	}
-	if len(wd.Runs) == 0 {
-		for _, p := range pl.pending {
-			if p.job == wd.Job {
-				pl.dropRequest(p)
-			}
-		}
-		return
-	}
-	for _, w := range pl.workers {
-		for _, r := range wd.Runs {
-			if w.runs[r].unreported {
-				w.dropRun(r)
-			}
-		}
-	}
-	pl.needsPlanning = true
-}
-
-// dropRequest deletes a pending request.
-func (pl *Planner) dropRequest(p *pendingRequest) {
-	delete(pl.pending, p.stepKey)
-	pl.requestQueue.remove(p)
-}
-
 // candidate is a worker with free resources that a task may be placed on, during one
 // Place.
 type candidate struct {
@@ -88,68 +22,6 @@
 	probe bool
 }
 
-// passInterval is the minimum time between two passes if the first left requests pending.
-// With a pass for each event, a planner that has more requests than free workers spends its
-// processor time on requests that still find no worker.
-const passInterval = 2 * time.Millisecond
-
-// NextPass returns when Place should be called again at the latest, or the zero time if only
-// an event can make that necessary.
-func (pl *Planner) NextPass(now time.Time) time.Time {
-	if !pl.active || !pl.needsPlanning || pl.awaitsList(now) || !pl.evacuations.Known() {
-		return time.Time{}
-	}
-	return pl.lastPass.Add(passInterval)
-}
-
-// Place grants workers to pending requests in the order of the queue, and refuses jobs
-// that cannot meet their objective. It does nothing if nothing has changed since the last
-// call, or if that was less than passInterval ago and left requests pending, so that a burst
-// of events costs one pass over the queue; nor before it is known which data centres are
-// evacuated.
-func (pl *Planner) Place(now time.Time) {
-	if !pl.active || !pl.needsPlanning || pl.awaitsList(now) || !pl.evacuations.Known() {
-		return
-	}
-	if pl.passLeftPending && now.Sub(pl.lastPass) < passInterval {
-		return
-	}
-	pl.needsPlanning, pl.passLeftPending, pl.lastPass = false, false, now
-	if len(pl.pending) == 0 {
-		return
-	}
-	pl.counts.Passes++
-	queue := slices.Clone(pl.requestQueue.pending)
-	best := pl.bestFactor()
-	nearFactors := make(map[string]float64)
-	candidates := pl.candidates(now, minCPU(queue))
-	largest := largestFree(candidates)
-	for _, p := range queue {
-		best := best
-		if p.Rack != "" {
-			best = pl.bestFactorNear(p.Rack, best, nearFactors)
-		}
-		if pl.cannotMeetObjective(now, p, best) {
-			pl.refuse(now, p, reasonCannotMeetObjective)
-			continue
-		}
-		if p.Resources.CPU <= largest && pl.grantTasks(now, p, candidates, best) {
-			largest = largestFree(candidates)
-		}
-	}
-	pl.lookAhead(now)
-	pl.passLeftPending = len(pl.pending) > 0
-}
-
-// largestFree returns the most CPU that is free on one of the candidates.
-func largestFree(candidates []*candidate) int {
-	most := 0
-	for _, c := range candidates {
-		most = max(most, c.free.CPU)
-	}
-	return most
-}
-
 // bestFactorNear returns the lowest factor for tasks whose data is on a rack, given the
 // lowest factor of all workers. It caches the result in nearFactors for other requests
 // that prefer the same rack.
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -12,7 +12,7 @@
 //
 // It decides four things: which member holds which worker (assign.go), which share of the
 // jobs is admitted at all (admission.go), which jobs stay pending and which are refused
-// (admit.go), and which worker runs a task (place.go).
+// (admit.go), and which worker runs a task (pass.go, place.go).
 //
 // Limits: the cost of a decision grows with the number of workers that have free
 // resources and with the number of pending jobs, so a cell has a few hundred workers.
--- /dev/null
+++ b/cell/request.go
@@ -0,0 +1,74 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"snipehub.example/lease"
+	"snipehub.example/mesh"
+)
+
+// Request adds a request for workers, or updates the pending one for the same step.
+func (pl *Planner) Request(now time.Time, from mesh.ID, req Request) {
+	if !pl.active {
+		return
+	}
+	k := stepKey{req.Job, req.Step}
+	p := pl.pending[k]
+	if p == nil || p.owner != from {
+		if p != nil {
+			pl.dropRequest(p)
+		}
+		p = &pendingRequest{Request: req, stepKey: k, owner: from, arrivedAt: now.Add(-req.Age), objective: now.Add(req.Objective), deadline: now.Add(req.Timeout), requestedAt: now}
+		if !pl.admit(now, p) {
+			return
+		}
+		pl.pending[k] = p
+		pl.requestQueue.add(p)
+	} else {
+		pl.requestQueue.change(p, func() {
+			p.Begun, p.Avoid, p.requestedAt = req.Begun, req.Avoid, now
+			p.Tasks = mergeRuns(p.Tasks, req.Tasks)
+		})
+	}
+	pl.needsPlanning = true
+}
+
+// mergeRuns adds the runs of more to those of have, replacing older runs of the same
+// tasks.
+func mergeRuns(have, more []lease.Run) []lease.Run {
+	out := slices.DeleteFunc(slices.Clone(have), func(r lease.Run) bool {
+		return slices.ContainsFunc(more, func(n lease.Run) bool { return n.Task == r.Task })
+	})
+	return append(out, more...)
+}
+
+// Withdraw removes the pending requests of a job, or the grants of the given runs, which
+// won't be used.
+func (pl *Planner) Withdraw(wd Withdrawal) {
+	if !pl.active {
+		return
+	}
+	if len(wd.Runs) == 0 {
+		for _, p := range pl.pending {
+			if p.job == wd.Job {
+				pl.dropRequest(p)
+			}
+		}
+		return
+	}
+	for _, w := range pl.workers {
+		for _, r := range wd.Runs {
+			if w.runs[r].unreported {
+				w.dropRun(r)
+			}
+		}
+	}
+	pl.needsPlanning = true
+}
+
+// dropRequest deletes a pending request.
+func (pl *Planner) dropRequest(p *pendingRequest) {
+	delete(pl.pending, p.stepKey)
+	pl.requestQueue.remove(p)
+}
