--- a/load/model.go
+++ b/load/model.go
@@ -27,6 +27,7 @@
 	{"no waiting for faster", cell.Policy{WaitForFaster: cell.Off}},
 	{"no looking ahead", cell.Policy{LookAhead: cell.Off}},
 	{"any holder", cell.Policy{FewHolders: cell.Off}},
+	{"admission unlimited", cell.Policy{Admission: cell.Off}},
 	{"margin 0.8", cell.Policy{Margin: 0.8}},
 	{"by objective", cell.Policy{Order: cell.ByObjective}},
 	{"by work", cell.Policy{Order: cell.ByWork}},
--- a/load/overload.go
+++ b/load/overload.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// overloadBegin and overloadEnd bound the overload of a day, and the jobs that count.
+	// overloadBegin and overloadEnd bound the overload of a day, and the jobs that count;
+	// overloadDay is the length of the day.
 	overloadBegin, overloadEnd = 4 * time.Second, 10 * time.Second
 	overloadDay                = 12 * time.Second
 )
@@ -22,10 +23,11 @@
 	return &cli.Command{
 		Name:  "overload",
 		Usage: "play overloads in virtual time and plot what is served against what is offered",
-		Description: "Each row is a factor by which the load is multiplied for six seconds, with admission limited or\n" +
-			"not: the jobs asked for and answered in time a second, the worth earned a second, the part\n" +
-			"refused, and when, as a part of the objective. Processor time is charged to each process by\n" +
-			"event and by pass of the planner, as the flags say.",
+		Description: "Each row is a factor by which the load of the first of the days is multiplied for six seconds,\n" +
+			"without its faults, with admission limited or not: the jobs asked for and answered in time a\n" +
+			"second, the worth earned a second, the part refused, and when, as a part of the objective.\n" +
+			"Processor time is charged to each process by event and by pass of the planner, as the flags\n" +
+			"say.",
 		Flags: []cli.Flag{
 			siteOrFileFlag(),
 			daysFlag(),
@@ -70,7 +72,7 @@
 			r := world.Run()
 			g := world.Goodput(overloadBegin, overloadEnd)
 			fmt.Fprintf(w, "%-10s %-7.1f %-9.0f %-9.0f %-9.2f %-8.3f %-8.2f %.2f\n", policy.name, factor, g.Asked, g.InTime, g.Worth, g.Refused,
-				share(r.RefusalAges, 0.5), share(r.RefusalAges, 0.9))
+				quantileOf(r.RefusalAges, 0.5), quantileOf(r.RefusalAges, 0.9))
 			cv.points = append(cv.points, Point{X: g.Asked, Y: g.InTime})
 		}
 		curves = append(curves, cv)
@@ -78,8 +80,8 @@
 	return curves
 }
 
-// share returns a quantile of sorted values, 0 if there are none.
-func share(sorted []float64, q float64) float64 {
+// quantileOf returns a quantile of sorted values, 0 if there are none.
+func quantileOf(sorted []float64, q float64) float64 {
 	if len(sorted) == 0 {
 		return 0
 	}
