--- a/admission/controller.go
+++ b/admission/controller.go
@@ -24,7 +24,10 @@
 	// severe is the granted part of the work offered to a pool below which levels begin to
 	// apply, slight that above which they end. In a slight overload the planner refuses by
 	// itself, and better: it picks the jobs that fit into the gaps.
-	severe, slight = 0.75, 0.85
+	severe, slight = 0.7, 0.85
+	// sustained is how long an overload must have been severe: a burst of a few large jobs is
+	// not an overload.
+	sustained = 300 * time.Millisecond
 	// minOffered is the rate of offered work below which a queue is forgotten.
 	minOffered = 1e-3
 )
@@ -33,8 +36,10 @@
 // Work is in any unit of resources times seconds. It is owned by one goroutine.
 type Controller struct {
 	queues map[string]*queue
-	// limited holds the pools to whose queues levels apply.
-	limited map[string]bool
+	// limited holds the pools to whose queues levels apply, severeSince since when the others
+	// have been severely overloaded.
+	limited     map[string]bool
+	severeSince map[string]time.Time
 }
 
 // queue is what is known of a queue.
@@ -51,7 +56,7 @@
 
 // NewController returns a Controller that admits all jobs.
 func NewController() *Controller {
-	return &Controller{queues: make(map[string]*queue), limited: make(map[string]bool)}
+	return &Controller{queues: make(map[string]*queue), limited: make(map[string]bool), severeSince: make(map[string]time.Time)}
 }
 
 func (c *Controller) queue(name string) *queue {
@@ -94,6 +99,7 @@
 		pools[q.pool] = append(pools[q.pool], q)
 	}
 	maps.DeleteFunc(c.limited, func(pool string, _ bool) bool { return pools[pool] == nil })
+	maps.DeleteFunc(c.severeSince, func(pool string, _ time.Time) bool { return pools[pool] == nil })
 	var out Levels
 	for pool, queues := range pools {
 		c.limited[pool] = c.isLimited(now, pool, queues)
@@ -123,7 +129,15 @@
 	if c.limited[pool] {
 		return limited && granted < slight*offered
 	}
-	return refused && granted < severe*offered
+	if granted >= severe*offered {
+		delete(c.severeSince, pool)
+		return false
+	}
+	since, ok := c.severeSince[pool]
+	if !ok {
+		c.severeSince[pool], since = now, now
+	}
+	return refused && now.Sub(since) >= sustained
 }
 
 // updatePool computes the levels of the queues of a pool.
--- a/cell/pass.go
+++ b/cell/pass.go
@@ -5,10 +5,14 @@
 	"time"
 )
 
-// passInterval is the minimum time between two passes if the first left requests pending.
-// With a pass for each event, a planner that has more requests than free workers spends its
-// processor time on requests that still find no worker.
-const passInterval = 2 * time.Millisecond
+const (
+	// passInterval is the mean time between two passes that leave requests pending, at least,
+	// and passBurst how many of them may come at once. With a pass for each event, a planner
+	// that has more requests than free workers spends its processor time on requests that
+	// still find no worker.
+	passInterval = 2 * time.Millisecond
+	passBurst    = 10
+)
 
 // NextPass returns when Place should be called again at the latest, or the zero time if only
 // an event can make that necessary.
@@ -16,22 +20,21 @@
 	if !pl.active || !pl.needsPlanning || pl.awaitsList(now) || !pl.evacuations.Known() {
 		return time.Time{}
 	}
-	return pl.lastPass.Add(passInterval)
+	return pl.passesUntil.Add(-passBurst * passInterval)
 }
 
 // Place grants workers to pending requests in the order of the queue, and refuses jobs
 // that cannot meet their objective. It does nothing if nothing has changed since the last
-// call, or if that was less than passInterval ago and left requests pending, so that a burst
-// of events costs one pass over the queue; nor before it is known which data centres are
-// evacuated.
+// call, so that a burst of events costs one pass over the queue, nor before it is known which
+// data centres are evacuated, nor while too many passes have just left requests pending.
 func (pl *Planner) Place(now time.Time) {
 	if !pl.active || !pl.needsPlanning || pl.awaitsList(now) || !pl.evacuations.Known() {
 		return
 	}
-	if pl.passLeftPending && now.Sub(pl.lastPass) < passInterval {
+	if now.Before(pl.passesUntil.Add(-passBurst * passInterval)) {
 		return
 	}
-	pl.needsPlanning, pl.passLeftPending, pl.lastPass = false, false, now
+	pl.needsPlanning = false
 	if len(pl.pending) == 0 {
 		return
 	}
@@ -55,7 +58,12 @@
 		}
 	}
 	pl.lookAhead(now)
-	pl.passLeftPending = len(pl.pending) > 0
+	if len(pl.pending) > 0 {
+		if pl.passesUntil.Before(now) {
+			pl.passesUntil = now
+		}
+		pl.passesUntil = pl.passesUntil.Add(passInterval)
+	}
 }
 
 // largestFree returns the most CPU that is free on one of the candidates.
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -159,10 +159,9 @@
 	candidateBuf []candidate
 	// byID caches the workers in the order of their IDs; nil if it must be rebuilt.
 	byID []*worker
-	// lastPass is when Place last went over the queue, and passLeftPending is set if requests
-	// were pending after that.
-	lastPass        time.Time
-	passLeftPending bool
+	// passesUntil is how far the passes that left requests pending reach if each takes
+	// passInterval.
+	passesUntil time.Time
 	// selector is the buffer for the choice among the holders of one request.
 	selector  holderSelector
 	admission admissionState
--- a/entry/late.go
+++ b/entry/late.go
@@ -41,14 +41,11 @@
 // plannerSilent is the reason of a refusal because the planner has not answered.
 const plannerSilent = "planner_silent"
 
-// electionGrace is how long after the session with a planner has timed out the next one is
-// expected to answer: members notice the timeout at different times.
-const electionGrace = 100 * time.Millisecond
-
-// PlannerOverdue records that the planner's heartbeat is overdue. Jobs that could not meet
-// their objective with the next planner either are refused.
+// PlannerOverdue records that the planner's heartbeat is overdue. The next planner is elected
+// when the session with this one times out, at the earliest. Jobs that could not meet their
+// objective with it either are refused.
 func (js *Jobs) PlannerOverdue(now, lastHeard time.Time) {
-	js.nextPlannerAt = lastHeard.Add(mesh.SessionTimeout + electionGrace)
+	js.nextPlannerAt = lastHeard.Add(mesh.SessionTimeout)
 	for _, j := range js.sortedJobs() {
 		if j.answer == nil {
 			js.refuseIfPlannerSilent(now, j)
