node: repeated attempts to record a process do not count as renewals

A process takes others for gone when it has renewed its own record four times and they have not. An append that timed out is often carried out all the same, and the next attempt follows at once.

An own renewal counts only if it was read at least half a renewal interval after the last one that counted. The test fails without that condition: all eight live processes are removed at the fourth attempt.

--- a/node/records.go
+++ b/node/records.go
@@ -4,12 +4,19 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"time"
 )
 
-// maxMissedRenewals is how many times a process renews its own record before it removes
-// one that was not renewed meanwhile. Time is measured in own renewals because they prove
-// that the store accepts records: while it is unreachable, no process is removed.
-const maxMissedRenewals = 3
+const (
+	// maxMissedRenewals is how many times a process renews its own record before it removes
+	// one that was not renewed meanwhile. Time is measured in own renewals because they
+	// prove that the store accepts records: while it is unreachable, no process is removed.
+	maxMissedRenewals = 3
+	// minRenewalGap is the least time between two own renewals that are counted. An attempt
+	// that timed out may have been carried out, and is repeated at once: counted alike, the
+	// attempts of the first second would remove all live processes.
+	minRenewalGap = renewInterval / 2
+)
 
 // recordTracker tracks the processes that the store lists. It does no I/O.
 //
@@ -23,19 +30,22 @@
 	self netip.AddrPort
 	// missedRenewals counts the own renewals since each record was last renewed.
 	missedRenewals map[netip.AddrPort]int
+	// countedAt is when the last own renewal that was counted was read.
+	countedAt time.Time
 }
 
 func newRecordTracker(self netip.AddrPort) *recordTracker {
 	return &recordTracker{self: self, missedRenewals: make(map[netip.AddrPort]int)}
 }
 
-// markRenewed records the renewal of a record and returns the processes that are removed
-// as a result.
-func (r *recordTracker) markRenewed(a netip.AddrPort) (gone []netip.AddrPort) {
+// markRenewed records the renewal of a record, read at the given time, and returns the
+// processes that are removed as a result.
+func (r *recordTracker) markRenewed(now time.Time, a netip.AddrPort) (gone []netip.AddrPort) {
 	r.missedRenewals[a] = 0
-	if a != r.self {
+	if a != r.self || now.Sub(r.countedAt) < minRenewalGap {
 		return nil
 	}
+	r.countedAt = now
 	for o := range r.missedRenewals {
 		if o == r.self {
 			continue
--- a/node/records_test.go
+++ b/node/records_test.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"time"
 )
 
 func vmAddr(n int) netip.AddrPort {
@@ -17,10 +18,11 @@
 func TestReplacedProcessesDoNotCount(t *testing.T) {
 	r := newRecordTracker(vmAddr(1))
 	live := []netip.AddrPort{vmAddr(1), vmAddr(2), vmAddr(3), vmAddr(4)}
-	next := 5
+	next, now := 5, ms(0)
 	renew := func() {
+		now = now.Add(renewInterval)
 		for _, a := range live {
-			r.markRenewed(a)
+			r.markRenewed(now, a)
 		}
 	}
 	renew()
@@ -40,15 +42,18 @@
 // because the store rejects it. It still counts.
 func TestProcessThatRenewsLateCounts(t *testing.T) {
 	r := newRecordTracker(vmAddr(1))
-	r.markRenewed(vmAddr(2))
+	now := ms(0)
+	r.markRenewed(now, vmAddr(2))
 	for range maxMissedRenewals {
-		if gone := r.markRenewed(vmAddr(1)); len(gone) != 0 {
+		now = now.Add(renewInterval)
+		if gone := r.markRenewed(now, vmAddr(1)); len(gone) != 0 {
 			t.Fatalf("%v was removed", gone)
 		}
 	}
-	r.markRenewed(vmAddr(2))
+	r.markRenewed(now, vmAddr(2))
 	for range maxMissedRenewals {
-		r.markRenewed(vmAddr(1))
+		now = now.Add(renewInterval)
+		r.markRenewed(now, vmAddr(1))
 	}
 	if got := r.list(); len(got) != 2 {
 		t.Errorf("listed processes are %v, want both", got)
@@ -59,9 +64,31 @@
 // removed.
 func TestNobodyIsForgottenWithoutTheStore(t *testing.T) {
 	r := newRecordTracker(vmAddr(1))
-	r.markRenewed(vmAddr(1))
-	r.markRenewed(vmAddr(2))
+	r.markRenewed(ms(0), vmAddr(1))
+	r.markRenewed(ms(0), vmAddr(2))
 	if got := r.list(); len(got) != 2 {
 		t.Errorf("listed processes are %v, want both", got)
 	}
 }
+
+// At the start of a large deployment appends queue in the store. A process gives its own up,
+// repeats it, and all attempts are carried out within a second or two. If each counted as a
+// renewal, it would take most live processes for gone, and a planner would delete their
+// records.
+func TestRepeatedAttemptsAreNoRenewals(t *testing.T) {
+	r := newRecordTracker(vmAddr(1))
+	for n := 2; n <= 9; n++ {
+		r.markRenewed(ms(0), vmAddr(n))
+	}
+	for attempt := range 2 * maxMissedRenewals {
+		if gone := r.markRenewed(ms(700*attempt), vmAddr(1)); len(gone) != 0 {
+			t.Fatalf("attempt %d: %d live processes were removed", attempt, len(gone))
+		}
+	}
+	for n := range maxMissedRenewals {
+		r.markRenewed(ms(0).Add(time.Duration(n+1)*renewInterval), vmAddr(1))
+	}
+	if got := r.list(); len(got) != 1 {
+		t.Errorf("listed processes are %v, want this one alone after %d renewals of its own", got, maxMissedRenewals+1)
+	}
+}
--- a/node/store.go
+++ b/node/store.go
@@ -172,7 +172,7 @@
 			return
 		}
 		for _, r := range update.Records {
-			n.applyMemberRecord(ctx, tracker, r)
+			n.applyMemberRecord(ctx, update.At, tracker, r)
 		}
 		addrs := tracker.list()
 		n.mesh.AddAddresses(addrs...)
@@ -180,7 +180,7 @@
 	})
 }
 
-func (n *Node) applyMemberRecord(ctx context.Context, tracker *recordTracker, r registry.Record) {
+func (n *Node) applyMemberRecord(ctx context.Context, readAt time.Time, tracker *recordTracker, r registry.Record) {
 	a, err := netip.ParseAddrPort(r.Key)
 	if err != nil {
 		event.RecordUnreadable.Log(n.log, "topic", topicMembers, "key", r.Key, "error", err)
@@ -195,7 +195,7 @@
 		event.RecordUnreadable.Log(n.log, "topic", topicMembers, "key", r.Key, "error", err)
 		return
 	}
-	for _, gone := range tracker.markRenewed(a) {
+	for _, gone := range tracker.markRenewed(readAt, a) {
 		n.removeRecord(ctx, gone)
 	}
 }
