mesh: sessions with chosen peers only

SetPeers restricts a process to the peers that it names, each with the time that it leaves the other side to dial first. At most 16 connections to peers are opened at a time. A session with somebody else is ended by the side that has opened it, 5 s after its last message; a process never ends what the other side keeps. Greetings of members of another data centre's cell add no addresses. Without SetPeers nothing changes.

Tests: TestSessionsWithPeersOnly, TestUnneededSessionEnds, TestSessionIsEndedByItsOpener, TestCellMeetsOnce (24 processes that start together meet once each).

--- a/mesh/dial.go
+++ b/mesh/dial.go
@@ -33,14 +33,25 @@
 		known.lastLearned = now
 		return
 	}
-	known := &addressState{lastLearned: now, nextDial: now, backoff: minRedialBackoff}
-	if m.self.ID.Address.Compare(a) > 0 {
-		known.nextDial = now.Add(higherAddressDialDelay)
+	if _, isPeer := m.peers[a]; m.peers != nil && !isPeer {
+		return
 	}
-	m.addresses[a] = known
+	m.addresses[a] = &addressState{lastLearned: now, nextDial: now.Add(m.dialDelay(a)), backoff: minRedialBackoff}
 	m.wakeDialer()
 }
 
+// dialDelay returns how long an address waits before this side dials it: the process with the
+// higher address leaves it to the other one first.
+func (m *Mesh[M]) dialDelay(a netip.AddrPort) time.Duration {
+	if m.self.ID.Address.Compare(a) < 0 {
+		return 0
+	}
+	if delay, isPeer := m.peers[a]; isPeer {
+		return delay
+	}
+	return higherAddressDialDelay
+}
+
 // maxDialCheckInterval is the longest time between two checks for addresses that are due.
 const maxDialCheckInterval = time.Second
 
@@ -56,7 +67,9 @@
 		case <-m.dialWake:
 		case <-t.C:
 		}
-		out, next := m.dueAddresses(time.Now())
+		now := time.Now()
+		m.endUnneeded(now)
+		out, next := m.dueAddresses(now)
 		for _, a := range out {
 			m.wg.Go(func() { m.dial(ctx, a) })
 		}
@@ -70,13 +83,24 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	next = maxDialCheckInterval
+	dials := 0
+	for _, known := range m.addresses {
+		if known.dialing {
+			dials++
+		}
+	}
 	for a, known := range m.addresses {
+		_, isPeer := m.peers[a]
 		switch {
 		case known.dialing || m.sessions[a] != nil:
+		case m.peers != nil && !isPeer:
+			delete(m.addresses, a)
 		case now.Before(known.nextDial):
 			next = min(next, known.nextDial.Sub(now))
-		case now.Sub(known.lastLearned) > addressRetention:
+		case !isPeer && now.Sub(known.lastLearned) > addressRetention:
 			delete(m.addresses, a)
+		case isPeer && dials+len(out) >= maxDials:
+			// The end of each dial wakes dialLoop.
 		default:
 			known.dialing = true
 			out = append(out, a)
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -119,4 +119,7 @@
 	// Evacuations is the offset in the operator's topic up to which the process knows the
 	// evacuations of data centres.
 	Evacuations registry.Offset `json:"evacuations,omitempty" cbor:"10,keyasint,omitzero"`
+	// Layout is how the process takes the deployment to be divided into cells: 0 if it is a
+	// single cell.
+	Layout uint8 `json:"layout,omitempty" cbor:"11,keyasint,omitzero"`
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -53,6 +53,11 @@
 	// be in its redial backoff, and a process that has just started knows the planner
 	// only once they are connected.
 	higherAddressDialDelay = 60 * time.Millisecond
+	// maxDials bounds the connections to peers that are being opened at a time.
+	maxDials = 16
+	// unneededSessionRetention is how long after its last message a session is closed that
+	// this side has opened to a process which is no longer a peer.
+	unneededSessionRetention = 5 * time.Second
 	// minRedialBackoff and maxRedialBackoff bound the backoff between two dials of an
 	// address.
 	minRedialBackoff = 100 * time.Millisecond
@@ -99,7 +104,8 @@
 // hello is the greeting, the first notification of both sides.
 type hello struct {
 	From Member `cbor:"1,keyasint,omitzero"`
-	// Known lists addresses at which there are or were members.
+	// Known lists addresses at which there are or were members: all, or those of the sender's
+	// cell.
 	Known []netip.AddrPort `cbor:"2,keyasint,omitzero"`
 }
 
@@ -124,8 +130,11 @@
 	revision uint64
 	sessions map[netip.AddrPort]*session[M]
 	// watch holds the members whose silence must be noticed soon.
-	watch       map[ID]struct{}
-	addresses   map[netip.AddrPort]*addressState
+	watch     map[ID]struct{}
+	addresses map[netip.AddrPort]*addressState
+	// peers maps whom to keep sessions with to their DialDelay; it is nil for all addresses
+	// that become known.
+	peers       map[netip.AddrPort]time.Duration
 	lastSession uint64
 	// dialWake wakes dialLoop when an address was learned or a session has ended.
 	// jitter draws a random part of the pause before a redial, below the duration given.
@@ -221,6 +230,7 @@
 		number:    m.lastSession,
 		dialed:    dialed,
 		lastHeard: time.Now(),
+		usedAt:    time.Now(),
 		wake:      make(chan struct{}, 1),
 		greeted:   make(chan struct{}),
 		done:      make(chan struct{}),
@@ -256,8 +266,10 @@
 	if known := m.addresses[a]; known != nil {
 		known.backoff = minRedialBackoff
 	}
-	for _, a := range h.Known {
-		m.addAddress(now, a)
+	if h.From.Layout == 0 || h.From.DataCenter == m.self.DataCenter {
+		for _, a := range h.Known {
+			m.addAddress(now, a)
+		}
 	}
 	m.mu.Unlock()
 	if old != nil {
@@ -291,10 +303,7 @@
 	delete(m.sessions, a)
 	if known := m.addresses[a]; known != nil {
 		known.lastLearned = time.Now()
-		known.nextDial = known.lastLearned
-		if m.self.ID.Address.Compare(a) > 0 {
-			known.nextDial = known.lastLearned.Add(higherAddressDialDelay)
-		}
+		known.nextDial = known.lastLearned.Add(m.dialDelay(a))
 	}
 	m.wakeDialer()
 }
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -48,6 +48,8 @@
 	ended     bool
 	reason    string
 	lastHeard time.Time
+	// usedAt is when the session began or a message was last sent or received on it.
+	usedAt time.Time
 	// handling is set while a notification is being handled, since delivering it may
 	// block.
 	handling bool
@@ -252,9 +254,17 @@
 	} else {
 		s.queue = append(s.queue, messages...)
 	}
+	s.usedAt = time.Now()
 	s.wakeWriter()
 }
 
+// unused reports whether neither side has had anything to do with the other for a while.
+func (s *session[M]) unused(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchingSince.IsZero() && !s.watchedByMember && now.Sub(s.usedAt) > unneededSessionRetention
+}
+
 func (s *session[M]) wakeWriter() {
 	select {
 	case s.wake <- struct{}{}:
@@ -376,6 +386,9 @@
 		s.deliver(Event[M]{Kind: Changed, Member: *b.From, Session: s.number})
 	}
 	if len(b.Messages) > 0 {
+		s.mu.Lock()
+		s.usedAt = time.Now()
+		s.mu.Unlock()
 		s.deliver(Event[M]{Kind: Received, Member: Member{ID: s.id}, Session: s.number, Messages: b.Messages})
 	}
 }
