registry: a follower's pace can change while it follows

Config.Pace returns the wait and the pause of the next read, so that the reads of the processes' records can depend on the size of the deployment. No change without it.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -78,6 +78,8 @@
 	Wait time.Duration
 	// Pause is the delay between two reads.
 	Pause time.Duration
+	// Pace, if not nil, returns the Wait and Pause of the next read.
+	Pace func() (wait, pause time.Duration)
 	// Timeout bounds the time in which nothing arrives, at first in addition to Wait. A
 	// connection can go dead without a reset, which only a timeout detects.
 	Timeout time.Duration
@@ -153,11 +155,12 @@
 			clock.Sleep(ctx, idlePollInterval)
 			continue
 		}
+		wait, pause := f.pace()
 		began := time.Now()
 		if since.IsZero() {
 			since = began
 		}
-		u, err := f.readOnce(ctx, next, full)
+		u, err := f.readOnce(ctx, next, full, wait)
 		switch {
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrGap):
@@ -173,7 +176,7 @@
 			u.Recipient, u.Since = recipient, since
 			since = time.Time{}
 			f.emit(ctx, u)
-			clock.Sleep(ctx, f.cfg.Pause)
+			clock.Sleep(ctx, pause)
 		}
 	}
 	return ctx.Err()
@@ -183,7 +186,14 @@
 // the first read of a process that becomes the planner.
 const idlePollInterval = 50 * time.Millisecond
 
-func (f *Follower) readOnce(ctx context.Context, from Offset, full bool) (Update, error) {
+func (f *Follower) pace() (wait, pause time.Duration) {
+	if f.cfg.Pace != nil {
+		return f.cfg.Pace()
+	}
+	return f.cfg.Wait, f.cfg.Pause
+}
+
+func (f *Follower) readOnce(ctx context.Context, from Offset, full bool, wait time.Duration) (Update, error) {
 	u := Update{Full: full, At: time.Now()}
 	var err error
 	if full {
@@ -192,9 +202,9 @@
 		u.Records, u.Next, err = f.source.Newest(ctx)
 		return u, err
 	}
-	ctx, cancel := withSilenceTimeout(ctx, f.cfg.Timeout+f.cfg.Wait, f.cfg.Timeout)
+	ctx, cancel := withSilenceTimeout(ctx, f.cfg.Timeout+wait, f.cfg.Timeout)
 	defer cancel()
-	u.Records, u.Next, err = f.source.Read(ctx, from, f.cfg.Wait)
+	u.Records, u.Next, err = f.source.Read(ctx, from, wait)
 	return u, err
 }
 
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -294,7 +294,7 @@
 			bubble.Test(t, func(t *testing.T) {
 				f := New(Config{Name: "t", Timeout: 500 * time.Millisecond}, slog.New(slog.DiscardHandler), tt.source, nil, nil)
 				began := time.Now()
-				_, err := f.readOnce(t.Context(), 0, true)
+				_, err := f.readOnce(t.Context(), 0, true, 0)
 				if took := time.Since(began); (err == nil) != tt.ok || took != tt.after {
 					t.Errorf("error %v after %v, want success %v after %v", err, took, tt.ok, tt.after)
 				}
