entry: requests to another cell are redirected, and full cells passed over

With many cells a process knows the planner of another cell only from the store's list. If that process does not plan, it refuses with ReasonNotPlanner and names the planner; the request is sent on, twice at most, and else the job is refused for its own cell's reason. A cell that has refused a job in the last 300 ms is passed over for one that has not.

--- a/cell/message.go
+++ b/cell/message.go
@@ -70,8 +70,14 @@
 	RetryAfter time.Duration `cbor:"3,keyasint,omitzero"`
 	// Waited is the time since the planner last received the request.
 	Waited time.Duration `cbor:"4,keyasint,omitzero"`
+	// Planner is the planner of the cell that was asked, with ReasonNotPlanner.
+	Planner mesh.ID `cbor:"5,keyasint,omitzero"`
 }
 
+// ReasonNotPlanner is the reason of a refusal by a process that does not plan, to a request
+// from another cell. The planner of that cell has not seen the request.
+const ReasonNotPlanner = "not_planner"
+
 // Withdrawal withdraws the pending requests of a job or, if it names runs, the grants of
 // these.
 type Withdrawal struct {
--- a/entry/elsewhere.go
+++ b/entry/elsewhere.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -21,13 +22,12 @@
 // requestFromOtherCell requests workers from another cell's planner for a job that this
 // cell's has refused or would refuse, and reports whether it did. A cell can be full before
 // the others are, by a burst of its own callers or the loss of its workers; if the other one
-// is full too, it answers at once. A hash of the job's id selects the cell, so that jobs
-// refused together spread.
+// is full too, it answers at once.
 func (js *Jobs) requestFromOtherCell(now time.Time, j *job) bool {
 	if len(js.otherPlanners) == 0 || j.otherPlanner != (mesh.ID{}) || now.Add(j.minDuration()).After(j.objectiveAt) {
 		return false
 	}
-	other := js.otherPlanners[xxhash.Sum64String(j.ID)%uint64(len(js.otherPlanners))]
+	other := js.chooseOtherPlanner(now, j.ID)
 	if !admission.Admits(j.ID, js.levels[other].Share(j.Queue.Name)) {
 		return false
 	}
@@ -38,6 +38,50 @@
 	return true
 }
 
+// chooseOtherPlanner returns the planner to which a job is offered. A hash of its id selects
+// one, so that jobs refused together spread; the next ones are preferred to one that has
+// just refused a job.
+func (js *Jobs) chooseOtherPlanner(now time.Time, id string) mesh.ID {
+	n := uint64(len(js.otherPlanners))
+	first := xxhash.Sum64String(id) % n
+	for i := range n {
+		p := js.otherPlanners[(first+i)%n]
+		if at, ok := js.refusedBy[p]; !ok || now.Sub(at) > refusalMemory {
+			return p
+		}
+	}
+	return js.otherPlanners[first]
+}
+
+const (
+	// refusalMemory is how long a cell that has refused a job counts as full. Room there
+	// comes back with each task that ends.
+	refusalMemory = 300 * time.Millisecond
+	// maxRedirects bounds how often a request is sent on, since the processes of a cell may
+	// name each other while they elect a planner.
+	maxRedirects = 2
+)
+
+// redirected sends the requests of a job on to the planner that a process has named, or
+// refuses the job for the reason that its own cell had.
+func (js *Jobs) redirected(now time.Time, j *job, planner mesh.ID) {
+	if j.otherPlanner == (mesh.ID{}) {
+		return
+	}
+	if j.redirects++; j.redirects <= maxRedirects && planner != (mesh.ID{}) && planner != j.otherPlanner {
+		j.otherPlanner = planner
+		js.repeatRequests(now, j)
+		return
+	}
+	if j.hasBegun() {
+		j.otherPlanner = mesh.ID{}
+		js.repeatRequests(now, j)
+		return
+	}
+	retryAfter := max(j.refusal.RetryAfter, minRetryAfter)
+	js.finish(now, j, Answer{Status: Refused, Why: cmp.Or(j.refusal.Reason, plannerSilent), RetryAfter: retryAfter})
+}
+
 // otherPlannerUnreachable asks this cell's planner again for jobs that were sent to a
 // planner of another cell which is unreachable now.
 func (js *Jobs) otherPlannerUnreachable(now time.Time, p mesh.ID) {
--- a/entry/end.go
+++ b/entry/end.go
@@ -16,7 +16,16 @@
 	if j == nil || j.answer != nil || j.otherPlanner != (mesh.ID{}) && from != j.otherPlanner {
 		return
 	}
+	if r.Reason == cell.ReasonNotPlanner {
+		js.redirected(now, j, r.Planner)
+		return
+	}
 	js.plannerAnswered(now, j, r.Waited)
+	if j.otherPlanner != (mesh.ID{}) {
+		js.refusedBy[from] = now
+	} else {
+		j.refusal = r
+	}
 	if j.hasBegun() || js.requestFromOtherCell(now, j) {
 		return
 	}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"snipehub.example/cell"
 	"snipehub.example/lease"
 	"snipehub.example/mesh"
 )
@@ -66,6 +67,10 @@
 	// otherPlanner is the planner of another cell from which workers were requested after
 	// this cell's planner refused the job; zero before.
 	otherPlanner mesh.ID
+	// redirects counts how often the process that was taken for otherPlanner has named
+	// another one; refusal is the refusal of this cell's planner.
+	redirects int
+	refusal   cell.Refusal
 	// share is the share of the queue's jobs of which the job was one when it was admitted.
 	share float64
 	// ran is set once a run has ended that may have begun.
@@ -89,7 +94,9 @@
 	nextPlannerAt time.Time
 	// otherPlanners are the planners of other cells.
 	otherPlanners []mesh.ID
-	delay         delay
+	// refusedBy is when each of them last refused a job of this process.
+	refusedBy map[mesh.ID]time.Time
+	delay     delay
 	// levels holds what each planner admits.
 	levels  map[mesh.ID]receivedLevels
 	actions []Action
@@ -104,12 +111,13 @@
 // New returns a Jobs without any job.
 func New(log *slog.Logger) *Jobs {
 	return &Jobs{
-		log:     log,
-		jobs:    make(map[string]*job),
-		waiters: make(map[Waiter]*job),
-		runs:    make(map[lease.Run]placedTask),
-		levels:  make(map[mesh.ID]receivedLevels),
-		counts:  Counts{Ended: make(map[lease.Outcome]int64), NotStarted: make(map[lease.Reason]int64)},
+		log:       log,
+		jobs:      make(map[string]*job),
+		waiters:   make(map[Waiter]*job),
+		runs:      make(map[lease.Run]placedTask),
+		levels:    make(map[mesh.ID]receivedLevels),
+		refusedBy: make(map[mesh.ID]time.Time),
+		counts:    Counts{Ended: make(map[lease.Outcome]int64), NotStarted: make(map[lease.Reason]int64)},
 	}
 }
 
