node: cells of bounded size; sessions with the own cell and few others; records by data centre

Each process had a session with each other one and was woken by each renewal of a record: 237 sessions and 4.3 calls to the store a second at 238 processes, both growing with the square in all. Appends of a start queued in one partition, and a call that timed out was repeated into the queue.

- Records are written to one partition for each data centre.
They are read at a pace where there are several cells, renewed at most 4 times a second by all together, and name the data centre, the size and the number.
An append that timed out gets twice the time, and the record that is read counts as its answer.
Numbers are unique over the partitions.
- From 96 processes on, a data centre of more than 64 is divided by hash bits, workers by their racks.
The layout follows from the list; between the thresholds members' layouts are adopted.
The quorum is that of the cell.
- Sessions: the own cell, planners with those of the next two cells, others while a job depends on them; 80 at most.
A new process gets the addresses of its cell from its seeds.

Tests, which count at 238, 1,000 and 1,520 processes: TestSessionsDoNotGrowWithTheFleet, TestStoreCallsDoNotGrowWithTheFleet, and one for each failure in peers_test.go and register_test.go. Single cells keep sessions with all, as before; they read their records in two or more partitions.

--- a/model/vm.go
+++ b/model/vm.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"time"
 
 	"snipehub.example/cell"
@@ -145,12 +144,12 @@
 	}
 	w.lastMemberNumber++
 	number := w.lastMemberNumber
-	var known []netip.AddrPort
-	for _, o := range w.vms {
-		known = append(known, address(1, o.index))
+	var listed []mesh.Member
+	for i, o := range w.vms {
+		listed = append(listed, mesh.Member{ID: memberID(o.index, o.boots), VM: o.name, DataCenter: o.dc, Cores: o.cores, Number: uint64(i) + 1})
 	}
 	n.do(func(now time.Time) {
-		n.core.SetRecordedAddrs(now, known)
+		n.core.SetRecorded(now, listed, true)
 		n.core.Advertise(now, func(m *mesh.Member) { m.Number = number })
 	})
 	n.readOperator(boots)
--- a/node/cells_test.go
+++ b/node/cells_test.go
@@ -53,7 +53,7 @@
 // would have to be requested again.
 func TestCellsStayAsProcessesComeAndGo(t *testing.T) {
 	c, all := newTwoDataCenterCore(splitThreshold)
-	c.SetRecordedAddrs(ms(5), nil)
+	c.SetRecorded(ms(5), nil, true)
 	for _, m := range all[mergeThreshold:] {
 		c.MemberDown(ms(10), m.ID, 1, ms(9))
 	}
--- a/node/core.go
+++ b/node/core.go
@@ -46,11 +46,25 @@
 	catalogDelays []time.Duration
 	catalogParts  catalogParts
 	members       map[mesh.ID]peerState
-	// recordedAddrs are the addresses of the processes that the store lists.
-	recordedAddrs map[netip.AddrPort]struct{}
-	planner       mesh.ID
-	// cellPerDataCenter is set if each data centre is a cell of its own.
-	cellPerDataCenter bool
+	// directory is what the store lists of the processes, layout how they are divided into
+	// cells.
+	directory directory
+	layout    cellLayout
+	// cellRecords are the listed processes of this cell, otherCells the first ones by
+	// priority of the others.
+	cellRecords map[netip.AddrPort]mesh.Member
+	otherCells  map[cellID][]mesh.Member
+	// foreign are the reachable processes of other cells. plannerHints are the planners that
+	// processes there have named, unreachable when those that could not be reached were
+	// last tried.
+	foreign      map[cellID][]mesh.Member
+	plannerHints map[cellID]mesh.ID
+	unreachable  map[netip.AddrPort]time.Time
+	// visits are the sessions with processes of other cells on which jobs here depend, peers
+	// all processes to keep sessions with, nil if these are all that are known.
+	visits  map[mesh.ID]*visit
+	peers   []mesh.Peer
+	planner mesh.ID
 	// readers are the processes that read the platform's list of workers for this one while
 	// it is the planner; readFor are the reads that this process makes for another planner.
 	readers listReaders
@@ -101,18 +115,20 @@
 // NewCore returns the core of a process.
 func NewCore(log *slog.Logger, self mesh.Member, catalogs *catalog.Store, policy cell.Policy) *Core {
 	return &Core{
-		log:           log,
-		self:          self,
-		catalogs:      catalogs,
-		members:       make(map[mesh.ID]peerState),
-		recordedAddrs: make(map[netip.AddrPort]struct{}),
-		entry:         entry.New(log),
-		cell:          cell.New(log, self.ID, policy),
-		held:          make(map[string]*lease.WorkerLease),
-		poolStats:     make(map[string]*lease.PoolStats),
-		lostMembers:   make(map[mesh.ID]time.Time),
-		watched:       make(map[mesh.ID]struct{}),
-		readers:       listReaders{asked: make(map[mesh.ID]*listReader), tried: make(map[mesh.ID]struct{})},
+		log:          log,
+		self:         self,
+		catalogs:     catalogs,
+		members:      make(map[mesh.ID]peerState),
+		plannerHints: make(map[cellID]mesh.ID),
+		unreachable:  make(map[netip.AddrPort]time.Time),
+		visits:       make(map[mesh.ID]*visit),
+		entry:        entry.New(log),
+		cell:         cell.New(log, self.ID, policy),
+		held:         make(map[string]*lease.WorkerLease),
+		poolStats:    make(map[string]*lease.PoolStats),
+		lostMembers:  make(map[mesh.ID]time.Time),
+		watched:      make(map[mesh.ID]struct{}),
+		readers:      listReaders{asked: make(map[mesh.ID]*listReader), tried: make(map[mesh.ID]struct{})},
 	}
 }
 
@@ -183,9 +199,9 @@
 	case a.Answer != nil:
 		c.out = append(c.out, Output{Answer: a.Answer})
 	case a.Request != nil:
-		c.send(now, c.plannerFor(a.To), Message{Request: a.Request})
+		c.send(now, c.plannerFor(now, a.To), Message{Request: a.Request})
 	case a.Withdraw != nil:
-		c.send(now, c.plannerFor(a.To), Message{Withdraw: a.Withdraw})
+		c.send(now, c.plannerFor(now, a.To), Message{Withdraw: a.Withdraw})
 	case a.Start != nil:
 		c.watch(a.To)
 		c.send(now, a.To, Message{Start: a.Start})
@@ -199,10 +215,13 @@
 
 // plannerFor returns the recipient of a message about a job: the planner of another cell
 // if one is given, else that of the own cell.
-func (c *Core) plannerFor(other mesh.ID) mesh.ID {
+func (c *Core) plannerFor(now time.Time, other mesh.ID) mesh.ID {
 	if other == (mesh.ID{}) {
 		return c.planner
 	}
+	if v := c.visits[other]; v != nil {
+		v.usedAt = now
+	}
 	c.watch(other)
 	return other
 }
@@ -241,6 +260,8 @@
 	case to == (mesh.ID{}):
 	case to == c.self.ID:
 		c.handleMessage(now, to, m)
+	case c.needsVisit(to, m):
+		c.visit(now, to, m)
 	default:
 		c.out = append(c.out, Output{To: to, Message: &m})
 	}
@@ -269,6 +290,8 @@
 
 func (c *Core) handleMessage(now time.Time, from mesh.ID, m Message) {
 	switch {
+	case m.Request != nil && !c.cell.Active():
+		c.redirectRequest(now, from, *m.Request)
 	case m.Request != nil:
 		c.cell.Request(now, from, *m.Request)
 	case m.Withdraw != nil:
@@ -278,7 +301,10 @@
 	case m.Grant != nil:
 		c.entry.Grant(now, from, *m.Grant)
 	case m.Refusal != nil:
+		c.noteRefusal(now, from, *m.Refusal)
 		c.entry.Refused(now, from, *m.Refusal)
+	case m.Addresses != nil:
+		c.out = append(c.out, Output{Addresses: m.Addresses})
 	case m.Levels != nil:
 		c.entry.SetLevels(now, from, *m.Levels)
 	case m.Ended != nil:
@@ -369,6 +395,7 @@
 	c.retryEvacuations(now)
 	c.entry.Tick(now)
 	c.announceNewlyHeld(now)
+	c.updateVisits(now)
 	c.updateWatches(now)
 }
 
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -30,11 +30,11 @@
 	self := member(n)
 	self.Number = 0
 	c := NewCore(slog.New(slog.DiscardHandler), self, &catalog.Store{}, cell.Policy{})
-	var addrs []netip.AddrPort
+	var listed []mesh.Member
 	for _, k := range append(known, n) {
-		addrs = append(addrs, member(k).ID.Address)
+		listed = append(listed, member(k))
 	}
-	c.SetRecordedAddrs(ms(0), addrs)
+	c.SetRecorded(ms(0), listed, true)
 	c.OperatorRead(ms(0), OperatorRead{Full: true, End: 1, Catalog: &catalog.Catalog{Version: 1}})
 	c.Advertise(ms(0), func(m *mesh.Member) { m.Number = uint64(n) })
 	c.Take(ms(0))
--- a/node/loop.go
+++ b/node/loop.go
@@ -100,6 +100,7 @@
 	n.planner.Store(&planner)
 	n.reading.Store(&reading)
 	n.quorum.Store(n.core.HasQuorum())
+	n.divided.Store(n.core.Divided())
 }
 
 // perform carries out the outputs of the core.
@@ -113,6 +114,14 @@
 			n.answer(*o.Answer)
 		case o.Advertise != nil:
 			n.mesh.Advertise(*o.Advertise)
+		case o.Peers != nil && o.Peers.All:
+			n.mesh.KeepAll()
+		case o.Peers != nil:
+			n.mesh.SetPeers(o.Peers.List)
+		case o.Addresses != nil:
+			n.mesh.AddAddresses(o.Addresses...)
+		case o.Disconnect != nil:
+			n.mesh.Disconnect(o.Disconnect.Member, o.Disconnect.Session, "too many sessions")
 		case o.Pack != nil:
 			n.calls.Go(func() { n.packCatalog(o.Pack) })
 		case o.Unpack != nil:
--- a/node/members.go
+++ b/node/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -14,8 +13,16 @@
 // MemberUp handles a new session with a member.
 func (c *Core) MemberUp(now time.Time, m mesh.Member, session uint64) {
 	c.endPredecessors(now, m.ID)
+	if c.refusesVisitor(m) {
+		event.SessionRefused.Log(c.log, "member", m.VM, "id", m.ID, "sessions", len(c.members))
+		c.out = append(c.out, Output{Disconnect: &Disconnect{m.ID, session}})
+		return
+	}
+	delete(c.unreachable, m.ID.Address)
 	c.members[m.ID] = peerState{m, session}
 	c.elect(now)
+	c.sendDirectory(now, m)
+	c.sendWaiting(now, m.ID)
 	delete(c.lostMembers, m.ID)
 	for _, w := range c.heldIDs() {
 		c.held[w].OwnerReachable(m.ID)
@@ -82,6 +89,7 @@
 	if m, ok := c.members[id]; !ok || m.session != session {
 		return
 	}
+	c.noteUnreachable(now, id)
 	delete(c.members, id)
 	delete(c.readers.asked, id)
 	delete(c.readers.tried, id)
@@ -142,12 +150,10 @@
 	}
 }
 
-// SetRecordedAddrs sets the addresses of the processes that the store lists.
-func (c *Core) SetRecordedAddrs(now time.Time, addrs []netip.AddrPort) {
-	c.recordedAddrs = make(map[netip.AddrPort]struct{}, len(addrs))
-	for _, a := range addrs {
-		c.recordedAddrs[a] = struct{}{}
-	}
+// SetRecorded sets the processes that the store lists; complete is set once all partitions of
+// the list have been read.
+func (c *Core) SetRecorded(now time.Time, listed []mesh.Member, complete bool) {
+	c.directory, c.cellRecords = newDirectory(listed, complete), nil
 	c.elect(now)
 }
 
@@ -157,12 +163,13 @@
 // resources.
 func (c *Core) elect(now time.Time) {
 	reachable := c.reachableMembers()
-	if c.updateCellLayout(reachable) {
+	if c.updateLayout(reachable) {
 		c.stopPlanning(now)
 	}
 	members := c.cellMembers(reachable)
 	best := slices.MinFunc(members, c.comparePriority)
-	c.entry.SetOtherPlanners(c.otherPlanners(reachable))
+	c.groupForeign(reachable)
+	c.entry.SetOtherPlanners(c.otherPlanners())
 	if best.ID != c.planner {
 		event.PlannerChosen.Log(c.log, "planner", best.ID, "vm", best.VM, "number", best.Number, "members", len(members), "before", c.planner)
 		c.watch(best.ID)
@@ -174,7 +181,7 @@
 	if changed || began {
 		c.syncPlanner(now)
 	}
-	allReachable := c.updateQuorum(now, reachable)
+	allReachable := c.updateQuorum(now, members)
 	c.cell.SetMembers(now, members, reachable, c.quorum, allReachable)
 	if began {
 		c.adoptOwnList(now)
@@ -183,20 +190,24 @@
 		}
 	}
 	c.updateDeputies(now, members)
+	c.updatePeers()
 }
 
-// updateQuorum determines whether more than half of the processes that the store lists
-// are reachable, and reports whether all live ones are.
-func (c *Core) updateQuorum(now time.Time, reachable []mesh.Member) (allReachable bool) {
-	recordedReachable := c.recordedReachable(reachable)
-	quorum := 2*recordedReachable > len(c.recordedAddrs)
+// updateQuorum determines whether more than half of the processes that the store lists for
+// this cell are reachable, and reports whether all live ones are. Workers are reassigned
+// from their holders only with a quorum: otherwise a process that is cut off alone would
+// take over the workers of all others. Other cells don't matter for that, since their
+// processes do not hold this cell's workers.
+func (c *Core) updateQuorum(now time.Time, members []mesh.Member) (allReachable bool) {
+	recorded, recordedReachable := c.recordedInCell(members)
+	quorum := 2*recordedReachable > recorded
 	if quorum && !c.quorum {
 		c.quorumSince = now
 	}
 	c.quorum = quorum
 	// Processes that started together may not have connected yet. After discoveryTimeout,
 	// all live ones are reachable.
-	return recordedReachable == len(c.recordedAddrs) || quorum && now.Sub(c.quorumSince) > discoveryTimeout
+	return recordedReachable == recorded || quorum && now.Sub(c.quorumSince) > discoveryTimeout
 }
 
 // discoveryTimeout is the longest time that processes which start together take to
@@ -283,20 +294,24 @@
 	return -1
 }
 
-// recordedReachable returns how many of the processes that the store lists are reachable,
-// this one included. Workers are reassigned from their holders only if that is more than
-// half: otherwise a process that is cut off alone would take over the workers of all
-// others.
-func (c *Core) recordedReachable(reachable []mesh.Member) int {
-	n := 0
-	for _, m := range reachable {
-		if _, ok := c.recordedAddrs[m.ID.Address]; ok {
-			n++
+// recordedInCell returns how many processes the store lists for this cell, and how many of
+// them are among the members that are reachable.
+func (c *Core) recordedInCell(members []mesh.Member) (recorded, recordedReachable int) {
+	recorded = len(c.cellRecords)
+	for _, m := range members {
+		_, ok := c.directory.byAddress[m.ID.Address]
+		if !ok {
+			continue
+		}
+		recordedReachable++
+		if _, ok := c.cellRecords[m.ID.Address]; !ok {
+			// Its record doesn't name its data centre, as those of earlier releases.
+			recorded++
 		}
 	}
-	return n
+	return recorded, recordedReachable
 }
 
-// HasQuorum reports whether more than half of the processes that the store lists are
-// reachable. It is false until the list has been read.
-func (c *Core) HasQuorum() bool { return c.quorum && len(c.recordedAddrs) > 0 }
+// HasQuorum reports whether more than half of the processes that the store lists for this
+// cell are reachable. It is false until the list has been read.
+func (c *Core) HasQuorum() bool { return c.quorum && len(c.directory.byAddress) > 0 }
--- a/node/message.go
+++ b/node/message.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"net/netip"
+
 	"snipehub.example/admission"
 	"snipehub.example/catalog"
 	"snipehub.example/cell"
@@ -32,10 +34,18 @@
 	CatalogRequest     *CatalogRequest      `cbor:"20,keyasint,omitzero"`
 	CatalogPart        *CatalogPart         `cbor:"21,keyasint,omitzero"`
 	Levels             *admission.Levels    `cbor:"22,keyasint,omitzero"`
+	// Addresses are those of the processes of the recipient's cell.
+	Addresses []netip.AddrPort `cbor:"23,keyasint,omitzero"`
+}
+
+// Disconnect ends a session with a member.
+type Disconnect struct {
+	Member  mesh.ID
+	Session uint64
 }
 
 // Output is an action that Core asks its driver to perform. Exactly one of the pointers
-// is set.
+// or Addresses is set.
 type Output struct {
 	// To is the recipient of Message.
 	To      mesh.ID
@@ -48,6 +58,10 @@
 	// Advertise is the new state that this process advertises to the members.
 	Advertise *mesh.Member
 	Watch     *Watch
+	// Peers is which processes to keep sessions with, Addresses some that have become known.
+	Peers      *Peers
+	Addresses  []netip.AddrPort
+	Disconnect *Disconnect
 	// Worker is the target of Hold, Start or Stop.
 	Worker lease.Worker
 	Hold   *lease.HoldCall
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -68,9 +69,12 @@
 
 // Platform is the interface to the users' platform.
 type Platform struct {
-	// Operator, WorkerList and Members are the topics of the store.
+	// Operator and WorkerList are topics of the store.
 	Operator, WorkerList registry.Source
-	Members              Topic
+	// Members are the partitions of the topic with the processes' records. This process
+	// writes its record to the one with the index OwnMembers.
+	Members    []Topic
+	OwnMembers int
 	// IsCatalog reports whether a record is the operator's configuration; Catalog and
 	// Worker parse records. Evacuation parses those of the operator's topic that are about
 	// the evacuation of a data centre, and returns false for others.
@@ -120,8 +124,12 @@
 	openJobs        atomic.Int64
 	// quorum is set if more than half of the processes that the store lists are reachable;
 	// startedAt is when this process started, as the time since boot.
-	quorum    atomic.Bool
-	startedAt time.Duration
+	quorum atomic.Bool
+	// divided is set while the deployment has several cells.
+	divided atomic.Bool
+	// recordedAs receives the number of the own record once it has been read in the store.
+	recordedAs chan uint64
+	startedAt  time.Duration
 	// sinceBoot reads the clock that also runs while the VM is suspended.
 	sinceBoot func() time.Duration
 	planner   atomic.Pointer[mesh.ID]
@@ -133,6 +141,7 @@
 	lastWaiter entry.Waiter
 	calls      sync.WaitGroup
 	topics     map[string]*registry.Follower
+	records    *recordTracker
 	servers    []*http.Server
 }
 
@@ -173,7 +182,9 @@
 		startedAt:      clock.SinceBoot(),
 		waiters:        make(map[entry.Waiter]chan entry.Answer),
 		listenerClosed: make(chan struct{}),
+		recordedAs:     make(chan uint64, 1),
 		topics:         make(map[string]*registry.Follower),
+		records:        newRecordTracker(cfg.Peers, p.OwnMembers),
 	}
 	n.meter = meter.New(maxMetricSeries, func() { event.MetricsFull.Log(log) })
 	n.mesh = mesh.New(log, self, ln.peers, p.Dial, n.handleMeshEvent)
@@ -238,7 +249,9 @@
 	tree.Add(service{"mesh", n.mesh.Serve})
 	tree.Add(service{"operator's topic", n.followOperator().Serve})
 	tree.Add(service{"workers' topic", n.followWorkers().Serve})
-	tree.Add(service{"members' topic", n.followMembers().Serve})
+	for part := range n.platform.Members {
+		tree.Add(service{fmt.Sprintf("members' topic, partition %d", part), n.followMembers(part).Serve})
+	}
 	tree.Add(service{"own record", n.maintainRecord})
 	tree.Add(service{"store watch", n.watchStore})
 	tree.Add(service{"gauges", n.exportMetrics})
--- a/node/records.go
+++ b/node/records.go
@@ -1,10 +1,14 @@
 package node
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
+
+	"snipehub.example/mesh"
 )
 
 const (
@@ -18,7 +22,8 @@
 	minRenewalGap = renewInterval / 2
 )
 
-// recordTracker tracks the processes that the store lists. It does no I/O.
+// recordTracker tracks the processes that the store lists. It does no I/O. It is safe for
+// concurrent use.
 //
 // A listed process counts towards the quorum without which no worker is assigned to
 // another holder, and a killed process does not delete its own record. So records that
@@ -28,47 +33,120 @@
 // start.
 type recordTracker struct {
 	self netip.AddrPort
-	// missedRenewals counts the own renewals since each record was last renewed.
-	missedRenewals map[netip.AddrPort]int
+	// ownPart is the partition with the own record.
+	ownPart int
+
+	mu sync.Mutex
+	// parts holds the records of each partition that has been read, by address.
+	parts map[int]map[netip.AddrPort]*trackedRecord
 	// countedAt is when the last own renewal that was counted was read.
 	countedAt time.Time
 }
 
-func newRecordTracker(self netip.AddrPort) *recordTracker {
-	return &recordTracker{self: self, missedRenewals: make(map[netip.AddrPort]int)}
+type trackedRecord struct {
+	mesh.Member
+	// missedRenewals counts the own renewals since the record was last renewed.
+	missedRenewals int
 }
 
-// markRenewed records the renewal of a record, read at the given time, and returns the
-// processes that are removed as a result.
-func (r *recordTracker) markRenewed(now time.Time, a netip.AddrPort) (gone []netip.AddrPort) {
-	r.missedRenewals[a] = 0
-	if a != r.self || now.Sub(r.countedAt) < minRenewalGap {
-		return nil
+// recordChange is a record read in a partition: written, or removed.
+type recordChange struct {
+	address netip.AddrPort
+	removed bool
+	member  mesh.Member
+}
+
+// goneMember is a process that has not renewed its record for long.
+type goneMember struct {
+	part    int
+	address netip.AddrPort
+}
+
+func newRecordTracker(self netip.AddrPort, ownPart int) *recordTracker {
+	return &recordTracker{self: self, ownPart: ownPart, parts: make(map[int]map[netip.AddrPort]*trackedRecord)}
+}
+
+// apply applies what was read of a partition at the given time; full is set if that is the
+// latest record of each process. It reports whether the list has changed, and returns the
+// processes that are removed from it because they no longer renew their records.
+func (r *recordTracker) apply(readAt time.Time, part int, full bool, changes []recordChange) (changed bool, gone []goneMember) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	records := r.parts[part]
+	if records == nil || full {
+		records, changed = make(map[netip.AddrPort]*trackedRecord), true
+		r.parts[part] = records
 	}
-	r.countedAt = now
-	for o := range r.missedRenewals {
-		if o == r.self {
+	for _, c := range changes {
+		if c.removed {
+			_, had := records[c.address]
+			changed = changed || had
+			delete(records, c.address)
 			continue
 		}
-		r.missedRenewals[o]++
-		if r.missedRenewals[o] > maxMissedRenewals {
-			gone = append(gone, o)
+		have := records[c.address]
+		changed = changed || have == nil || have.ID != c.member.ID
+		records[c.address] = &trackedRecord{Member: c.member}
+		if c.address == r.self && part == r.ownPart {
+			gone = append(gone, r.countRenewal(readAt)...)
 		}
 	}
-	for _, o := range gone {
-		delete(r.missedRenewals, o)
+	return changed || len(gone) > 0, gone
+}
+
+// countRenewal counts an own renewal, and removes the processes that have missed too many.
+func (r *recordTracker) countRenewal(readAt time.Time) (gone []goneMember) {
+	if readAt.Sub(r.countedAt) < minRenewalGap {
+		return nil
 	}
-	slices.SortFunc(gone, netip.AddrPort.Compare)
+	r.countedAt = readAt
+	for part, records := range r.parts {
+		for a, o := range records {
+			if a == r.self {
+				continue
+			}
+			if o.missedRenewals++; o.missedRenewals > maxMissedRenewals {
+				delete(records, a)
+				gone = append(gone, goneMember{part, a})
+			}
+		}
+	}
+	slices.SortFunc(gone, func(x, y goneMember) int { return x.address.Compare(y.address) })
 	return gone
 }
 
-// remove records that a record was deleted.
-func (r *recordTracker) remove(a netip.AddrPort) { delete(r.missedRenewals, a) }
+// complete reports whether all of a number of partitions have been read.
+func (r *recordTracker) complete(parts int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.parts) >= parts
+}
 
-// clear removes all processes, before the whole list is read again.
-func (r *recordTracker) clear() { clear(r.missedRenewals) }
+// count returns the number of records.
+func (r *recordTracker) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, records := range r.parts {
+		n += len(records)
+	}
+	return n
+}
 
-// list returns the listed processes, sorted.
-func (r *recordTracker) list() []netip.AddrPort {
-	return slices.SortedFunc(maps.Keys(r.missedRenewals), netip.AddrPort.Compare)
+// list returns the listed processes, by address. An address that is listed twice, as when a
+// process of an earlier release was replaced by one of this, counts once: with the record
+// that names a data centre and was written last.
+func (r *recordTracker) list() []mesh.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byAddress := make(map[netip.AddrPort]mesh.Member)
+	for _, records := range r.parts {
+		for a, o := range records {
+			have, ok := byAddress[a]
+			if !ok || cmp.Or(compareBool(o.DataCenter != "", have.DataCenter != ""), cmp.Compare(o.Number, have.Number)) > 0 {
+				byAddress[a] = o.Member
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(byAddress), func(x, y mesh.Member) int { return x.ID.Compare(y.ID) })
 }
--- a/node/records_test.go
+++ b/node/records_test.go
@@ -5,8 +5,27 @@
 	"slices"
 	"testing"
 	"time"
+
+	"snipehub.example/mesh"
 )
 
+// renewed returns what is read when the processes at the addresses have renewed their
+// records.
+func renewed(addrs ...netip.AddrPort) (changes []recordChange) {
+	for _, a := range addrs {
+		changes = append(changes, recordChange{address: a, member: mesh.Member{ID: mesh.ID{Address: a}}})
+	}
+	return changes
+}
+
+// listedAddrs returns the addresses of the listed processes.
+func (r *recordTracker) listedAddrs() (addrs []netip.AddrPort) {
+	for _, m := range r.list() {
+		addrs = append(addrs, m.ID.Address)
+	}
+	return addrs
+}
+
 func vmAddr(n int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
 }
@@ -16,14 +35,12 @@
 // would be no majority any more, and the workers of the next process that died would get
 // no holder: their tasks would never start.
 func TestReplacedProcessesDoNotCount(t *testing.T) {
-	r := newRecordTracker(vmAddr(1))
+	r := newRecordTracker(vmAddr(1), 0)
 	live := []netip.AddrPort{vmAddr(1), vmAddr(2), vmAddr(3), vmAddr(4)}
 	next, now := 5, ms(0)
 	renew := func() {
 		now = now.Add(renewInterval)
-		for _, a := range live {
-			r.markRenewed(now, a)
-		}
+		r.apply(now, 0, false, renewed(live...))
 	}
 	renew()
 	for range 8 {
@@ -32,7 +49,7 @@
 		for range maxMissedRenewals + 1 {
 			renew()
 		}
-		if got := r.list(); !slices.Equal(got, live) {
+		if got := r.listedAddrs(); !slices.Equal(got, live) {
 			t.Fatalf("%d processes are listed, want the %d that live: %v", len(got), len(live), got)
 		}
 	}
@@ -41,19 +58,19 @@
 // A live process renews its record a little later than the others, or misses two renewals
 // because the store rejects it. It still counts.
 func TestProcessThatRenewsLateCounts(t *testing.T) {
-	r := newRecordTracker(vmAddr(1))
+	r := newRecordTracker(vmAddr(1), 0)
 	now := ms(0)
-	r.markRenewed(now, vmAddr(2))
+	r.apply(now, 0, false, renewed(vmAddr(2)))
 	for range maxMissedRenewals {
 		now = now.Add(renewInterval)
-		if gone := r.markRenewed(now, vmAddr(1)); len(gone) != 0 {
+		if _, gone := r.apply(now, 0, false, renewed(vmAddr(1))); len(gone) != 0 {
 			t.Fatalf("%v was removed", gone)
 		}
 	}
-	r.markRenewed(now, vmAddr(2))
+	r.apply(now, 0, false, renewed(vmAddr(2)))
 	for range maxMissedRenewals {
 		now = now.Add(renewInterval)
-		r.markRenewed(now, vmAddr(1))
+		r.apply(now, 0, false, renewed(vmAddr(1)))
 	}
 	if got := r.list(); len(got) != 2 {
 		t.Errorf("listed processes are %v, want both", got)
@@ -63,9 +80,9 @@
 // While the store is unreachable for an hour, no record can be renewed, and none must be
 // removed.
 func TestNobodyIsForgottenWithoutTheStore(t *testing.T) {
-	r := newRecordTracker(vmAddr(1))
-	r.markRenewed(ms(0), vmAddr(1))
-	r.markRenewed(ms(0), vmAddr(2))
+	r := newRecordTracker(vmAddr(1), 0)
+	r.apply(ms(0), 0, false, renewed(vmAddr(1)))
+	r.apply(ms(0), 0, false, renewed(vmAddr(2)))
 	if got := r.list(); len(got) != 2 {
 		t.Errorf("listed processes are %v, want both", got)
 	}
@@ -76,17 +93,17 @@
 // renewal, it would take most live processes for gone, and a planner would delete their
 // records.
 func TestRepeatedAttemptsAreNoRenewals(t *testing.T) {
-	r := newRecordTracker(vmAddr(1))
+	r := newRecordTracker(vmAddr(1), 0)
 	for n := 2; n <= 9; n++ {
-		r.markRenewed(ms(0), vmAddr(n))
+		r.apply(ms(0), 0, false, renewed(vmAddr(n)))
 	}
 	for attempt := range 2 * maxMissedRenewals {
-		if gone := r.markRenewed(ms(700*attempt), vmAddr(1)); len(gone) != 0 {
+		if _, gone := r.apply(ms(700*attempt), 0, false, renewed(vmAddr(1))); len(gone) != 0 {
 			t.Fatalf("attempt %d: %d live processes were removed", attempt, len(gone))
 		}
 	}
 	for n := range maxMissedRenewals {
-		r.markRenewed(ms(0).Add(time.Duration(n+1)*renewInterval), vmAddr(1))
+		r.apply(ms(0).Add(time.Duration(n+1)*renewInterval), 0, false, renewed(vmAddr(1)))
 	}
 	if got := r.list(); len(got) != 1 {
 		t.Errorf("listed processes are %v, want this one alone after %d renewals of its own", got, maxMissedRenewals+1)
--- a/node/stop.go
+++ b/node/stop.go
@@ -51,7 +51,7 @@
 	recordDeleted := make(chan struct{})
 	go func() {
 		defer close(recordDeleted)
-		if _, err := n.putOwnRecord(ctx, nil); err != nil {
+		if err := n.deleteOwnRecord(ctx); err != nil {
 			event.MemberNotRecorded.Log(n.log, "error", err)
 		}
 	}()
--- a/node/store.go
+++ b/node/store.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
 	"snipehub.example/catalog"
 	"snipehub.example/cell"
-	"snipehub.example/clock"
 	"snipehub.example/event"
 	"snipehub.example/mesh"
 	"snipehub.example/meter"
@@ -27,9 +24,6 @@
 	// the seconds within which a change has to be in force. Longer waits save calls, which
 	// are billed.
 	operatorPollWait = 2 * time.Second
-	// membersPollWait is the same for the list of processes, which is less urgent because
-	// of the sessions.
-	membersPollWait = 5 * time.Second
 	// workersPollInterval is how often the workers' records are read for the planner. Each
 	// worker renews its record every second or two, so waiting for changes would cost one
 	// call per renewal. A draining worker must get no new tasks after two seconds.
@@ -155,120 +149,5 @@
 	})
 }
 
-// memberRecord is the record of a process in the store, under its address in the mesh. It
-// is renewed at intervals.
-type memberRecord struct {
-	Boot uint64 `json:"boot"`
-	VM   string `json:"vm"`
-}
-
-// followMembers follows the list of processes.
-func (n *Node) followMembers() *registry.Follower {
-	tracker := newRecordTracker(n.cfg.Peers)
-	return n.follower(registry.Config{Name: topicMembers, Wait: membersPollWait}, n.platform.Members, nil, func(ctx context.Context, update registry.Update) {
-		if update.Full {
-			tracker.clear()
-		} else if len(update.Records) == 0 {
-			return
-		}
-		for _, r := range update.Records {
-			n.applyMemberRecord(ctx, update.At, tracker, r)
-		}
-		addrs := tracker.list()
-		n.mesh.AddAddresses(addrs...)
-		n.enqueue(ctx, func(now time.Time, c *Core) { c.SetRecordedAddrs(now, addrs) })
-	})
-}
-
-func (n *Node) applyMemberRecord(ctx context.Context, readAt time.Time, tracker *recordTracker, r registry.Record) {
-	a, err := netip.ParseAddrPort(r.Key)
-	if err != nil {
-		event.RecordUnreadable.Log(n.log, "topic", topicMembers, "key", r.Key, "error", err)
-		return
-	}
-	if r.Removed {
-		tracker.remove(a)
-		return
-	}
-	var m memberRecord
-	if err := json.Unmarshal(r.Value, &m); err != nil {
-		event.RecordUnreadable.Log(n.log, "topic", topicMembers, "key", r.Key, "error", err)
-		return
-	}
-	for _, gone := range tracker.markRenewed(readAt, a) {
-		n.removeRecord(ctx, gone)
-	}
-}
-
-// removeRecord deletes the record of a process that is gone for good. Only the planner
-// does so; nothing depends on when.
-func (n *Node) removeRecord(ctx context.Context, gone netip.AddrPort) {
-	event.MemberForgotten.Log(n.log, "address", gone)
-	if p := n.planner.Load(); p == nil || p.Address != n.cfg.Peers {
-		return
-	}
-	if _, err := n.putRecord(ctx, gone, nil); err != nil {
-		event.MemberNotRecorded.Log(n.log, "address", gone, "error", err)
-	}
-}
-
-// maintainRecord writes this process's record, takes its number from the record's offset,
-// and renews it.
-func (n *Node) maintainRecord(ctx context.Context) error {
-	value, err := json.Marshal(memberRecord{Boot: n.id.Boot, VM: n.cfg.VM})
-	if err != nil {
-		return err
-	}
-	numbered := false
-	for backoff := recordRetryMin; ; {
-		pause := renewInterval/2 + rand.N(renewInterval)
-		if n.stopping.Load() {
-			// stop deletes the record.
-			<-ctx.Done()
-			return ctx.Err()
-		}
-		o, err := n.putOwnRecord(ctx, value)
-		switch {
-		case err != nil:
-			event.MemberNotRecorded.Log(n.log, "error", err)
-			pause = backoff
-			backoff = min(2*backoff, recordRetryMax)
-		case !numbered:
-			numbered = true
-			event.MemberRecorded.Log(n.log, "number", uint64(o)+1)
-			n.advertise(ctx, func(m *mesh.Member) { m.Number = uint64(o) + 1 })
-			backoff = recordRetryMin
-		default:
-			backoff = recordRetryMin
-		}
-		if !clock.Sleep(ctx, pause) {
-			return ctx.Err()
-		}
-	}
-}
-
-const (
-	// recordRetryMin and recordRetryMax bound the backoff after a failed attempt to write
-	// the own record.
-	recordRetryMin = 50 * time.Millisecond
-	recordRetryMax = 500 * time.Millisecond
-	// renewInterval is the average time between renewals. Each wakes the readers of all
-	// processes. At one a minute, a process that is gone for good still counts for three
-	// to four minutes.
-	renewInterval = time.Minute
-)
-
-// putOwnRecord writes the own record, or deletes it if value is nil.
-func (n *Node) putOwnRecord(ctx context.Context, value []byte) (registry.Offset, error) {
-	return n.putRecord(ctx, n.cfg.Peers, value)
-}
-
-// putRecord writes the record of a process, or deletes it if value is nil.
-func (n *Node) putRecord(ctx context.Context, a netip.AddrPort, value []byte) (registry.Offset, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	return n.platform.Members.Put(ctx, a.String(), value)
-}
-
 // AddAddresses adds addresses of other processes to try.
 func (n *Node) AddAddresses(addrs ...netip.AddrPort) { n.mesh.AddAddresses(addrs...) }
--- a/node/watch.go
+++ b/node/watch.go
@@ -89,15 +89,17 @@
 
 // membersToWatch returns the members that this process depends on: the planner, the
 // owners of runs on workers held here, and the holders of runs of this process's jobs. It
-// returns all members if this process is the planner or the planner's heartbeat has just
-// been overdue.
+// returns all members of the cell if this process is the planner or the planner's heartbeat
+// has just been overdue.
 func (c *Core) membersToWatch(now time.Time) map[mesh.ID]struct{} {
 	need := make(map[mesh.ID]struct{})
 	if c.cell.Active() || now.Before(c.watchAllUntil) {
-		for id := range c.members {
-			need[id] = struct{}{}
+		own := c.ownCell()
+		for id, m := range c.members {
+			if c.cellOf(m.Member) == own {
+				need[id] = struct{}{}
+			}
 		}
-		return need
 	}
 	need[c.planner] = struct{}{}
 	for _, wl := range c.held {
