mesh: addresses from other data centres wait until the size is known

A process defers the first dial of an address that only members in other data centres have named until 0.4 s after its start. By then it knows from the store whether the deployment is divided, and drops those that are no peers. What the store lists is dialled at once, and within a data centre nothing changes.

Test: TestForeignAddressesAreDeferred.

--- a/mesh/dial.go
+++ b/mesh/dial.go
@@ -13,6 +13,8 @@
 	lastLearned, nextDial time.Time
 	backoff               time.Duration
 	dialing               bool
+	// deferred is set while the first dial waits for foreignAddressDelay.
+	deferred bool
 }
 
 // AddAddresses adds addresses at which there may be members.
@@ -22,6 +24,10 @@
 	now := time.Now()
 	for _, a := range addrs {
 		m.addAddress(now, a)
+		if known := m.addresses[a]; known != nil && known.deferred {
+			known.deferred, known.nextDial = false, now.Add(m.dialDelay(a))
+			m.wakeDialer()
+		}
 	}
 }
 
@@ -40,6 +46,21 @@
 	m.wakeDialer()
 }
 
+// addKnown adds the addresses that a greeting names.
+func (m *Mesh[M]) addKnown(now time.Time, h hello) {
+	notBefore := now
+	if h.From.DataCenter != m.self.DataCenter {
+		notBefore = m.createdAt.Add(foreignAddressDelay)
+	}
+	for _, a := range h.Known {
+		_, had := m.addresses[a]
+		m.addAddress(now, a)
+		if known := m.addresses[a]; known != nil && !had && known.nextDial.Before(notBefore) {
+			known.deferred, known.nextDial = true, notBefore
+		}
+	}
+}
+
 // dialDelay returns how long an address waits before this side dials it: the process with the
 // higher address leaves it to the other one first.
 func (m *Mesh[M]) dialDelay(a netip.AddrPort) time.Duration {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -55,6 +55,10 @@
 	higherAddressDialDelay = 60 * time.Millisecond
 	// maxDials bounds the connections to peers that are being opened at a time.
 	maxDials = 16
+	// foreignAddressDelay is how long after its start a process dials no addresses that it has
+	// from members in other data centres alone. By then it knows from the store whether the
+	// deployment is divided into cells; it would dial hundreds of processes for nothing.
+	foreignAddressDelay = 400 * time.Millisecond
 	// unneededSessionRetention is how long after its last message a session is closed that
 	// this side has opened to a process which is no longer a peer.
 	unneededSessionRetention = 5 * time.Second
@@ -136,6 +140,7 @@
 	// that become known.
 	peers       map[netip.AddrPort]time.Duration
 	lastSession uint64
+	createdAt   time.Time
 	// dialWake wakes dialLoop when an address was learned or a session has ended.
 	// jitter draws a random part of the pause before a redial, below the duration given.
 	jitter   func(time.Duration) time.Duration
@@ -157,6 +162,7 @@
 		watch:     make(map[ID]struct{}),
 		addresses: make(map[netip.AddrPort]*addressState),
 		jitter:    rand.N[time.Duration],
+		createdAt: time.Now(),
 		dialWake:  make(chan struct{}, 1),
 	}
 }
@@ -266,10 +272,8 @@
 	if known := m.addresses[a]; known != nil {
 		known.backoff = minRedialBackoff
 	}
-	if h.From.Layout == 0 || h.From.DataCenter == m.self.DataCenter {
-		for _, a := range h.Known {
-			m.addAddress(now, a)
-		}
+	if h.From.DataCenter == m.self.DataCenter || h.From.Layout == 0 {
+		m.addKnown(now, h)
 	}
 	m.mu.Unlock()
 	if old != nil {
--- a/mesh/peers_test.go
+++ b/mesh/peers_test.go
@@ -97,3 +97,25 @@
 		}
 	})
 }
+
+// A process starts before it knows how large the deployment is, and members in other data
+// centres name hundreds of addresses. It must not dial them before it can know; what the
+// store lists it dials at once.
+func TestForeignAddressesAreDeferred(t *testing.T) {
+	withProcesses(t, 4, func(p []*process) {
+		for i, dc := range []string{"a", "b", "b", "b"} {
+			p[i].member.DataCenter = dc
+			p[i].mesh.Advertise(p[i].member)
+		}
+		p[1].mesh.AddAddresses(p[2].member.ID.Address, p[3].member.ID.Address)
+		time.Sleep(100 * time.Millisecond)
+		p[0].mesh.AddAddresses(p[1].member.ID.Address)
+		time.Sleep(100 * time.Millisecond)
+		wantKinds(t, "before the delay is over", p[0].kinds(), []Kind{Up})
+		p[0].mesh.AddAddresses(p[2].member.ID.Address)
+		time.Sleep(100 * time.Millisecond)
+		wantKinds(t, "when the store lists one of them", p[0].kinds(), []Kind{Up, Up})
+		time.Sleep(foreignAddressDelay)
+		wantKinds(t, "after the delay", p[0].kinds(), []Kind{Up, Up, Up})
+	})
+}
