--- a/meter/table.go
+++ b/meter/table.go
@@ -63,6 +63,9 @@
 	WorkerCallsUnanswered Name = "worker_calls_unanswered"
 	LogLinesDropped       Name = "log_lines_dropped"
 	SessionsEnded         Name = "sessions_ended"
+	ListedProcesses       Name = "listed_processes"
+	ListedInCell          Name = "listed_in_cell"
+	OtherCellSessions     Name = "other_cell_sessions"
 
 	LeasedJobs           Name = "leased_jobs"
 	LeasedJobSeconds     Name = "leased_job_seconds"
@@ -161,7 +164,7 @@
 	{702, OpenRequests, Gauge, "requests", nil, "Requests of callers that wait for their answer.", "0.1"},
 	{703, JobSeconds, Histogram, "seconds", byCaller, "Time from a waiting submission to its answer.", "0.1"},
 	{704, RequestSeconds, Histogram, "seconds", byCaller, "Time of a request passed through.", "0.1"},
-	{800, Sessions, Gauge, "sessions", nil, "Sessions of this process with others of its cell.", "0.2"},
+	{800, Sessions, Gauge, "sessions", nil, "Sessions of this process with others.", "0.2"},
 	{801, CatalogVersion, Gauge, "version", nil, "The version of the operator's routes and pools in force here; 0 before the first.", "0.2"},
 	{802, StoreReads, Counter, "calls", byCode, "Reads of the platform's store that succeeded; the code is the topic.", "0.2"},
 	{803, StoreFailures, Counter, "calls", byCode, "Reads of the platform's store that failed; the code is the topic.", "0.2"},
@@ -170,6 +173,9 @@
 	{806, WorkerCallsUnanswered, Counter, "calls", byCode, "Calls to workers that got no answer.", "0.2"},
 	{807, LogLinesDropped, Counter, "lines", nil, "Log lines that were dropped because the output did not take them.", "0.2"},
 	{808, SessionsEnded, Counter, "sessions", byCode, "Sessions with other processes that have ended; the code is the reason.", "0.2"},
+	{809, ListedProcesses, Gauge, "processes", nil, "Processes that the store lists, as far as this one has read.", "0.4"},
+	{810, ListedInCell, Gauge, "processes", nil, "Processes that the store lists for the cell of this one; more than half must be in sight for workers to get new holders.", "0.4"},
+	{811, OtherCellSessions, Gauge, "sessions", nil, "Sessions of this process with processes of other cells.", "0.4"},
 	{900, LeasedJobs, Counter, "jobs", byCode, "Jobs under leases answered here; the code is completed, failed, refused or unknown.", "0.2"},
 	{901, LeasedJobSeconds, Histogram, "seconds", byCaller, "Time from the arrival of a job under leases to its answer, by status (as caller) and queue (as kind).", "0.2"},
 	{902, RunsEnded, Counter, "runs", byCode, "Runs of this process's jobs that ended; the code is done, failed, stopped, lapsed or lost.", "0.2"},
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -17,11 +17,13 @@
 // since the start.
 type coreStats struct {
 	sessions, held, jobs int
-	isPlanner            bool
-	view                 cell.View
-	planned              cell.Counts
-	ended                map[lease.Outcome]int64
-	notStarted           map[lease.Reason]int64
+	// otherCellSessions are those of the sessions that are with other cells.
+	otherCellSessions, listed, listedInCell int
+	isPlanner                               bool
+	view                                    cell.View
+	planned                                 cell.Counts
+	ended                                   map[lease.Outcome]int64
+	notStarted                              map[lease.Reason]int64
 	// evacuated is the number of evacuated data centres, evacuationDelays what was learned
 	// since the last copy.
 	evacuated        int
@@ -34,7 +36,12 @@
 // once.
 func (c *Core) coreStats(now time.Time) coreStats {
 	stats := coreStats{
-		sessions:   len(c.members),
+		sessions: len(c.members),
+
+		otherCellSessions: len(c.members) + 1 - len(c.cellMembers(c.reachableMembers())),
+		listed:            len(c.directory.byAddress),
+		listedInCell:      len(c.cellRecords),
+
 		held:       len(c.held),
 		jobs:       c.entry.Len(),
 		isPlanner:  c.IsPlanner(),
@@ -89,6 +96,9 @@
 func (n *Node) recordMetrics(last, stats coreStats) {
 	m := n.meter
 	m.Gauge(meter.Sessions, float64(stats.sessions))
+	m.Gauge(meter.OtherCellSessions, float64(stats.otherCellSessions))
+	m.Gauge(meter.ListedProcesses, float64(stats.listed))
+	m.Gauge(meter.ListedInCell, float64(stats.listedInCell))
 	m.Gauge(meter.CatalogVersion, float64(n.catalogs.Current().Version))
 	m.Gauge(meter.StoreAge, n.storeAge()[topicOperator].Seconds())
 	m.Gauge(meter.OpenJobs, float64(stats.jobs))
--- a/operator/cell.go
+++ b/operator/cell.go
@@ -92,6 +92,7 @@
 		}
 		fmt.Fprintf(w, "%-32s %-12s %-6g %-8d %-8d %s\n", m.VM, m.DataCenter, m.Cores, m.Number, m.Catalog, strings.Join(notes, ", "))
 	}
+	writeLayout(w, s.Layout)
 	writeStoreAges(w, s.StoreAge)
 	for _, e := range s.Evacuations.Requested {
 		fmt.Fprintf(w, "evacuated: %s, requested at offset %d; no tasks are started there\n", e.DataCenter, e.Offset)
@@ -102,6 +103,24 @@
 	writeHolders(w, s.Members, planner)
 }
 
+func writeLayout(w io.Writer, l node.LayoutStatus) {
+	if !l.Divided {
+		fmt.Fprintf(w, "one cell; the store lists %d processes\n", l.Listed)
+		return
+	}
+	fmt.Fprintf(w, "cell %d of %d in this data centre; the store lists %d processes, %d of this cell\n", l.Part, l.Cells, l.Listed, l.ListedInCell)
+	for _, o := range l.Others {
+		planner, link := "none reachable", ""
+		if o.Planner != (mesh.ID{}) {
+			planner = o.Planner.Address.String()
+		}
+		if o.Connected {
+			link = ", connected"
+		}
+		fmt.Fprintf(w, "cell %d of %s: planner %s%s\n", o.Part, o.DataCenter, planner, link)
+	}
+}
+
 func writeStoreAges(w io.Writer, ages map[string]time.Duration) {
 	names := make([]string, 0, len(ages))
 	for n := range ages {
--- a/operator/cell_test.go
+++ b/operator/cell_test.go
@@ -31,7 +31,10 @@
 	id := mesh.ID{Address: netip.MustParseAddrPort("127.0.0.1:7000"), Boot: 5}
 	s = node.Status{
 		Planner: id, IsPlanner: true,
-		Members:  []mesh.Member{{ID: id, VM: "vm1", DataCenter: "dc1", Cores: 0.4, Number: 3, Catalog: 7, StoreUnreachable: true}},
+		Members: []mesh.Member{{ID: id, VM: "vm1", DataCenter: "dc1", Cores: 0.4, Number: 3, Catalog: 7, StoreUnreachable: true}},
+		Layout: node.LayoutStatus{Divided: true, Cells: 2, Part: 1, Listed: 140, ListedInCell: 33, Others: []node.OtherCell{
+			{DataCenter: "dc2", Planner: id, Connected: true}, {DataCenter: "dc3"},
+		}},
 		StoreAge: map[string]time.Duration{"operator": 1500 * time.Millisecond},
 		Cell: &cell.View{Waiting: 2, Workers: 1, FreeCores: 1.5, Holders: []cell.HeldWorker{
 			{Worker: "i-1", Holder: id, For: 2 * time.Second, Fence: lease.NewFence(3), Open: true, Listed: true, Runs: 2, Speed: lease.Speed{Factor: 0.6, BadJobs: 3}},
@@ -50,6 +53,8 @@
 	writeCell(&b, got, planner)
 	for _, want := range []string{
 		"plans, does not reach the store", "store, operator: read 1.5s ago", "2 steps wait; 1 workers take tasks, 1.5 cores free",
+		"cell 1 of 2 in this data centre; the store lists 140 processes, 33 of this cell",
+		"cell 0 of dc2: planner 127.0.0.1:7000, connected", "cell 0 of dc3: planner none reachable",
 		"3 bad in a row", "draining, not listed, not open",
 	} {
 		if !strings.Contains(b.String(), want) {
