node, mesh: a large list is not dialled before it is known to be large

Processes that had reached 80 sessions refused links, which were dialled again about thirty times a second each.

The core hands the addresses on, and only in a single cell. A session with a peer that ends within a second counts as a failed dial: the backoff grows.

Tests: TestLargeListIsNotDialled, TestRefusedSessionIsRetriedSlowly.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -59,6 +59,8 @@
 	// from members in other data centres alone. By then it knows from the store whether the
 	// deployment is divided into cells; it would dial hundreds of processes for nothing.
 	foreignAddressDelay = 400 * time.Millisecond
+	// shortSession is the time below which a session with a peer counts as a failed dial.
+	shortSession = time.Second
 	// unneededSessionRetention is how long after its last message a session is closed that
 	// this side has opened to a process which is no longer a peer.
 	unneededSessionRetention = 5 * time.Second
@@ -269,7 +271,7 @@
 	m.sessions[a] = s
 	_, watch := m.watch[h.From.ID]
 	m.addAddress(now, a)
-	if known := m.addresses[a]; known != nil {
+	if known := m.addresses[a]; known != nil && m.peers == nil {
 		known.backoff = minRedialBackoff
 	}
 	if h.From.DataCenter == m.self.DataCenter || h.From.Layout == 0 {
@@ -306,8 +308,16 @@
 	}
 	delete(m.sessions, a)
 	if known := m.addresses[a]; known != nil {
-		known.lastLearned = time.Now()
-		known.nextDial = known.lastLearned.Add(m.dialDelay(a))
+		now := time.Now()
+		known.lastLearned = now
+		known.nextDial = now.Add(m.dialDelay(a))
+		if m.peers != nil && now.Sub(s.registeredAt) < shortSession {
+			// The other side may have refused it.
+			known.nextDial = now.Add(known.backoff/2 + m.jitter(known.backoff))
+			known.backoff = min(2*known.backoff, maxRedialBackoff)
+		} else {
+			known.backoff = minRedialBackoff
+		}
 	}
 	m.wakeDialer()
 }
--- a/mesh/peers_test.go
+++ b/mesh/peers_test.go
@@ -119,3 +119,24 @@
 		wantKinds(t, "after the delay", p[0].kinds(), []Kind{Up, Up, Up})
 	})
 }
+
+// A process of another cell has as many sessions as it may have and ends each new one at
+// once. Without a backoff it would be dialled as fast as connections open.
+func TestRefusedSessionIsRetriedSlowly(t *testing.T) {
+	withProcesses(t, 2, func(p []*process) {
+		p[1].mesh.SetPeers(nil)
+		p[0].mesh.SetPeers(peersOf(0, p[1]))
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			p[1].mu.Lock()
+			last := p[1].events[len(p[1].events)-1]
+			p[1].mu.Unlock()
+			if last.Kind == Up {
+				p[1].mesh.Disconnect(last.Member.ID, last.Session, "full")
+			}
+		}
+		if n := len(p[0].kinds()) / 2; n < 5 || n > 20 {
+			t.Errorf("%d sessions in 10 s, want a few", n)
+		}
+	})
+}
--- a/node/members.go
+++ b/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -151,10 +152,19 @@
 }
 
 // SetRecorded sets the processes that the store lists; complete is set once all partitions of
-// the list have been read.
+// the list have been read. In a single cell the mesh is told all addresses, also those that it
+// knows: it forgets what it is not told again.
 func (c *Core) SetRecorded(now time.Time, listed []mesh.Member, complete bool) {
 	c.directory, c.cellRecords = newDirectory(listed, complete), nil
 	c.elect(now)
+	if c.layout.divided {
+		return
+	}
+	addrs := make([]netip.AddrPort, 0, len(listed))
+	for _, m := range listed {
+		addrs = append(addrs, m.ID.Address)
+	}
+	c.out = append(c.out, Output{Addresses: addrs})
 }
 
 // elect chooses the planner: the member on the largest VM and, among equals, the one that
--- a/node/peers_test.go
+++ b/node/peers_test.go
@@ -81,6 +81,26 @@
 	}
 }
 
+// At a start, the last part of the list shows that the deployment is large. Dialling all that
+// are listed before that is known costs tens of thousands of sessions in a second.
+func TestLargeListIsNotDialled(t *testing.T) {
+	all := fleet(splitThreshold, 2)
+	c := NewCore(slog.New(slog.DiscardHandler), all[1], &catalog.Store{}, cell.Policy{})
+	c.SetRecorded(ms(0), all, true)
+	for _, o := range c.Take(ms(0)) {
+		if o.Addresses != nil {
+			t.Errorf("%d addresses are dialled", len(o.Addresses))
+		}
+	}
+	c = NewCore(slog.New(slog.DiscardHandler), all[1], &catalog.Store{}, cell.Policy{})
+	for range 2 {
+		c.SetRecorded(ms(0), all[:40], true)
+		if out := c.Take(ms(0)); !slices.ContainsFunc(out, func(o Output) bool { return len(o.Addresses) == 40 }) {
+			t.Error("the mesh is not told the addresses of a single cell again")
+		}
+	}
+}
+
 // The planner refuses a job, and another cell's is asked, with which there is no session. The
 // request must not be lost: the caller would wait until its deadline.
 func TestRequestWaitsForItsSession(t *testing.T) {
--- a/node/register.go
+++ b/node/register.go
@@ -64,11 +64,7 @@
 			n.removeRecord(ctx, m)
 		}
 		listed, complete := n.records.list(), n.records.complete(len(n.platform.Members))
-		// The mesh forgets addresses that it is not told again, unless they are its peers.
-		for _, m := range listed {
-			n.mesh.AddAddresses(m.ID.Address)
-		}
-		if !changed {
+		if !changed && n.divided.Load() {
 			return
 		}
 		n.enqueue(ctx, func(now time.Time, c *Core) { c.SetRecorded(now, listed, complete) })
