node: the end of an unneeded session is no loss of another cell's planner

A planner of another cell was passed over for ten seconds whenever the session with it ended, also when it ended because nobody needed it any more: jobs then found no cell to be offered to. It is passed over only if something depended on the session.

Test: TestEndOfAnUnneededSessionIsNoLoss.

--- a/node/members.go
+++ b/node/members.go
@@ -90,7 +90,10 @@
 	if m, ok := c.members[id]; !ok || m.session != session {
 		return
 	}
-	c.noteUnreachable(now, id)
+	if _, watched := c.watched[id]; watched {
+		// Other sessions may have ended because neither side needs them.
+		c.noteUnreachable(now, id)
+	}
 	delete(c.members, id)
 	delete(c.readers.asked, id)
 	delete(c.readers.tried, id)
--- a/node/peers_test.go
+++ b/node/peers_test.go
@@ -145,6 +145,23 @@
 	}
 }
 
+// A session with another cell's planner is closed after its use. If that counted as a loss, no
+// jobs would be offered to a cell with room.
+func TestEndOfAnUnneededSessionIsNoLoss(t *testing.T) {
+	all := fleet(200, 4)
+	c := newFleetCore(all[1], newDirectory(all, true))
+	for i, m := range []mesh.Member{all[0], all[2]} {
+		c.MemberUp(ms(1), m, uint64(i+1))
+	}
+	c.watch(all[2].ID)
+	for i, m := range []mesh.Member{all[2], all[0]} {
+		c.MemberDown(ms(9), m.ID, uint64(2-i), ms(9))
+	}
+	if c.isUnreachable(all[0].ID) || !c.isUnreachable(all[2].ID) {
+		t.Errorf("passed over are %v, want only the process on which jobs depended", c.unreachable)
+	}
+}
+
 // A process takes another one for the planner of its cell, for example since the list is
 // old. Without an answer the job would wait for nothing.
 func TestRequestToAnotherThanThePlannerIsRedirected(t *testing.T) {
