mesh: few dials at a time before the size of the deployment is known

Half of the processes know that the deployment is divided 140 ms after their start, the last one 273 ms; until then each dials up to 95 others, most of them in other data centres. That is bounded at any size, but fills small VMs.

A process opens at most eight connections at a time in its first 0.4 s, unless to peers that do not dial themselves.

--- a/mesh/dial.go
+++ b/mesh/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"time"
 )
@@ -13,7 +14,7 @@
 	lastLearned, nextDial time.Time
 	backoff               time.Duration
 	dialing               bool
-	// deferred is set while the first dial waits for foreignAddressDelay.
+	// deferred is set while the first dial waits for the end of sizeUnknownPeriod.
 	deferred bool
 }
 
@@ -50,7 +51,7 @@
 func (m *Mesh[M]) addKnown(now time.Time, h hello) {
 	notBefore := now
 	if h.From.DataCenter != m.self.DataCenter {
-		notBefore = m.createdAt.Add(foreignAddressDelay)
+		notBefore = m.createdAt.Add(sizeUnknownPeriod)
 	}
 	for _, a := range h.Known {
 		_, had := m.addresses[a]
@@ -111,7 +112,7 @@
 		}
 	}
 	for a, known := range m.addresses {
-		_, isPeer := m.peers[a]
+		delay, isPeer := m.peers[a]
 		switch {
 		case known.dialing || m.sessions[a] != nil:
 		case m.peers != nil && !isPeer:
@@ -120,7 +121,7 @@
 			next = min(next, known.nextDial.Sub(now))
 		case !isPeer && now.Sub(known.lastLearned) > addressRetention:
 			delete(m.addresses, a)
-		case isPeer && dials+len(out) >= maxDials:
+		case dials+len(out) >= m.maxDials(now, isPeer, delay):
 			// The end of each dial wakes dialLoop.
 		default:
 			known.dialing = true
@@ -130,6 +131,21 @@
 	return out, next
 }
 
+// maxDials returns how many connections may be opened at a time. Peers that do not dial
+// themselves are few, and messages wait for their sessions. Without peers it is unlimited, but
+// for the time in which the size of the deployment is not known yet.
+func (m *Mesh[M]) maxDials(now time.Time, isPeer bool, delay time.Duration) int {
+	switch {
+	case isPeer && delay > 0:
+		return maxPeerDials
+	case isPeer:
+		return math.MaxInt
+	case now.Sub(m.createdAt) < sizeUnknownPeriod:
+		return maxEarlyDials
+	}
+	return math.MaxInt
+}
+
 // wakeDialer makes dialLoop check for addresses that are due.
 func (m *Mesh[M]) wakeDialer() {
 	select {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -53,12 +53,14 @@
 	// be in its redial backoff, and a process that has just started knows the planner
 	// only once they are connected.
 	higherAddressDialDelay = 60 * time.Millisecond
-	// maxDials bounds the connections to peers that are being opened at a time.
-	maxDials = 16
-	// foreignAddressDelay is how long after its start a process dials no addresses that it has
-	// from members in other data centres alone. By then it knows from the store whether the
-	// deployment is divided into cells; it would dial hundreds of processes for nothing.
-	foreignAddressDelay = 400 * time.Millisecond
+	// maxPeerDials bounds the connections to peers that are being opened at a time.
+	maxPeerDials = 16
+	// sizeUnknownPeriod is the time after its start in which a process may not know yet from
+	// the store that the deployment is divided into cells, and would dial hundreds of
+	// processes for nothing. It opens no more than maxEarlyDials connections at a time, and
+	// dials no addresses that it has from members in other data centres alone.
+	sizeUnknownPeriod = 400 * time.Millisecond
+	maxEarlyDials     = 8
 	// shortSession is the time below which a session with a peer counts as a failed dial.
 	shortSession = time.Second
 	// unneededSessionRetention is how long after its last message a session is closed that
--- a/mesh/peers_test.go
+++ b/mesh/peers_test.go
@@ -115,7 +115,7 @@
 		p[0].mesh.AddAddresses(p[2].member.ID.Address)
 		time.Sleep(100 * time.Millisecond)
 		wantKinds(t, "when the store lists one of them", p[0].kinds(), []Kind{Up, Up})
-		time.Sleep(foreignAddressDelay)
+		time.Sleep(sizeUnknownPeriod)
 		wantKinds(t, "after the delay", p[0].kinds(), []Kind{Up, Up, Up})
 	})
 }
