--- a/event/table.go
+++ b/event/table.go
@@ -77,7 +77,7 @@
 	MemberStateChanged ID = 815
 	MemberOverdue      ID = 816
 	SessionRefused     ID = 817
-	VisitFailed        ID = 818
+	SessionNotOpened   ID = 818
 	CellLayout         ID = 819
 
 	PlannerChosen          ID = 900
@@ -186,7 +186,7 @@
 	{MemberStateChanged, slog.LevelInfo, "member news", "A member advertises a changed state: its number, whether it is leaving, whether it can't reach the store (blind), how often it began to plan, its version of the configuration, up to which offset it knows the evacuations. A change of the last two alone is not logged.", "0.2"},
 	{MemberOverdue, slog.LevelInfo, "member late", "The heartbeat of a watched member is overdue; it has been silent for the time given. Until it is heard from, no lease is renewed beyond the time at which the callers that it may have lost retry; if it is the planner, all members are watched for a second.", "0.2"},
 	{SessionRefused, slog.LevelWarn, "session refused", "A process of another cell has connected, but this process has as many sessions as it may have. Jobs that the other process offered to this cell are placed elsewhere or refused.", "0.4"},
-	{VisitFailed, slog.LevelWarn, "process of another cell not reached", "No session with a process of another cell could be opened in time for a job. The messages were not sent: tasks are placed again, and jobs are offered to their own cell again. The process is passed over for ten seconds.", "0.4"},
+	{SessionNotOpened, slog.LevelWarn, "process of another cell not reached", "No session with a process of another cell could be opened in time for a job. The messages were not sent: tasks are placed again, and jobs are offered to their own cell again. The process is passed over for ten seconds.", "0.4"},
 	{CellLayout, slog.LevelInfo, "cell layout", "This process has changed its view of how the deployment is divided into cells: divided is false for a single cell, else each data centre has 2 to the power of bits cells, and this process belongs to the one with the number part. listed is how many processes the store lists, listed_in_cell those of this cell.", "0.4"},
 	{PlannerChosen, slog.LevelInfo, "planner chosen", "This process has elected the planner given for the cell, from the members that it can reach.", "0.2"},
 	{PlannerBegan, slog.LevelInfo, "planning begins", "This process plans for the cell from now on.", "0.2"},
--- a/node/core.go
+++ b/node/core.go
@@ -60,11 +60,11 @@
 	foreign      map[cellID][]mesh.Member
 	plannerHints map[cellID]mesh.ID
 	unreachable  map[netip.AddrPort]time.Time
-	// visits are the sessions with processes of other cells on which jobs here depend, peers
-	// all processes to keep sessions with, nil if these are all that are known.
-	visits  map[mesh.ID]*visit
-	peers   []mesh.Peer
-	planner mesh.ID
+	// onDemand are the sessions with processes of other cells on which jobs here depend,
+	// peers all processes to keep sessions with, nil if these are all that are known.
+	onDemand map[mesh.ID]*onDemandSession
+	peers    []mesh.Peer
+	planner  mesh.ID
 	// readers are the processes that read the platform's list of workers for this one while
 	// it is the planner; readFor are the reads that this process makes for another planner.
 	readers listReaders
@@ -121,7 +121,7 @@
 		members:      make(map[mesh.ID]peerState),
 		plannerHints: make(map[cellID]mesh.ID),
 		unreachable:  make(map[netip.AddrPort]time.Time),
-		visits:       make(map[mesh.ID]*visit),
+		onDemand:     make(map[mesh.ID]*onDemandSession),
 		entry:        entry.New(log),
 		cell:         cell.New(log, self.ID, policy),
 		held:         make(map[string]*lease.WorkerLease),
@@ -219,7 +219,7 @@
 	if other == (mesh.ID{}) {
 		return c.planner
 	}
-	if v := c.visits[other]; v != nil {
+	if v := c.onDemand[other]; v != nil {
 		v.usedAt = now
 	}
 	c.watch(other)
@@ -260,8 +260,8 @@
 	case to == (mesh.ID{}):
 	case to == c.self.ID:
 		c.handleMessage(now, to, m)
-	case c.needsVisit(to, m):
-		c.visit(now, to, m)
+	case c.needsSession(to, m):
+		c.openFor(now, to, m)
 	default:
 		c.out = append(c.out, Output{To: to, Message: &m})
 	}
@@ -395,7 +395,7 @@
 	c.retryEvacuations(now)
 	c.entry.Tick(now)
 	c.announceNewlyHeld(now)
-	c.updateVisits(now)
+	c.updateOnDemand(now)
 	c.updateWatches(now)
 }
 
--- a/node/members.go
+++ b/node/members.go
@@ -14,7 +14,7 @@
 // MemberUp handles a new session with a member.
 func (c *Core) MemberUp(now time.Time, m mesh.Member, session uint64) {
 	c.endPredecessors(now, m.ID)
-	if c.refusesVisitor(m) {
+	if c.refusesSession(m) {
 		event.SessionRefused.Log(c.log, "member", m.VM, "id", m.ID, "sessions", len(c.members))
 		c.out = append(c.out, Output{Disconnect: &Disconnect{m.ID, session}})
 		return
--- a/node/peers.go
+++ b/node/peers.go
@@ -10,7 +10,7 @@
 
 // In a deployment that is divided into cells, a process has sessions with its own cell, and
 // few others: a planner with the planners of some other cells (links), and any process with
-// those on which its jobs depend in another cell (visits). So the number of sessions depends
+// those on which its jobs depend in another cell (on demand). So the number of sessions depends
 // on the size of a cell and not of the deployment.
 const (
 	// maxSessions bounds the sessions of a process. At the bound, new sessions with
@@ -70,7 +70,7 @@
 	for _, a := range c.linkAddrs() {
 		delays[a] = 0
 	}
-	for id := range c.visits {
+	for id := range c.onDemand {
 		delays[id.Address] = 0
 	}
 	delete(delays, c.self.ID.Address)
@@ -124,14 +124,14 @@
 	return ok
 }
 
-// refusesVisitor reports whether a new session with a process of another cell is one too
+// refusesSession reports whether a new session with a process of another cell is one too
 // many.
-func (c *Core) refusesVisitor(m mesh.Member) bool {
+func (c *Core) refusesSession(m mesh.Member) bool {
 	if !c.layout.divided || len(c.members) < maxSessions || c.cellOf(m) == c.ownCell() {
 		return false
 	}
-	_, visited := c.visits[m.ID]
-	return !visited
+	_, wanted := c.onDemand[m.ID]
+	return !wanted
 }
 
 // sendDirectory tells a process that has just started, and may not reach the store, the
--- a/node/peers_test.go
+++ b/node/peers_test.go
@@ -127,7 +127,7 @@
 
 // The other cell's process is dead. The job must be offered elsewhere at once, and not to the
 // same process again and again.
-func TestVisitOfADeadProcess(t *testing.T) {
+func TestProcessOfAnotherCellIsDead(t *testing.T) {
 	all := fleet(200, 4)
 	c := newFleetCore(all[1], newDirectory(all, true))
 	before := c.otherPlanners()
@@ -136,8 +136,8 @@
 	}
 	dead := before[0]
 	c.send(ms(2), dead, Message{Start: &entry.Start{Runs: []entry.PlacedRun{{Run: lease.Run{Task: "j.0.0.0", Number: 1}, Worker: "w"}}}})
-	c.Tick(ms(2).Add(visitTimeout + time.Millisecond))
-	if len(c.visits) != 0 {
+	c.Tick(ms(2).Add(openTimeout + time.Millisecond))
+	if len(c.onDemand) != 0 {
 		t.Error("still waits for the session")
 	}
 	if after := c.otherPlanners(); slices.Contains(after, dead) || len(after) != len(before) {
@@ -167,12 +167,12 @@
 func TestRequestToAnotherThanThePlannerIsRedirected(t *testing.T) {
 	all := fleet(200, 4)
 	c := newFleetCore(all[1], newDirectory(all, true))
-	planner, visitor := all[9], all[0]
+	planner, requester := all[9], all[0]
 	planner.Cores = 4
 	c.MemberUp(ms(1), planner, 1)
-	c.MemberUp(ms(1), visitor, 2)
-	c.Receive(ms(2), visitor.ID, 2, []Message{{Request: &cell.Request{Job: "j"}}})
-	m := messagesTo(c.Take(ms(2)), visitor.ID)
+	c.MemberUp(ms(1), requester, 2)
+	c.Receive(ms(2), requester.ID, 2, []Message{{Request: &cell.Request{Job: "j"}}})
+	m := messagesTo(c.Take(ms(2)), requester.ID)
 	if len(m) != 1 || m[0].Refusal == nil || m[0].Refusal.Reason != cell.ReasonNotPlanner || m[0].Refusal.Planner != planner.ID {
 		t.Errorf("answered %+v, want the planner %s", m, planner.ID)
 	}
@@ -184,7 +184,7 @@
 
 // Many processes of other cells offer jobs here at once. Their sessions must not fill this
 // process's memory, and its own cell must always get in.
-func TestVisitorsAreBounded(t *testing.T) {
+func TestSessionsOfOtherCellsAreBounded(t *testing.T) {
 	all := fleet(600, 4)
 	d := newDirectory(all, true)
 	c := newFleetCore(all[1], d)
