--- a/node/core.go
+++ b/node/core.go
@@ -219,8 +219,8 @@
 	if other == (mesh.ID{}) {
 		return c.planner
 	}
-	if v := c.onDemand[other]; v != nil {
-		v.usedAt = now
+	if s := c.onDemand[other]; s != nil {
+		s.usedAt = now
 	}
 	c.watch(other)
 	return other
--- a/node/ondemand.go
+++ b/node/ondemand.go
@@ -39,23 +39,23 @@
 
 // openFor has a session opened with a process of another cell, and sends the message over it.
 func (c *Core) openFor(now time.Time, to mesh.ID, m Message) {
-	v := c.onDemand[to]
-	if v == nil && len(c.members)+len(c.onDemand) >= maxSessions || v != nil && len(v.messages) >= maxWaitingMessages {
+	s := c.onDemand[to]
+	if s == nil && len(c.members)+len(c.onDemand) >= maxSessions || s != nil && len(s.messages) >= maxWaitingMessages {
 		c.noteUnreachable(now, to)
 		c.entry.SetOtherPlanners(c.otherPlanners())
 		c.openFailed(now, to, []Message{m})
 		return
 	}
-	if v == nil {
-		v = &onDemandSession{}
-		c.onDemand[to] = v
+	if s == nil {
+		s = &onDemandSession{}
+		c.onDemand[to] = s
 		c.updatePeers()
 	}
-	if len(v.messages) == 0 {
-		v.openedAt = now
+	if len(s.messages) == 0 {
+		s.openedAt = now
 	}
-	v.usedAt = now
-	v.messages = append(v.messages, m)
+	s.usedAt = now
+	s.messages = append(s.messages, m)
 }
 
 // openFailed has the runs of unsent starts placed again, and asks this cell's planner again
@@ -76,9 +76,9 @@
 
 // sendWaiting sends the messages that have waited for a session that has begun now.
 func (c *Core) sendWaiting(now time.Time, to mesh.ID) {
-	if v := c.onDemand[to]; v != nil {
-		messages := v.messages
-		v.messages, v.usedAt = nil, now
+	if s := c.onDemand[to]; s != nil {
+		messages := s.messages
+		s.messages, s.usedAt = nil, now
 		for _, m := range messages {
 			c.send(now, to, m)
 		}
@@ -98,16 +98,16 @@
 	}
 	needed := c.entry.Dependencies()
 	for _, id := range sortedIDs(c.onDemand) {
-		v := c.onDemand[id]
+		s := c.onDemand[id]
 		_, needs := needed[id]
 		switch {
-		case len(v.messages) > 0 && now.Sub(v.openedAt) > openTimeout:
-			messages := v.messages
+		case len(s.messages) > 0 && now.Sub(s.openedAt) > openTimeout:
+			messages := s.messages
 			delete(c.onDemand, id)
 			c.noteUnreachable(now, id)
 			c.elect(now)
 			c.openFailed(now, id, messages)
-		case len(v.messages) == 0 && !needs && now.Sub(v.usedAt) > onDemandRetention:
+		case len(s.messages) == 0 && !needs && now.Sub(s.usedAt) > onDemandRetention:
 			delete(c.onDemand, id)
 		}
 	}
