node: renewals are not missed in a partition that was not read

With the records in several partitions, the store may serve the own one and not another.

A renewal counts as missed only in partitions that were read since the last counted one. The test fails without: the live process is removed.

--- a/node/records.go
+++ b/node/records.go
@@ -39,8 +39,10 @@
 	mu sync.Mutex
 	// parts holds the records of each partition that has been read, by address.
 	parts map[int]map[netip.AddrPort]*trackedRecord
-	// countedAt is when the last own renewal that was counted was read.
+	// countedAt is when the last own renewal that was counted was read, readAt when each
+	// partition was last read.
 	countedAt time.Time
+	readAt    map[int]time.Time
 }
 
 type trackedRecord struct {
@@ -63,7 +65,7 @@
 }
 
 func newRecordTracker(self netip.AddrPort, ownPart int) *recordTracker {
-	return &recordTracker{self: self, ownPart: ownPart, parts: make(map[int]map[netip.AddrPort]*trackedRecord)}
+	return &recordTracker{self: self, ownPart: ownPart, parts: make(map[int]map[netip.AddrPort]*trackedRecord), readAt: make(map[int]time.Time)}
 }
 
 // apply applies what was read of a partition at the given time; full is set if that is the
@@ -72,6 +74,7 @@
 func (r *recordTracker) apply(readAt time.Time, part int, full bool, changes []recordChange) (changed bool, gone []goneMember) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.readAt[part] = readAt
 	records := r.parts[part]
 	if records == nil || full {
 		records, changed = make(map[netip.AddrPort]*trackedRecord), true
@@ -94,13 +97,19 @@
 	return changed || len(gone) > 0, gone
 }
 
-// countRenewal counts an own renewal, and removes the processes that have missed too many.
+// countRenewal counts an own renewal, and removes the processes that have missed too many. In
+// a partition that was not read since the last one, renewals can't be seen: it may be
+// unavailable while the own one is not.
 func (r *recordTracker) countRenewal(readAt time.Time) (gone []goneMember) {
 	if readAt.Sub(r.countedAt) < minRenewalGap {
 		return nil
 	}
+	lastCounted := r.countedAt
 	r.countedAt = readAt
 	for part, records := range r.parts {
+		if !r.readAt[part].After(lastCounted) {
+			continue
+		}
 		for a, o := range records {
 			if a == r.self {
 				continue
--- a/node/records_test.go
+++ b/node/records_test.go
@@ -109,3 +109,25 @@
 		t.Errorf("listed processes are %v, want this one alone after %d renewals of its own", got, maxMissedRenewals+1)
 	}
 }
+
+// The store serves the own partition and not another one. The processes in that one go on
+// renewing their records, which can't be seen, and must not be taken for gone.
+func TestUnreadPartitionForgetsNobody(t *testing.T) {
+	r := newRecordTracker(vmAddr(1), 0)
+	now := ms(0)
+	r.apply(now, 1, true, renewed(vmAddr(2)))
+	for range 3 * maxMissedRenewals {
+		now = now.Add(renewInterval)
+		if _, gone := r.apply(now, 0, false, renewed(vmAddr(1))); len(gone) != 0 {
+			t.Fatalf("%v was removed", gone)
+		}
+	}
+	for range maxMissedRenewals + 1 {
+		now = now.Add(renewInterval)
+		r.apply(now.Add(-time.Second), 1, false, nil)
+		r.apply(now, 0, false, renewed(vmAddr(1)))
+	}
+	if got := r.list(); len(got) != 1 {
+		t.Errorf("listed are %v, want this process alone after its partition was read without a renewal", got)
+	}
+}
