entry: refusals of former planners are forgotten

When another cell's planner last refused a job was kept for each planner ever asked, so the map grew with each restart of one. It holds those that jobs are offered to. Also the package comment of mesh, which still said that each process has a session with each other one.

--- a/entry/elsewhere.go
+++ b/entry/elsewhere.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,9 +15,11 @@
 
 // SetOtherPlanners sets the planners of the other cells.
 func (js *Jobs) SetOtherPlanners(planners []mesh.ID) {
-	if !slices.Equal(planners, js.otherPlanners) {
-		js.otherPlanners = planners
+	if slices.Equal(planners, js.otherPlanners) {
+		return
 	}
+	js.otherPlanners = planners
+	maps.DeleteFunc(js.refusedBy, func(id mesh.ID, _ time.Time) bool { return !slices.Contains(planners, id) })
 }
 
 // requestFromOtherCell requests workers from another cell's planner for a job that this
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -1,5 +1,5 @@
-// Package mesh connects each process of a cell with each other one, by one connection
-// that carries JSON-RPC notifications both ways.
+// Package mesh connects a process with all others that become known, or with its peers, by one
+// connection each that carries JSON-RPC notifications both ways.
 //
 // A connection is a session. While it lasts, messages arrive once and in order; when it
 // ends, both sides get an event, and neither knows which of the last messages arrived. A
@@ -8,8 +8,8 @@
 // a connection that died without a reset are all detected after the same time: soon if
 // one side watches the other, else after seconds.
 //
-// Limits: an idle session costs little, but each process has one with each other process,
-// so a mesh is meant for some hundreds of processes.
+// Limits: an idle session costs little, but without SetPeers each process has one with each
+// other process, which is meant for up to a hundred processes. SetPeers restricts them.
 package mesh
 
 import (
