node: no quorum by a part of a single cell's list

The records are in a partition for each data centre. A process that had read its own and not yet the others judged its quorum by that part: alone in its data centre it had one, and would have taken the workers of all others, if the store did not answer for the other partitions. Their runs would have been stopped; nothing runs twice, by the fencing tokens.

Without several cells there is no quorum before the whole list has been read. The test fails without.

--- a/node/members.go
+++ b/node/members.go
@@ -213,7 +213,9 @@
 // processes do not hold this cell's workers.
 func (c *Core) updateQuorum(now time.Time, members []mesh.Member) (allReachable bool) {
 	recorded, recordedReachable := c.recordedInCell(members)
-	quorum := 2*recordedReachable > recorded
+	// Part of a single cell's list says nothing of the rest. A cell's own partition is enough.
+	known := c.directory.complete || c.layout.divided
+	quorum := known && 2*recordedReachable > recorded
 	if quorum && !c.quorum {
 		c.quorumSince = now
 	}
--- a/node/othercells.go
+++ b/node/othercells.go
@@ -119,7 +119,7 @@
 // noteRefusal keeps the planner that a refusal from another cell names.
 func (c *Core) noteRefusal(now time.Time, from mesh.ID, r cell.Refusal) {
 	m, ok := c.members[from]
-	if r.Reason != cell.ReasonNotPlanner || !ok {
+	if r.Reason != cell.ReasonNotPlanner || r.Planner == (mesh.ID{}) || !ok {
 		return
 	}
 	delete(c.unreachable, r.Planner.Address)
--- a/node/peers_test.go
+++ b/node/peers_test.go
@@ -235,6 +235,24 @@
 	}
 }
 
+// A process of a small deployment has read the records of its own data centre, where it is
+// alone, and the store does not answer for the others. With a quorum of that part it would
+// take the workers of all others.
+func TestPartOfTheListIsNoQuorum(t *testing.T) {
+	all := fleet(9, 3)
+	c := newFleetCore(all[1], newDirectory(all[1:2], false))
+	if c.HasQuorum() {
+		t.Error("quorum before the whole list has been read")
+	}
+	c.SetRecorded(ms(1), all, true)
+	for i, m := range all[2:] {
+		c.MemberUp(ms(2), m, uint64(i+1))
+	}
+	if !c.HasQuorum() {
+		t.Error("no quorum with all but one of the listed processes")
+	}
+}
+
 // A process that starts where both layouts are possible must join the cell of the others:
 // with another layout it would elect itself and take their workers.
 func TestNewProcessAdoptsTheLayout(t *testing.T) {
--- a/node/register.go
+++ b/node/register.go
@@ -63,10 +63,10 @@
 		for _, m := range gone {
 			n.removeRecord(ctx, m)
 		}
-		listed, complete := n.records.list(), n.records.complete(len(n.platform.Members))
 		if !changed && n.divided.Load() {
 			return
 		}
+		listed, complete := n.records.list(), n.records.complete(len(n.platform.Members))
 		n.enqueue(ctx, func(now time.Time, c *Core) { c.SetRecorded(now, listed, complete) })
 	})
 }
