--- a/review/drill/client.go
+++ b/review/drill/client.go
@@ -16,11 +16,10 @@
 // client is a stand-in for a client. Its connections come from an address of its own, and
 // each request opens a new one, which the platform's balancer forwards.
 type client struct {
-	world    *world
-	name     string
-	zone     string
-	http     *http.Client
-	lastNode *node
+	world *world
+	name  string
+	zone  string
+	http  *http.Client
 }
 
 func (w *world) newClient(i int) *client {
@@ -83,19 +82,3 @@
 	c.world.note("%s gets %d for job %s: %s", c.name, status, id, answer)
 	return status, answer, n
 }
-
-// submit hands a job in, and again resend_ms after no answer, 502 or 504, as PROTOCOL.md
-// says.
-func (c *client) submit(id, spec string, steps []step, wait time.Duration, tries int) (status int) {
-	for range tries {
-		status, _, _ = c.post(id, spec, steps, wait)
-		if status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
-			return status
-		}
-		time.Sleep(resendAfter)
-	}
-	return status
-}
-
-// resendAfter is resend_ms.
-const resendAfter = 1300 * time.Millisecond
