--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -13,6 +13,7 @@
 // held.
 var drills = map[string]func(w *world, trouble bool) (broken string, err error){
 	"cancel":   cancel,
+	"poison":   poison,
 	"replaced": replaced,
 }
 
