node: processes that don't answer a probe lose their vote

Cause: a record in the store outlives its process by three to four minutes and counts for the quorum. Event 823, which is new, showed 16 listed and 8 reachable processes at the planner, so no worker was given to a holder. The same with planned stops while the store is away.

Change: the planner asks the processes that it can't reach, by a probe next to their records, to renew these. Records that stay older than the probe are deleted; a live process whose record is deleted writes it again at once. Members that announced their stop count neither way. Records of the release before have the time in which they are renewed anyway. A process that is cut off but has the store answers and keeps counting; without the store nobody is deleted.

--- a/event/table.go
+++ b/event/table.go
@@ -79,6 +79,10 @@
 	SessionRefused     ID = 817
 	SessionNotOpened   ID = 818
 	CellLayout         ID = 819
+	MembersProbed      ID = 820
+	MemberSilent       ID = 821
+	ProbeFailed        ID = 822
+	QuorumChanged      ID = 823
 
 	PlannerChosen          ID = 900
 	PlannerBegan           ID = 901
@@ -188,6 +192,10 @@
 	{SessionRefused, slog.LevelWarn, "session refused", "A process of another cell has connected, but this process has as many sessions as it may have. Jobs that the other process offered to this cell are placed elsewhere or refused.", "0.4"},
 	{SessionNotOpened, slog.LevelWarn, "process of another cell not reached", "No session with a process of another cell could be opened in time for a job. The messages were not sent: tasks are placed again, and jobs are offered to their own cell again. The process is passed over for ten seconds.", "0.4"},
 	{CellLayout, slog.LevelInfo, "cell layout", "This process has changed its view of how the deployment is divided into cells: divided is false for a single cell, else each data centre has 2 to the power of bits cells, and this process belongs to the one with the number part. listed is how many processes the store lists, listed_in_cell those of this cell.", "0.4"},
+	{MembersProbed, slog.LevelInfo, "processes probed", "The planner has not reached the listed processes at the addresses given for a while and asks them, through the store, to renew their records.", "0.5"},
+	{MemberSilent, slog.LevelInfo, "process does not answer probes", "A process that the planner can't reach has not answered its probe, although the store accepts records. It no longer counts towards the quorum, and its record is deleted; if it lives, it writes its record again as soon as it reads that.", "0.5"},
+	{ProbeFailed, slog.LevelWarn, "probe failed", "A probe could not be written to the partition given, or its records not be read; it is repeated. Until one succeeds, processes that are gone count towards the quorum.", "0.5"},
+	{QuorumChanged, slog.LevelInfo, "quorum changed", "This process reaches more than half of the processes that the store lists for its cell, or no longer does: listed and reachable say how many there are of each, without those that are stopping. A planner without a quorum gives no worker to a holder.", "0.5"},
 	{PlannerChosen, slog.LevelInfo, "planner chosen", "This process has elected the planner given for the cell, from the members that it can reach.", "0.2"},
 	{PlannerBegan, slog.LevelInfo, "planning begins", "This process plans for the cell from now on.", "0.2"},
 	{PlannerEnded, slog.LevelInfo, "planning ends", "Another process plans from now on.", "0.2"},
--- a/node/core.go
+++ b/node/core.go
@@ -53,7 +53,11 @@
 	// cellRecords are the listed processes of this cell, otherCells the first ones by
 	// priority of the others.
 	cellRecords map[netip.AddrPort]mesh.Member
-	otherCells  map[cellID][]mesh.Member
+	// left holds the processes that announced their stop before their session ended.
+	left map[mesh.ID]struct{}
+	// missing holds since when processes in cellRecords have been unreachable.
+	missing    map[netip.AddrPort]time.Time
+	otherCells map[cellID][]mesh.Member
 	// foreign are the reachable processes of other cells. plannerHints are the planners that
 	// processes there have named, unreachable when those that could not be reached were
 	// last tried.
@@ -121,6 +125,8 @@
 		members:      make(map[mesh.ID]peerState),
 		plannerHints: make(map[cellID]mesh.ID),
 		unreachable:  make(map[netip.AddrPort]time.Time),
+		left:         make(map[mesh.ID]struct{}),
+		missing:      make(map[netip.AddrPort]time.Time),
 		onDemand:     make(map[mesh.ID]*onDemandSession),
 		entry:        entry.New(log),
 		cell:         cell.New(log, self.ID, policy),
--- a/node/members.go
+++ b/node/members.go
@@ -20,6 +20,7 @@
 		return
 	}
 	delete(c.unreachable, m.ID.Address)
+	delete(c.left, m.ID)
 	c.members[m.ID] = peerState{m, session}
 	c.elect(now)
 	c.sendDirectory(now, m)
@@ -87,13 +88,17 @@
 
 // MemberDown handles the end of a session.
 func (c *Core) MemberDown(now time.Time, id mesh.ID, session uint64, lastHeard time.Time) {
-	if m, ok := c.members[id]; !ok || m.session != session {
+	m, ok := c.members[id]
+	if !ok || m.session != session {
 		return
 	}
 	if _, watched := c.watched[id]; watched {
 		// Other sessions may have ended because neither side needs them.
 		c.noteUnreachable(now, id)
 	}
+	if m.Leaving {
+		c.left[id] = struct{}{}
+	}
 	delete(c.members, id)
 	delete(c.readers.asked, id)
 	delete(c.readers.tried, id)
@@ -159,6 +164,7 @@
 // knows: it forgets what it is not told again.
 func (c *Core) SetRecorded(now time.Time, listed []mesh.Member, complete bool) {
 	c.directory, c.cellRecords = newDirectory(listed, complete), nil
+	c.updateLeft()
 	c.elect(now)
 	if c.layout.divided {
 		return
@@ -194,6 +200,7 @@
 	if changed || began {
 		c.syncPlanner(now)
 	}
+	c.updateMissing(now, members)
 	allReachable := c.updateQuorum(now, members)
 	c.cell.SetMembers(now, members, reachable, c.quorum, allReachable)
 	if began {
@@ -219,6 +226,9 @@
 	if quorum && !c.quorum {
 		c.quorumSince = now
 	}
+	if quorum != c.quorum {
+		event.QuorumChanged.Log(c.log, "quorum", quorum, "listed", recorded, "reachable", recordedReachable)
+	}
 	c.quorum = quorum
 	// Processes that started together may not have connected yet. After discoveryTimeout,
 	// all live ones are reachable.
@@ -310,23 +320,43 @@
 }
 
 // recordedInCell returns how many processes the store lists for this cell, and how many of
-// them are among the members that are reachable.
+// them are among the members that are reachable. Those that are stopping count in neither
+// number: they give their workers away, and without the store they can't delete their records.
 func (c *Core) recordedInCell(members []mesh.Member) (recorded, recordedReachable int) {
-	recorded = len(c.cellRecords)
+	for _, m := range c.cellRecords {
+		if _, left := c.left[m.ID]; !left {
+			recorded++
+		}
+	}
 	for _, m := range members {
-		_, ok := c.directory.byAddress[m.ID.Address]
-		if !ok {
+		if _, ok := c.directory.byAddress[m.ID.Address]; !ok {
 			continue
 		}
-		recordedReachable++
-		if _, ok := c.cellRecords[m.ID.Address]; !ok {
+		_, inCell := c.cellRecords[m.ID.Address]
+		switch {
+		case m.Leaving && inCell:
+			recorded--
+		case m.Leaving:
+		case inCell:
+			recordedReachable++
+		default:
 			// Its record doesn't name its data centre, as those of earlier releases.
 			recorded++
+			recordedReachable++
 		}
 	}
 	return recorded, recordedReachable
 }
 
+// updateLeft forgets the processes that have left once they are no longer listed.
+func (c *Core) updateLeft() {
+	for id := range c.left {
+		if c.directory.byAddress[id.Address].ID != id {
+			delete(c.left, id)
+		}
+	}
+}
+
 // HasQuorum reports whether more than half of the processes that the store lists for this
 // cell are reachable. It is false until the list has been read.
 func (c *Core) HasQuorum() bool { return c.quorum && len(c.directory.byAddress) > 0 }
--- a/node/node.go
+++ b/node/node.go
@@ -129,7 +129,9 @@
 	divided atomic.Bool
 	// recordedAs receives the number of the own record once it has been read in the store.
 	recordedAs chan uint64
-	startedAt  time.Duration
+	// renewNow has the own record renewed early.
+	renewNow  chan struct{}
+	startedAt time.Duration
 	// sinceBoot reads the clock that also runs while the VM is suspended.
 	sinceBoot func() time.Duration
 	planner   atomic.Pointer[mesh.ID]
@@ -183,6 +185,7 @@
 		waiters:        make(map[entry.Waiter]chan entry.Answer),
 		listenerClosed: make(chan struct{}),
 		recordedAs:     make(chan uint64, 1),
+		renewNow:       make(chan struct{}, 1),
 		topics:         make(map[string]*registry.Follower),
 		records:        newRecordTracker(cfg.Peers, p.OwnMembers),
 	}
@@ -253,6 +256,7 @@
 		tree.Add(service{fmt.Sprintf("members' topic, partition %d", part), n.followMembers(part).Serve})
 	}
 	tree.Add(service{"own record", n.maintainRecord})
+	tree.Add(service{"probes", n.probeMembers})
 	tree.Add(service{"store watch", n.watchStore})
 	tree.Add(service{"gauges", n.exportMetrics})
 	tree.Add(service{"callers", n.serveCallers})
--- a/node/records.go
+++ b/node/records.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"snipehub.example/mesh"
+	"snipehub.example/registry"
 )
 
 const (
@@ -26,11 +27,9 @@
 // concurrent use.
 //
 // A listed process counts towards the quorum without which no worker is assigned to
-// another holder, and a killed process does not delete its own record. So records that
-// are no longer renewed must expire: otherwise a deployment of eight could not reassign
-// workers after its eighth replacement at a new address, nor after five of eight
-// processes were lost at once, and tasks on the workers of the lost ones would never
-// start.
+// another holder, and a killed process does not delete its own record. The planner probes
+// those that it can't reach (probe.go). Records that are no longer renewed expire besides, so
+// that they don't stay listed where no planner probes them.
 type recordTracker struct {
 	self netip.AddrPort
 	// ownPart is the partition with the own record.
@@ -47,15 +46,23 @@
 
 type trackedRecord struct {
 	mesh.Member
+	offset registry.Offset
 	// missedRenewals counts the own renewals since the record was last renewed.
 	missedRenewals int
 }
 
+// ownRecord is whether the own record is listed, and its offset.
+type ownRecord struct {
+	listed bool
+	offset registry.Offset
+}
+
 // recordChange is a record read in a partition: written, or removed.
 type recordChange struct {
 	address netip.AddrPort
 	removed bool
 	member  mesh.Member
+	offset  registry.Offset
 }
 
 // goneMember is a process that has not renewed its record for long.
@@ -89,7 +96,7 @@
 		}
 		have := records[c.address]
 		changed = changed || have == nil || have.ID != c.member.ID
-		records[c.address] = &trackedRecord{Member: c.member}
+		records[c.address] = &trackedRecord{Member: c.member, offset: c.offset}
 		if c.address == r.self && part == r.ownPart {
 			gone = append(gone, r.countRenewal(readAt)...)
 		}
@@ -124,6 +131,39 @@
 	return gone
 }
 
+// remove removes a process from the list.
+func (r *recordTracker) remove(gone goneMember) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.parts[gone.part], gone.address)
+}
+
+// own returns the state of the own record, as last read.
+func (r *recordTracker) own() ownRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.parts[r.ownPart][r.self]
+	if o == nil {
+		return ownRecord{}
+	}
+	return ownRecord{listed: true, offset: o.offset}
+}
+
+// byPartition groups processes by the partitions that hold their records.
+func (r *recordTracker) byPartition(processes []netip.AddrPort) map[int][]netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[int][]netip.AddrPort)
+	for part, records := range r.parts {
+		for _, a := range processes {
+			if records[a] != nil {
+				out[part] = append(out[part], a)
+			}
+		}
+	}
+	return out
+}
+
 // complete reports whether all of a number of partitions have been read.
 func (r *recordTracker) complete(parts int) bool {
 	r.mu.Lock()
--- a/node/register.go
+++ b/node/register.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"time"
 
-	"snipehub.example/clock"
 	"snipehub.example/event"
 	"snipehub.example/mesh"
 	"snipehub.example/registry"
@@ -25,6 +24,8 @@
 	// Number is the process's number. The first record lacks it, since its place in the
 	// store gives the number.
 	Number uint64 `json:"number,omitempty"`
+	// AnswersProbes is set if the process renews its record when it is probed.
+	AnswersProbes bool `json:"probes,omitempty"`
 }
 
 const (
@@ -59,18 +60,28 @@
 				changes = append(changes, change)
 			}
 		}
+		before := n.records.own()
 		changed, gone := n.records.apply(update.At, part, update.Full, changes)
+		if part == n.platform.OwnMembers {
+			n.renewIfAsked(update.Records, before, n.records.own())
+		}
 		for _, m := range gone {
-			n.removeRecord(ctx, m)
+			event.MemberForgotten.Log(n.log, "address", m.address)
+			n.deleteRecord(ctx, m)
 		}
 		if !changed && n.divided.Load() {
 			return
 		}
-		listed, complete := n.records.list(), n.records.complete(len(n.platform.Members))
-		n.enqueue(ctx, func(now time.Time, c *Core) { c.SetRecorded(now, listed, complete) })
+		n.publishRecords(ctx)
 	})
 }
 
+// publishRecords tells the core which processes the store lists.
+func (n *Node) publishRecords(ctx context.Context) {
+	listed, complete := n.records.list(), n.records.complete(len(n.platform.Members))
+	n.enqueue(ctx, func(now time.Time, c *Core) { c.SetRecorded(now, listed, complete) })
+}
+
 // membersPace returns how a partition is read next. The pauses grow with the time since the
 // process has started, since most processes register when the others do.
 func (n *Node) membersPace(part int) (wait, pause time.Duration) {
@@ -90,12 +101,15 @@
 // decodeMemberRecord decodes a record read in a partition. One that can't be read changes
 // nothing: the process may live, and its record may have been overwritten by mistake.
 func (n *Node) decodeMemberRecord(part int, r registry.Record) (recordChange, bool) {
+	if r.Key == probeKey {
+		return recordChange{}, false
+	}
 	a, err := netip.ParseAddrPort(r.Key)
 	if err != nil {
 		event.RecordUnreadable.Log(n.log, "topic", topicMembers, "part", part, "key", r.Key, "error", err)
 		return recordChange{}, false
 	}
-	change := recordChange{address: a, removed: r.Removed}
+	change := recordChange{address: a, removed: r.Removed, offset: r.Offset}
 	if r.Removed {
 		return change, true
 	}
@@ -135,14 +149,13 @@
 	return firstMemberNumber + uint64(o)*uint64(len(n.platform.Members)) + uint64(part) + 1
 }
 
-// removeRecord deletes the record of a process that is gone for good. Only the planner
-// does so; nothing depends on when.
-func (n *Node) removeRecord(ctx context.Context, gone goneMember) {
-	event.MemberForgotten.Log(n.log, "address", gone.address)
+// deleteRecord deletes the record of a process that is gone for good. Only the planner
+// does so.
+func (n *Node) deleteRecord(ctx context.Context, gone goneMember) {
 	if p := n.planner.Load(); p == nil || p.Address != n.cfg.Peers {
 		return
 	}
-	if _, err := n.putRecord(ctx, gone.part, gone.address, nil, storeTimeout); err != nil {
+	if _, err := n.put(ctx, gone.part, gone.address.String(), nil, storeTimeout); err != nil {
 		event.MemberNotRecorded.Log(n.log, "address", gone.address, "error", err)
 	}
 }
@@ -156,8 +169,8 @@
 	// of two seconds in a partition and refuses further ones, so an attempt that takes
 	// longer is lost.
 	maxRecordTimeout = 3 * time.Second
-	// renewInterval is the least average time between renewals. At one a minute, a process
-	// that is gone for good still counts for three to four minutes.
+	// renewInterval is the least average time between renewals. The planner learns sooner of
+	// processes that are gone, by probes.
 	renewInterval = time.Minute
 	// maxRenewalRate bounds the renewals of all processes together, a second. Each is read by
 	// the processes of a data centre.
@@ -167,14 +180,21 @@
 // renewalPause draws the time until the next renewal, three to five quarters of the average.
 // Large deployments renew at longer intervals.
 func (n *Node) renewalPause() time.Duration {
-	average := max(renewInterval, time.Duration(n.records.count())*time.Second/maxRenewalRate)
+	average := n.averageRenewalPause()
 	return average*3/4 + rand.N(average/2)
 }
 
+// maxRenewalPause returns the longest time between two renewals of a process.
+func (n *Node) maxRenewalPause() time.Duration { return n.averageRenewalPause() * 5 / 4 }
+
+func (n *Node) averageRenewalPause() time.Duration {
+	return max(renewInterval, time.Duration(n.records.count())*time.Second/maxRenewalRate)
+}
+
 // maintainRecord writes this process's record, takes its number from the record's place,
 // and renews it.
 func (n *Node) maintainRecord(ctx context.Context) error {
-	record := memberRecord{Boot: n.id.Boot, VM: n.cfg.VM, DataCenter: n.cfg.DataCenter, Cores: n.cfg.Cores}
+	record := memberRecord{Boot: n.id.Boot, VM: n.cfg.VM, DataCenter: n.cfg.DataCenter, Cores: n.cfg.Cores, AnswersProbes: true}
 	for ctx.Err() == nil && !n.stopping.Load() {
 		number, ok := n.writeRecord(ctx, record)
 		if ok && record.Number == 0 {
@@ -182,13 +202,24 @@
 			event.MemberRecorded.Log(n.log, "number", number)
 			n.advertise(ctx, func(m *mesh.Member) { m.Number = number })
 		}
-		clock.Sleep(ctx, n.renewalPause())
+		n.awaitRenewal(ctx)
 	}
 	// stop deletes the record.
 	<-ctx.Done()
 	return ctx.Err()
 }
 
+// awaitRenewal waits until the own record is to be renewed.
+func (n *Node) awaitRenewal(ctx context.Context) {
+	t := time.NewTimer(n.renewalPause())
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-n.renewNow:
+	case <-ctx.Done():
+	}
+}
+
 // writeRecord writes the own record, with as many attempts as it takes, and returns its
 // number; it returns false if the process stops. An attempt that timed out may be carried
 // out all the same: unless the process is numbered already, the record that is read in the
@@ -201,7 +232,7 @@
 	backoff, timeout := recordRetryMin, storeTimeout
 	for ctx.Err() == nil && !n.stopping.Load() {
 		began := time.Now()
-		o, err := n.putRecord(ctx, n.platform.OwnMembers, n.cfg.Peers, value, timeout)
+		o, err := n.put(ctx, n.platform.OwnMembers, n.cfg.Peers.String(), value, timeout)
 		if err == nil {
 			return n.memberNumber(n.platform.OwnMembers, o), true
 		}
@@ -234,13 +265,13 @@
 
 // deleteOwnRecord deletes the own record before a planned stop.
 func (n *Node) deleteOwnRecord(ctx context.Context) error {
-	_, err := n.putRecord(ctx, n.platform.OwnMembers, n.cfg.Peers, nil, storeTimeout)
+	_, err := n.put(ctx, n.platform.OwnMembers, n.cfg.Peers.String(), nil, storeTimeout)
 	return err
 }
 
-// putRecord writes the record of a process to a partition, or deletes it if value is nil.
-func (n *Node) putRecord(ctx context.Context, part int, a netip.AddrPort, value []byte, timeout time.Duration) (registry.Offset, error) {
+// put appends a record to a partition of the processes' records; a nil value deletes its key.
+func (n *Node) put(ctx context.Context, part int, key string, value []byte, timeout time.Duration) (registry.Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return n.platform.Members[part].Put(ctx, a.String(), value)
+	return n.platform.Members[part].Put(ctx, key, value)
 }
--- a/node/register_test.go
+++ b/node/register_test.go
@@ -5,11 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"snipehub.example/internal/bubble"
 	"snipehub.example/mesh"
 	"snipehub.example/registry"
@@ -25,6 +29,8 @@
 	puts     int
 	calls    int
 	busyTill time.Time
+	// down is set while all calls fail.
+	down     bool
 	appended chan struct{}
 }
 
@@ -32,7 +38,24 @@
 	return &partition{appendTime: appendTime, appended: make(chan struct{})}
 }
 
+func (p *partition) setDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+var errDown = errors.New("the store is down")
+
+func (p *partition) isDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down
+}
+
 func (p *partition) Put(ctx context.Context, key string, value []byte) (registry.Offset, error) {
+	if p.isDown() {
+		return 0, errDown
+	}
 	p.mu.Lock()
 	p.puts++
 	if now := time.Now(); p.busyTill.Before(now) {
@@ -65,10 +88,18 @@
 }
 
 func (p *partition) Newest(context.Context) ([]registry.Record, registry.Offset, error) {
+	if p.isDown() {
+		return nil, 0, errDown
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
-	return p.records, registry.Offset(len(p.records)), nil
+	newest := make(map[string]registry.Record)
+	for _, r := range p.records {
+		newest[r.Key] = r
+	}
+	records := slices.DeleteFunc(slices.Collect(maps.Values(newest)), func(r registry.Record) bool { return r.Removed })
+	return records, registry.Offset(len(p.records)), nil
 }
 
 func (p *partition) Read(ctx context.Context, from registry.Offset, wait time.Duration) ([]registry.Record, registry.Offset, error) {
@@ -78,6 +109,9 @@
 	p.calls++
 	p.mu.Unlock()
 	for {
+		if p.isDown() {
+			return nil, from, errDown
+		}
 		p.mu.Lock()
 		records, appended := p.records[from:], p.appended
 		p.mu.Unlock()
@@ -127,7 +161,7 @@
 		n.startedAt = 0
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
-		serve := []func(context.Context) error{n.clock.Serve, n.runCore, n.maintainRecord}
+		serve := []func(context.Context) error{n.clock.Serve, n.runCore, n.maintainRecord, n.probeMembers}
 		for i := range parts {
 			serve = append(serve, n.followMembers(i).Serve)
 		}
