cell: the look-ahead counts slots, by the resource that is short

Cause: the look-ahead kept an entry for each task that fits, free CPU divided by the average CPU of what is pending: 64,000 for each worker of 64 cores where a task needs no CPU. One look-ahead with 48 workers took 393 MB. Pool, label, memory and GPU were not looked at.

Change: slots that become free at the same time are one entry with a count. Requests are planned apart by pool and by the resource that limits them. A job that no listed worker could run even if idle is refused at once (no_suitable_worker). Placement compares candidates by that resource, too, and counts the tasks of a step on a worker once for a request.

The look-ahead's tests count slots instead of entries, which is the same check.

--- a/cell/admit.go
+++ b/cell/admit.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 
@@ -31,26 +30,45 @@
 		return
 	}
 	pl.lastLookAhead = now
-	queue := slices.Clone(pl.requestQueue.pending)
+	queue := pl.refuseUnsuitable(now, slices.Clone(pl.requestQueue.pending))
 	groups := pl.slots(now, queue)
-	queue = slices.DeleteFunc(queue, func(p *pendingRequest) bool { return pl.scheduleInTime(p, groups) || p.Begun })
+	queue = slices.DeleteFunc(queue, func(p *pendingRequest) bool { return pl.scheduleInTime(p, groups[demandOf(p)]) || p.Begun })
 	pl.refusedDelay = 0
-	reason := reasonOthersFirst
-	switch {
-	case len(groups) == 0 && pl.allEvacuated():
-		reason = reasonEvacuated
-		pl.refusedDelay = evacuatedRetryAfter
-	case len(groups) == 0:
-		reason = reasonNoWorkers
-	}
 	for _, p := range queue {
-		if end := pl.schedule(p, groups); !end.IsZero() {
+		reason := reasonOthersFirst
+		end := pl.schedule(p, groups[demandOf(p)])
+		switch {
+		case !end.IsZero():
 			pl.refusedDelay = end.Sub(p.objective)
+		case pl.allEvacuated():
+			reason = reasonEvacuated
+			pl.refusedDelay = evacuatedRetryAfter
+		default:
+			reason = reasonNoWorkers
 		}
 		pl.refuse(now, p, reason)
 	}
 }
 
+// refuseUnsuitable refuses the jobs that none of the listed workers could run even if it were
+// idle, and returns the other requests. Those of jobs that have begun stay pending.
+func (pl *Planner) refuseUnsuitable(now time.Time, queue []*pendingRequest) []*pendingRequest {
+	if !pl.listRead || now.Sub(pl.startedAt) < workerDiscoveryGrace {
+		return queue
+	}
+	workers := pl.sortedWorkers()
+	return slices.DeleteFunc(queue, func(p *pendingRequest) bool {
+		if slices.ContainsFunc(workers, func(w *worker) bool { return w.listed && w.suits(p) }) {
+			return false
+		}
+		if !p.Begun {
+			pl.refusedDelay = maxRetryAfter
+			pl.refuse(now, p, reasonNoSuitableWorker)
+		}
+		return true
+	})
+}
+
 // workerDiscoveryGrace is how long a new planner that knows of no available worker
 // expects some to appear: processes that were restarted together connect, read the worker
 // list and take over the workers within 0.6 seconds. Refusing at once during that time
@@ -68,24 +86,6 @@
 	return false
 }
 
-// schedule puts the tasks of a request on the slots that become free first, whether or
-// not they end in time, and returns when the last of them ends. It returns the zero time
-// if there are no slots.
-func (pl *Planner) schedule(p *pendingRequest, groups []*slots) (last time.Time) {
-	for range p.Tasks {
-		g, end := pl.earliest(groups, p)
-		if g == nil {
-			return time.Time{}
-		}
-		g.freeAt[0] = end
-		heap.Fix(g, 0)
-		if end.After(last) {
-			last = end
-		}
-	}
-	return last
-}
-
 const (
 	// minRetryAfter is the shortest delay after which a refused caller is asked to retry.
 	// The callers' interface rounds up to whole seconds; with the jitter added, half of
@@ -117,100 +117,17 @@
 	// reasonOthersFirst is the reason of a refusal when the requests ahead in the queue
 	// would make the job late.
 	reasonOthersFirst = "others_first"
-	// reasonNoWorkers is the reason when no worker accepts tasks: none is known, or none
-	// has a holder.
+	// reasonNoWorkers is the reason when no worker that the job may run on accepts tasks: none
+	// is known, or none has a holder.
 	reasonNoWorkers = "no_workers"
+	// reasonNoSuitableWorker is the reason when the platform lists no worker that has the
+	// pool, the label and the resources that the job needs.
+	reasonNoSuitableWorker = "no_suitable_worker"
 	// reasonEvacuated is the reason when all workers that would accept tasks are in data
 	// centres that are being evacuated.
 	reasonEvacuated = "evacuated"
 )
 
-// slots is a heap of the times at which slots become free, on workers of about the same
-// speed. A slot has the resources for one task. A task is compared with the first slot of
-// each of a few groups: comparing it with every slot took a planner of 350 workers more
-// than its processor, so that it fell behind, more requests became pending, and the
-// look-ahead took longer still.
-type slots struct {
-	// factor is the speed factor of the first worker in the group; speedGroupRatio bounds
-	// how far the others differ from it.
-	factor float64
-	// rack is set only while a request that prefers a rack is pending.
-	rack   string
-	freeAt []time.Time
-}
-
-// Len, Less, Swap, Push and Pop implement heap.Interface.
-func (g *slots) Len() int { return len(g.freeAt) }
-
-// Less orders slots by the time at which they become free.
-func (g *slots) Less(i, j int) bool { return g.freeAt[i].Before(g.freeAt[j]) }
-
-// Swap swaps two slots.
-func (g *slots) Swap(i, j int) { g.freeAt[i], g.freeAt[j] = g.freeAt[j], g.freeAt[i] }
-
-// Push appends a slot.
-func (g *slots) Push(x any) { g.freeAt = append(g.freeAt, x.(time.Time)) }
-
-// Pop removes and returns the last slot.
-func (g *slots) Pop() any {
-	last := g.freeAt[len(g.freeAt)-1]
-	g.freeAt = g.freeAt[:len(g.freeAt)-1]
-	return last
-}
-
-// speedGroupRatio is the largest ratio of speed factors within one group of slots.
-// Estimates are off by more.
-const speedGroupRatio = 1.05
-
-// slots returns the groups of slots of all workers that accept tasks, or will in a
-// moment, for tasks of the average CPU request in the queue.
-func (pl *Planner) slots(now time.Time, queue []*pendingRequest) []*slots {
-	cpu := 0
-	for _, p := range queue {
-		cpu += p.Resources.CPU
-	}
-	cpu = max(cpu/len(queue), 1)
-	byRack := slices.ContainsFunc(queue, func(p *pendingRequest) bool { return p.Rack != "" })
-	var out []*slots
-	group := make(map[string]*slots)
-	for _, w := range pl.bySpeed {
-		from := now
-		switch {
-		case w.ejected:
-			continue
-		case w.acceptsTasks():
-		case w.changesHolder(now), w.awaitsHolder(now):
-			from = now.Add(handoverTime)
-		default:
-			continue
-		}
-		f := pl.factor(w)
-		rack := ""
-		if byRack {
-			rack = w.Rack
-		}
-		g := group[rack]
-		// bySpeed was sorted at the last tick; a worker whose speed has changed since
-		// then starts a group of its own.
-		if g == nil || f > g.factor*speedGroupRatio || f < g.factor/speedGroupRatio {
-			g = &slots{factor: f, rack: rack}
-			group[rack] = g
-			out = append(out, g)
-		}
-		for range w.free().CPU / cpu {
-			g.freeAt = append(g.freeAt, from)
-		}
-		for _, active := range w.runs {
-			g.freeAt = append(g.freeAt, active.end(now, f))
-		}
-	}
-	out = slices.DeleteFunc(out, func(g *slots) bool { return len(g.freeAt) == 0 })
-	for _, g := range out {
-		heap.Init(g)
-	}
-	return out
-}
-
 const (
 	// handoverTime is how long a worker accepts no tasks during a planned change of its
 	// holder: four messages between data centres and a call.
@@ -253,50 +170,3 @@
 // minProgressPercent is the progress from which on it predicts the end of a run better
 // than the estimate does.
 const minProgressPercent = 15
-
-// scheduleInTime puts the tasks of a request on the slots where they end first, if all of
-// them end in time there, and reports whether they do. The tasks of a job that has begun
-// are scheduled even if they end late.
-func (pl *Planner) scheduleInTime(p *pendingRequest, groups []*slots) bool {
-	type reservation struct {
-		*slots
-		freeAt, end time.Time
-	}
-	var reservations []reservation
-	latestEnd := p.arrivedAt.Add(time.Duration(float64(p.objective.Sub(p.arrivedAt)) * pl.policy.Margin))
-	fits := true
-	for range p.Tasks {
-		g, end := pl.earliest(groups, p)
-		if g == nil || end.After(latestEnd) && !p.Begun {
-			fits = false
-			break
-		}
-		reservations = append(reservations, reservation{g, g.freeAt[0], end})
-		g.freeAt[0] = end
-		heap.Fix(g, 0)
-	}
-	if fits {
-		return true
-	}
-	for _, t := range slices.Backward(reservations) {
-		i := slices.IndexFunc(t.slots.freeAt, t.end.Equal)
-		t.slots.freeAt[i] = t.freeAt
-		heap.Fix(t.slots, i)
-	}
-	return false
-}
-
-// earliest returns the group whose first slot lets a task of the request end first, and
-// when the task ends. It returns nil if there are no groups.
-func (pl *Planner) earliest(groups []*slots, p *pendingRequest) (best *slots, end time.Time) {
-	for _, g := range groups {
-		f := g.factor
-		if p.Rack != "" && p.Rack != g.rack {
-			f *= pl.policy.OtherRackFactor
-		}
-		if e := g.freeAt[0].Add(scaled(p.Estimate, f)); best == nil || e.Before(end) {
-			best, end = g, e
-		}
-	}
-	return best, end
-}
--- a/cell/admit_test.go
+++ b/cell/admit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -165,3 +166,81 @@
 		t.Errorf("long after the holder began %d grants, refused %+v; want b and one of c and d refused", len(grants), refused)
 	}
 }
+
+// Guards against the look-ahead using memory that follows from what tasks ask for: it kept an
+// entry for each task that fits, and a pending task that needs no CPU fits 64,000 times on a
+// worker of 64 cores. Planners were killed for their memory, one after the other.
+func TestLookAheadMemoryDoesNotFollowFromRequests(t *testing.T) {
+	for _, need := range []lease.Resources{{Memory: 1}, {Memory: 64}, {CPU: 1}, {GPU: 1}, {}} {
+		pl := newPlannerWithHolders(t, 2, 48)
+		for _, w := range pl.workers {
+			w.Resources = lease.Resources{CPU: 64_000, Memory: 256_000, GPU: 4_000}
+		}
+		req := newRequest("a", 1)
+		req.Resources, req.MaxPerWorker = need, 1
+		for _, w := range pl.sortedWorkers() {
+			req.Avoid = append(req.Avoid, w.ID)
+		}
+		pl.Request(ms(700), memberID(1), req)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		pl.Place(ms(700))
+		runtime.ReadMemStats(&after)
+		const maxBytes = 100_000
+		if used := after.TotalAlloc - before.TotalAlloc; used > maxBytes {
+			t.Errorf("task of %+v: a look-ahead takes %d bytes, want %d at most", need, used, maxBytes)
+		}
+	}
+}
+
+// Guards against jobs that no worker can ever run waiting until their objective, and counting
+// as work that others are refused for. They are refused at once.
+func TestJobThatNoWorkerCanRunIsRefusedAtOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Request)
+	}{
+		{"label that no worker has", func(r *Request) { r.Label = "none" }},
+		{"more memory than any worker has", func(r *Request) { r.Resources.Memory = 1000 }},
+		{"GPU where there is none", func(r *Request) { r.Resources = lease.Resources{GPU: 1} }},
+		{"pool without workers", func(r *Request) { r.Pool = "other" }},
+	}
+	for _, tt := range tests {
+		pl := newPlannerWithHolders(t, 2, 2)
+		req := newRequest("hopeless", 1)
+		req.Objective = 10 * time.Second
+		tt.change(&req)
+		pl.Request(ms(2000), memberID(1), req)
+		if grants, refused := place(pl, 2000); len(grants) != 0 || len(refused) != 1 {
+			t.Errorf("%s: %d grants, refusals %+v; want it refused at once", tt.name, len(grants), refused)
+		}
+	}
+}
+
+// Guards against planning tasks that need memory or a GPU alone by CPU: with the memory of all
+// workers in use and their CPU free, jobs that could not be in time were kept waiting.
+func TestLookAheadByTheResourceThatIsShort(t *testing.T) {
+	for _, need := range []lease.Resources{{Memory: 50}, {GPU: 1}} {
+		pl := newPlannerWithHolders(t, 2, 1)
+		for _, w := range pl.workers {
+			w.Resources.GPU = 2
+		}
+		first := newRequest("first", 2)
+		first.Resources, first.Estimate, first.Objective = need, time.Second, 2*time.Second
+		pl.Request(ms(700), memberID(1), first)
+		if grants, _ := place(pl, 700); len(grants) != 2 {
+			t.Fatalf("%+v: %d grants, want 2", need, len(grants))
+		}
+		for i, objective := range []time.Duration{500, 2200, 2200, 2200} {
+			req := newRequest(fmt.Sprint("j", i), 1)
+			req.Resources, req.Estimate, req.Objective = need, time.Second, objective*time.Millisecond
+			pl.Request(ms(720), memberID(1), req)
+		}
+		cpuOnly := newRequest("cpu", 2)
+		pl.Request(ms(720), memberID(1), cpuOnly)
+		grants, refused := place(pl, 720)
+		if len(grants) != 2 || len(refused) != 2 {
+			t.Errorf("%+v: %d grants, refusals %+v; want the tasks that need CPU granted, and the jobs refused that would be late", need, len(grants), refused)
+		}
+	}
+}
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -41,6 +41,11 @@
 	return pl
 }
 
+// queueSlots returns the groups of slots for a queue of requests that all need the same.
+func queueSlots(pl *Planner, queue []*pendingRequest) []*slots {
+	return pl.slots(ms(700), queue)[demandOf(queue[0])]
+}
+
 // Many more tasks are requested than can be served. The planner compared each pending
 // task with each slot of each worker and fell behind, so that yet more requests became
 // pending and the look-ahead took all of its processor time: in a deployment of 350
@@ -48,10 +53,12 @@
 // seconds after the burst. A task must be compared with a few groups of slots only.
 func TestLookAheadUsesFewSlotGroups(t *testing.T) {
 	pl := crowded(t, 1, 400)
-	groups := pl.slots(ms(700), pl.requestQueue.pending)
+	groups := queueSlots(pl, pl.requestQueue.pending)
 	slotCount := 0
 	for _, g := range groups {
-		slotCount += len(g.freeAt)
+		for _, s := range g.heap {
+			slotCount += s.n
+		}
 	}
 	if slotCount != 700 || len(groups) > 6 {
 		t.Errorf("%d slots in %d groups, want 700 in at most 6", slotCount, len(groups))
@@ -68,7 +75,7 @@
 		}
 		queue := slices.Clone(pl.requestQueue.pending)
 		want := plainLookAhead(pl, queue)
-		groups := pl.slots(ms(700), queue)
+		groups := queueSlots(pl, queue)
 		for i, p := range queue {
 			if got := pl.scheduleInTime(p, groups); got != want[i] {
 				t.Errorf("seed %d: job %s fits %v, want %v", seed, p.job, got, want[i])
@@ -176,7 +183,7 @@
 		req.Rack, req.Estimate, req.Objective = "r1", 500*time.Millisecond, 1000*time.Millisecond
 		pl.Request(ms(700), memberID(1), req)
 	}
-	groups := pl.slots(ms(700), pl.requestQueue.pending)
+	groups := queueSlots(pl, pl.requestQueue.pending)
 	fit := 0
 	for _, p := range slices.Clone(pl.requestQueue.pending) {
 		if pl.scheduleInTime(p, groups) {
@@ -184,14 +191,14 @@
 		}
 	}
 	plain := 0
-	for _, g := range pl.slots(ms(700), pl.requestQueue.pending) {
-		for _, free := range g.freeAt {
+	for _, g := range queueSlots(pl, pl.requestQueue.pending) {
+		for _, s := range g.heap {
 			f := g.factor
 			if g.rack != "r1" {
 				f *= 2
 			}
-			if !free.Add(scaled(500*time.Millisecond, f)).After(ms(1700)) {
-				plain++
+			if !s.freeAt.Add(scaled(500*time.Millisecond, f)).After(ms(1700)) {
+				plain += s.n
 			}
 		}
 	}
--- a/cell/pass.go
+++ b/cell/pass.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"snipehub.example/lease"
 )
 
 const (
@@ -53,7 +55,7 @@
 			pl.refuse(now, p, reasonCannotMeetObjective)
 			continue
 		}
-		if p.Resources.CPU <= largest && pl.grantTasks(now, p, candidates, best) {
+		if p.Resources.Fits(largest) && pl.grantTasks(now, p, candidates, best) {
 			largest = largestFree(candidates)
 		}
 	}
@@ -66,11 +68,12 @@
 	}
 }
 
-// largestFree returns the most CPU that is free on one of the candidates.
-func largestFree(candidates []*candidate) int {
-	most := 0
+// largestFree returns the most of each resource that is free on one of the candidates.
+func largestFree(candidates []*candidate) (most lease.Resources) {
 	for _, c := range candidates {
-		most = max(most, c.free.CPU)
+		most.CPU = max(most.CPU, c.free.CPU)
+		most.Memory = max(most.Memory, c.free.Memory)
+		most.GPU = max(most.GPU, c.free.GPU)
 	}
 	return most
 }
--- a/cell/place.go
+++ b/cell/place.go
@@ -20,6 +20,10 @@
 	holderMember *member
 	// probe is set if the worker is ejected and takes a single probe task.
 	probe bool
+	// stepTasks is the number of tasks of a step on the worker. It is counted when a request
+	// with MaxPerWorker first considers the candidate.
+	step      stepKey
+	stepTasks int
 }
 
 // bestFactorNear returns the lowest factor for tasks whose data is on a rack, given the
@@ -203,6 +207,7 @@
 		}
 		h.countTask(c)
 		c.free = c.free.Minus(p.Resources)
+		c.stepTasks++
 		if c.probe {
 			c.free = lease.Resources{}
 			c.nextProbe = now.Add(c.probeInterval)
@@ -271,7 +276,7 @@
 		switch {
 		case !pl.meetsRequirements(p, c):
 		case !late && pl.policy.WaitForFaster.on() && now.Add(scaled(p.Estimate, f)).After(p.objective):
-		case best == nil || f < least || f == least && c.free.CPU < best.free.CPU:
+		case best == nil || f < least || f == least && lessFree(c, best, p.Resources):
 			best, least = c, f
 		}
 	}
@@ -282,15 +287,24 @@
 // resources that a request needs, is not to be avoided, and has fewer tasks of the step
 // than the allowed maximum.
 func (pl *Planner) meetsRequirements(p *pendingRequest, c *candidate) bool {
-	switch {
-	case c.Pool != p.Pool || !p.Resources.Fits(c.free):
-		return false
-	case p.Label != "" && p.Label != c.Kind && p.Label != c.Rack:
-		return false
-	case slices.Contains(p.Avoid, c.ID):
+	if !c.suits(p) || !p.Resources.Fits(c.free) || slices.Contains(p.Avoid, c.ID) {
 		return false
 	}
-	return p.MaxPerWorker == 0 || c.tasksOfStep(p) < p.MaxPerWorker
+	return p.MaxPerWorker == 0 || c.countStepTasks(p) < p.MaxPerWorker
+}
+
+// suits reports whether a worker could run a task of the request if it were idle.
+func (w *worker) suits(p *pendingRequest) bool {
+	return w.Pool == p.Pool && p.Resources.Fits(w.Resources) && (p.Label == "" || p.Label == w.Kind || p.Label == w.Rack)
+}
+
+// countStepTasks returns how many tasks of the request's step are on the worker. The runs there
+// are looked at once for all tasks of the request.
+func (c *candidate) countStepTasks(p *pendingRequest) int {
+	if c.step != p.stepKey {
+		c.step, c.stepTasks = p.stepKey, c.tasksOfStep(p)
+	}
+	return c.stepTasks
 }
 
 // tasksOfStep returns how many tasks of the request's step are on the worker.
--- a/cell/selector.go
+++ b/cell/selector.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"snipehub.example/lease"
 	"snipehub.example/mesh"
 )
 
@@ -87,25 +88,33 @@
 // after the other: a job of eight tasks ends soonest on four holders with two tasks each.
 const maxTasksPerHolder = 2
 
-// best returns the candidate with the least free CPU on a holder that has the job's text,
+// best returns the candidate with the least free resources on a holder that has the job's text,
 // or else on the holder that can take most of the tasks. It returns nil if there are no
 // candidates.
 func (h *holderSelector) best(p *pendingRequest) *candidate {
 	if !h.fewHolders {
-		return leastFree(h.candidates, func(*candidate) bool { return true })
+		return leastFree(h.candidates, p.Resources, func(*candidate) bool { return true })
 	}
-	if c := leastFree(h.candidates, func(c *candidate) bool { return h.hasText(c.holderMember) }); c != nil {
+	if c := leastFree(h.candidates, p.Resources, func(c *candidate) bool { return h.hasText(c.holderMember) }); c != nil {
 		return c
 	}
 	m := h.largestCapacity(p)
-	return leastFree(h.candidates, func(c *candidate) bool { return c.holderMember == m })
+	return leastFree(h.candidates, p.Resources, func(c *candidate) bool { return c.holderMember == m })
 }
 
-// leastFree returns the first of the matching candidates with the least free CPU.
-func leastFree(candidates []*candidate, matches func(*candidate) bool) *candidate {
+// lessFree reports whether a candidate has less left than another one of the resource that
+// limits tasks with the given needs.
+func lessFree(c, than *candidate, need lease.Resources) bool {
+	r := limitOf(need)
+	return amount(c.free, r) < amount(than.free, r)
+}
+
+// leastFree returns the first of the matching candidates that has the least left for tasks
+// with the given needs.
+func leastFree(candidates []*candidate, need lease.Resources, matches func(*candidate) bool) *candidate {
 	var best *candidate
 	for _, c := range candidates {
-		if matches(c) && (best == nil || c.free.CPU < best.free.CPU) {
+		if matches(c) && (best == nil || lessFree(c, best, need)) {
 			best = c
 		}
 	}
@@ -122,7 +131,7 @@
 		if !ok {
 			h.holders = append(h.holders, c.holderMember)
 		}
-		h.capacity[c.holderMember] = min(tasks+c.free.CPU/max(p.Resources.CPU, 1), len(p.Tasks), maxTasksPerHolder)
+		h.capacity[c.holderMember] = min(tasks+fitting(c.free, p.Resources, len(p.Tasks)), len(p.Tasks), maxTasksPerHolder)
 	}
 	if len(h.holders) == 0 {
 		return nil
