node: a request about a job finds the process that has it

Cause: each process looked among its own jobs only and took what it did not know for not existing. A caller can't choose its process: a retry, or machines more or less, send it to another one.

Change: the planner records the process of each job of its cell until the job's deadline; a new planner is told by all members. A process that lacks a job asks the planner and then the process that it names; where there are several cells, also the planners of the data centre's other cells and one of each other data centre. 410 is said only if nobody who may have the job is out of reach, else 503 with Retry-After.

One cell: two queries at most, one for an unknown job; 300 processes in six cells: ten at most.

--- a/cell/planner.go
+++ b/cell/planner.go
@@ -152,6 +152,7 @@
 	requesters   map[mesh.ID]string
 	workers      map[string]*worker
 	pending      map[stepKey]*pendingRequest
+	owners       jobOwners
 	requestQueue requestQueue
 	// bySpeed is the workers, fastest first, as of the last tick.
 	bySpeed []*worker
@@ -201,6 +202,8 @@
 type member struct {
 	mesh.Member
 	reported bool
+	// toldJobs is set once the member has sent its jobs.
+	toldJobs bool
 }
 
 // New returns a Planner that is not active yet.
@@ -214,6 +217,7 @@
 	pl.members = make(map[mesh.ID]*member)
 	pl.workers = make(map[string]*worker)
 	pl.pending = make(map[stepKey]*pendingRequest)
+	pl.owners = jobOwners{byJob: make(map[string]jobOwner)}
 	pl.requestQueue = requestQueue{order: pl.policy.Order}
 	pl.admission = admissionState{controller: admission.NewController()}
 	pl.bySpeed, pl.byID = nil, nil
@@ -410,6 +414,7 @@
 			}
 		}
 	}
+	pl.owners.expire(now)
 	pl.checkListAge(now)
 	pl.forgetUnlisted(now)
 	pl.assign(now)
--- a/cell/request.go
+++ b/cell/request.go
@@ -13,6 +13,7 @@
 	if !pl.active {
 		return
 	}
+	pl.noteOwner(now, req.Job, from, req.Timeout)
 	k := stepKey{req.Job, req.Step}
 	p := pl.pending[k]
 	if p == nil || p.owner != from {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,6 +83,34 @@
 	RetryAfter time.Duration
 }
 
+// Knowledge is what is known of whether a job exists.
+type Knowledge int
+
+const (
+	// Undetermined: a process that may have the job did not answer.
+	Undetermined Knowledge = iota
+	// Absent: no process that can be reached has the job.
+	Absent
+	// Present: a process has the job, or still has its answer.
+	Present
+)
+
+var knowledgeNames = map[Knowledge]string{Undetermined: "undetermined", Absent: "absent", Present: "present"}
+
+// String returns the name.
+func (k Knowledge) String() string { return knowledgeNames[k] }
+
+// LogValue logs the knowledge by its name.
+func (k Knowledge) LogValue() slog.Value { return slog.StringValue(k.String()) }
+
+// JobState is what is known of a job.
+type JobState struct {
+	Knowledge Knowledge `cbor:"1,keyasint,omitzero"`
+	// Started is set if a task may have started, Status is that of the final answer or zero.
+	Started bool   `cbor:"2,keyasint,omitzero"`
+	Status  Status `cbor:"3,keyasint,omitzero"`
+}
+
 // taskName returns the name under which workers know a task: the job, the occurrence
 // (always the first), the step and the index in the step.
 func taskName(job string, step, index int) lease.Task {
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -174,26 +174,24 @@
 	}
 }
 
-// Cancel stops a job at its caller's request, and reports whether it is known here.
-func (js *Jobs) Cancel(now time.Time, id string) bool {
-	j, ok := js.jobs[id]
-	if !ok {
-		return false
-	}
-	if j.answer == nil {
+// Cancel stops a job at its caller's request, if it is here and has no answer.
+func (js *Jobs) Cancel(now time.Time, id string) {
+	if j := js.jobs[id]; j != nil && j.answer == nil {
 		js.finish(now, j, Answer{Status: Unknown, Why: "cancelled"})
 	}
-	return true
 }
 
-// State returns what a caller that asks for a job's state is shown; ok is false if the
-// job is unknown.
-func (js *Jobs) State(id string) (started bool, answer *Answer, ok bool) {
+// State returns what is known here of a job: it is present or absent.
+func (js *Jobs) State(id string) JobState {
 	j, ok := js.jobs[id]
 	if !ok {
-		return false, nil, false
+		return JobState{Knowledge: Absent}
+	}
+	s := JobState{Knowledge: Present, Started: j.hasBegun()}
+	if j.answer != nil {
+		s.Status = j.answer.Status
 	}
-	return j.hasBegun(), j.answer, true
+	return s
 }
 
 // Pending counts the jobs of a queue of which no task has begun.
--- a/event/table.go
+++ b/event/table.go
@@ -123,6 +123,8 @@
 	CatalogCopyUnusable   ID = 935
 	AdmissionLimited      ID = 936
 	AdmissionUnlimited    ID = 937
+	JobLocated            ID = 938
+	OwnedJobsFull         ID = 939
 )
 
 var table = []Entry{
@@ -234,4 +236,6 @@
 	{CatalogCopyUnusable, slog.LevelWarn, "copy of the configuration unusable", "A copy of the operator's configuration could not be decoded, or the own one not be encoded for others. Another member is asked.", "0.2"},
 	{AdmissionLimited, slog.LevelWarn, "admission limited", "Far more work is offered than is granted workers: jobs were refused for lack of workers, and for 300 ms less than 0.7 of the offered work was granted. From now on only the given share of each queue's jobs is admitted; entries refuse the others at once with the reason over_capacity. Compare planner_offered_core_ms with planner_granted_core_ms, by queue.", "0.3"},
 	{AdmissionUnlimited, slog.LevelInfo, "admission not limited any more", "All jobs are admitted again, and have been for a second. lasted_ms is how long admission was limited.", "0.3"},
+	{JobLocated, slog.LevelInfo, "job looked up", "A request to cancel a job that another process has, or the state of a job that could not be determined. knowledge is present, absent (no process in reach has it) or undetermined (a process that may have it did not answer).", "0.5"},
+	{OwnedJobsFull, slog.LevelWarn, "too many jobs to know their processes", "The planner does not record the processes of further jobs. Until the deadlines of these have passed, requests about unknown jobs are answered as undetermined.", "0.5"},
 }
--- a/meter/table.go
+++ b/meter/table.go
@@ -72,6 +72,8 @@
 	RunsEnded            Name = "runs_ended"
 	RunsNotStarted       Name = "runs_not_started"
 	OpenJobs             Name = "open_jobs"
+	JobsLocated          Name = "jobs_located"
+	PlannerOwnedJobs     Name = "planner_owned_jobs"
 	WorkersHeld          Name = "workers_held"
 	Planning             Name = "planning"
 	PlannerWaiting       Name = "planner_waiting"
@@ -196,4 +198,6 @@
 	{917, PlannerOffered, Counter, "core milliseconds", byCode, "Work that was offered to this process as the planner, cores times the estimated time; the code is the queue. Jobs that entries refused by the levels of admission control are counted through those that they admitted.", "0.3"},
 	{918, PlannerGranted, Counter, "core milliseconds", byCode, "Work that this process has granted workers as the planner; the code is the queue.", "0.3"},
 	{919, PlannerPasses, Counter, "passes", nil, "Passes over the pending requests that this process has made as the planner; at most 500 a second while requests wait.", "0.3"},
+	{920, JobsLocated, Counter, "requests", byCode, "Requests for the state of a job, or to cancel one; the code is present, absent (410) or undetermined (503).", "0.5"},
+	{921, PlannerOwnedJobs, Gauge, "jobs", nil, "Jobs whose process this one knows as the planner; 100,000 at the most.", "0.5"},
 }
--- a/node/callers.go
+++ b/node/callers.go
@@ -72,25 +72,46 @@
 	}
 }
 
-// State returns whether a job has started and its answer, if it has one. ok is false for
-// an unknown job.
-func (n *Node) State(ctx context.Context, id string) (started bool, answer *entry.Answer, ok bool) {
-	type state struct {
-		started bool
-		answer  *entry.Answer
-		ok      bool
+// State returns what this process, or those that it can ask, know of a job.
+func (n *Node) State(ctx context.Context, id string) entry.JobState { return n.locate(ctx, id, false) }
+
+// Cancel cancels a job at the process that has it, and returns whether there is one.
+func (n *Node) Cancel(ctx context.Context, id string) entry.Knowledge {
+	return n.locate(ctx, id, true).Knowledge
+}
+
+// locate looks a job up, and cancels it if cancel is set.
+func (n *Node) locate(ctx context.Context, id string, cancel bool) entry.JobState {
+	states := make(chan entry.JobState, 1)
+	n.mu.Lock()
+	n.lastWaiter++
+	waiter := n.lastWaiter
+	n.located[waiter] = states
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		delete(n.located, waiter)
+		n.mu.Unlock()
+	}()
+	n.enqueue(n.root, func(now time.Time, c *Core) { c.Locate(now, waiter, id, cancel) })
+	var s entry.JobState
+	select {
+	case s = <-states:
+	case <-ctx.Done():
+	case <-n.root.Done():
 	}
-	s, _ := query(ctx, n, func(_ time.Time, c *Core) state {
-		started, a, ok := c.State(id)
-		return state{started, a, ok}
-	})
-	return s.started, s.answer, s.ok
+	n.meter.CountCode(meter.JobsLocated, s.Knowledge.String(), 1)
+	return s
 }
 
-// Cancel cancels a job.
-func (n *Node) Cancel(ctx context.Context, id string) bool {
-	ok, _ := query(ctx, n, func(now time.Time, c *Core) bool { return c.Cancel(now, id) })
-	return ok
+// deliverLocated passes the result of a lookup to the request that waits for it.
+func (n *Node) deliverLocated(l Located) {
+	n.mu.Lock()
+	states, ok := n.located[l.Waiter]
+	n.mu.Unlock()
+	if ok {
+		states <- l.State
+	}
 }
 
 // Pending returns the number of jobs of a queue of which nothing has started.
--- a/node/core.go
+++ b/node/core.go
@@ -107,6 +107,9 @@
 	fullReportAt, describedAt time.Time
 	// reportedAt is when the planner was last sent any report.
 	reportedAt time.Time
+	// lookups are the searches for jobs that are not here.
+	lookups    map[uint64]*lookup
+	lastLookup uint64
 	out        []Output
 }
 
@@ -133,6 +136,7 @@
 		held:         make(map[string]*lease.WorkerLease),
 		poolStats:    make(map[string]*lease.PoolStats),
 		lostMembers:  make(map[mesh.ID]time.Time),
+		lookups:      make(map[uint64]*lookup),
 		watched:      make(map[mesh.ID]struct{}),
 		readers:      listReaders{asked: make(map[mesh.ID]*listReader), tried: make(map[mesh.ID]struct{})},
 	}
@@ -208,6 +212,8 @@
 		c.send(now, c.plannerFor(now, a.To), Message{Request: a.Request})
 	case a.Withdraw != nil:
 		c.send(now, c.plannerFor(now, a.To), Message{Withdraw: a.Withdraw})
+	case a.Owned != nil:
+		c.send(now, c.plannerFor(now, a.To), Message{OwnedJobs: a.Owned})
 	case a.Start != nil:
 		c.watch(a.To)
 		c.send(now, a.To, Message{Start: a.Start})
@@ -304,6 +310,12 @@
 		c.cell.Withdraw(*m.Withdraw)
 	case m.Report != nil:
 		c.cell.Report(now, from, *m.Report)
+	case m.OwnedJobs != nil:
+		c.cell.OwnedJobs(now, from, *m.OwnedJobs)
+	case m.JobQuery != nil:
+		c.answerJobQuery(now, from, *m.JobQuery)
+	case m.JobReply != nil:
+		c.handleJobReply(now, from, *m.JobReply)
 	case m.Grant != nil:
 		c.entry.Grant(now, from, *m.Grant)
 	case m.Refusal != nil:
@@ -357,13 +369,6 @@
 // CallerLeft records that a caller has disconnected.
 func (c *Core) CallerLeft(now time.Time, w entry.Waiter) { c.entry.CallerLeft(now, w) }
 
-// Cancel cancels a job.
-func (c *Core) Cancel(now time.Time, id string) bool { return c.entry.Cancel(now, id) }
-
-// State returns whether a job has started, its answer if it has one, and whether it is
-// known.
-func (c *Core) State(id string) (bool, *entry.Answer, bool) { return c.entry.State(id) }
-
 // NotStarted returns how many runs of this process's jobs were not started for a given
 // reason.
 func (c *Core) NotStarted(why lease.Reason) int64 { return c.entry.Counts().NotStarted[why] }
@@ -402,6 +407,7 @@
 	c.entry.Tick(now)
 	c.announceNewlyHeld(now)
 	c.updateOnDemand(now)
+	c.updateLookups(now)
 	c.updateWatches(now)
 }
 
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -105,6 +105,7 @@
 	m.Gauge(meter.WorkersHeld, float64(stats.held))
 	m.Gauge(meter.Planning, float64(compareBool(stats.isPlanner, false)))
 	m.Gauge(meter.PlannerWaiting, float64(stats.view.Waiting))
+	m.Gauge(meter.PlannerOwnedJobs, float64(stats.view.OwnedJobs))
 	m.Gauge(meter.PlannerWorkers, float64(stats.view.Workers))
 	m.Gauge(meter.PlannerFreeCores, stats.view.FreeCores)
 	m.Gauge(meter.PlannerListAge, stats.view.ListAge.Seconds())
--- a/node/loop.go
+++ b/node/loop.go
@@ -112,6 +112,8 @@
 			outgoing[o.To] = append(outgoing[o.To], *o.Message)
 		case o.Answer != nil:
 			n.answer(*o.Answer)
+		case o.Located != nil:
+			n.deliverLocated(*o.Located)
 		case o.Advertise != nil:
 			n.mesh.Advertise(*o.Advertise)
 		case o.Peers != nil && o.Peers.All:
--- a/node/message.go
+++ b/node/message.go
@@ -36,6 +36,9 @@
 	Levels             *admission.Levels    `cbor:"22,keyasint,omitzero"`
 	// Addresses are those of the processes of the recipient's cell.
 	Addresses []netip.AddrPort `cbor:"23,keyasint,omitzero"`
+	OwnedJobs *cell.OwnedJobs  `cbor:"24,keyasint,omitzero"`
+	JobQuery  *JobQuery        `cbor:"25,keyasint,omitzero"`
+	JobReply  *JobReply        `cbor:"26,keyasint,omitzero"`
 }
 
 // Disconnect ends a session with a member.
@@ -51,6 +54,8 @@
 	To      mesh.ID
 	Message *Message
 	Answer  *entry.CallerAnswer
+	// Located is the result of a lookup.
+	Located *Located
 	// Pack is a catalog to encode for members, Unpack one to decode. Both take too long on a
 	// small VM for the goroutine that decides.
 	Pack   *catalog.Catalog
--- a/node/node.go
+++ b/node/node.go
@@ -140,6 +140,7 @@
 
 	mu         sync.Mutex
 	waiters    map[entry.Waiter]chan entry.Answer
+	located    map[entry.Waiter]chan entry.JobState
 	lastWaiter entry.Waiter
 	calls      sync.WaitGroup
 	topics     map[string]*registry.Follower
@@ -183,6 +184,7 @@
 		sinceBoot:      clock.SinceBoot,
 		startedAt:      clock.SinceBoot(),
 		waiters:        make(map[entry.Waiter]chan entry.Answer),
+		located:        make(map[entry.Waiter]chan entry.JobState),
 		listenerClosed: make(chan struct{}),
 		recordedAs:     make(chan uint64, 1),
 		renewNow:       make(chan struct{}, 1),
--- a/node/ondemand.go
+++ b/node/ondemand.go
@@ -30,7 +30,7 @@
 // needsSession reports whether a message must wait until a session with a process of another
 // cell has been opened: it is the first about a job.
 func (c *Core) needsSession(to mesh.ID, m Message) bool {
-	if m.Request == nil && m.Start == nil || !c.layout.divided {
+	if m.Request == nil && m.Start == nil && m.JobQuery == nil || !c.layout.divided {
 		return false
 	}
 	_, connected := c.members[to]
@@ -59,16 +59,18 @@
 }
 
 // openFailed has the runs of unsent starts placed again, and asks this cell's planner again
-// for jobs whose request was not sent.
+// for jobs whose request was not sent. Lookups go on without the process.
 func (c *Core) openFailed(now time.Time, to mesh.ID, unsent []Message) {
 	event.SessionNotOpened.Log(c.log, "member", to, "messages", len(unsent))
 	for _, m := range unsent {
-		if m.Start == nil {
-			continue
-		}
-		for _, r := range m.Start.Runs {
-			end := lease.End{Run: r.Run, Outcome: lease.NeverStarted, Why: lease.NotHeld}
-			c.entry.Ended(now, to, entry.Ended{Worker: r.Worker, End: end})
+		switch {
+		case m.Start != nil:
+			for _, r := range m.Start.Runs {
+				end := lease.End{Run: r.Run, Outcome: lease.NeverStarted, Why: lease.NotHeld}
+				c.entry.Ended(now, to, entry.Ended{Worker: r.Worker, End: end})
+			}
+		case m.JobQuery != nil:
+			c.handleJobReply(now, to, JobReply{Lookup: m.JobQuery.Lookup})
 		}
 	}
 	c.entry.HolderUnreachable(now, to)
