entry: the work for a job does not grow with the square of its steps

Callers would see: while a job of 1,300 steps of one task runs, its process stands still for seconds and gives up its other jobs.

Cause: at each end of a run the entry looked at all steps, and for each at all tasks and dependencies; for each grant at all pending tasks.

Change: a step keeps the number of its open tasks and of the steps that it waits for; a run's task follows from its name. The planner merges a repeated request by a set of tasks.

--- a/cell/request.go
+++ b/cell/request.go
@@ -38,8 +38,13 @@
 // mergeRuns adds the runs of more to those of have, replacing older runs of the same
 // tasks.
 func mergeRuns(have, more []lease.Run) []lease.Run {
+	newer := make(map[lease.Task]struct{}, len(more))
+	for _, r := range more {
+		newer[r.Task] = struct{}{}
+	}
 	out := slices.DeleteFunc(slices.Clone(have), func(r lease.Run) bool {
-		return slices.ContainsFunc(more, func(n lease.Run) bool { return n.Task == r.Task })
+		_, replaced := newer[r.Task]
+		return replaced
 	})
 	return append(out, more...)
 }
--- a/entry/end.go
+++ b/entry/end.go
@@ -53,13 +53,13 @@
 	t.worker, t.holder, t.avoidWorker = "", mesh.ID{}, ""
 	switch end.Outcome {
 	case lease.Done:
-		t.state = done
+		j.setState(t, done)
 		js.delay.addRunOverhead(now, now.Sub(t.placedAt)-end.Took)
 	case lease.Failed:
 		t.failures++
-		t.state = blocked
+		j.setState(t, blocked)
 	default:
-		t.state = blocked
+		j.setState(t, blocked)
 	}
 	if end.Outcome != lease.Done {
 		t.avoidWorker = worker
@@ -73,12 +73,16 @@
 		j.ran = true
 		js.counts.Ended[end.Outcome]++
 	}
+	var ready []int
+	if t.state == done {
+		ready = j.taskDone(t)
+	}
 	switch {
 	case j.answer != nil:
 	case t.wrongOrders >= maxWrongOrders:
 		js.abandon(now, j, string(end.Why))
 	default:
-		js.continueJob(now, j, t)
+		js.continueJob(now, j, t, ready)
 	}
 	js.forgetIfOver(now, j)
 }
@@ -97,29 +101,23 @@
 	js.finish(now, j, Answer{Status: status, Why: why})
 }
 
-// continueJob continues a job after the end of a run.
-func (js *Jobs) continueJob(now time.Time, j *job, t *task) {
+// continueJob continues a job after the end of a run of a task, by which steps may have become
+// ready.
+func (js *Jobs) continueJob(now time.Time, j *job, t *task, ready []int) {
 	switch {
 	case t.failures >= max(1, j.Queue.Attempts):
 		js.finish(now, j, Answer{Status: Failed, Why: "attempts"})
-	case j.allDone():
+	case j.openTasks == 0:
 		js.finish(now, j, Answer{Status: Completed})
 	case t.state == done:
-		js.requestReadySteps(now, j)
+		for _, s := range ready {
+			js.requestWorkers(now, j, j.tasksIn(s, blocked))
+		}
 	default:
 		js.requestWorkers(now, j, []*task{t})
 	}
 }
 
-func (j *job) allDone() bool {
-	for _, t := range j.tasks {
-		if t.state != done {
-			return false
-		}
-	}
-	return true
-}
-
 // finish answers a job and stops what still runs.
 func (js *Jobs) finish(now time.Time, j *job, a Answer) {
 	j.answer, j.answeredAt = &a, now
@@ -147,7 +145,7 @@
 		switch t.state {
 		case pending:
 			anyPending = true
-			t.state = blocked
+			j.setState(t, blocked)
 		case placed:
 			s := stops[t.holder]
 			if s == nil {
@@ -167,23 +165,12 @@
 }
 
 // hasBegun reports whether a run of the job may have begun.
-func (j *job) hasBegun() bool { return j.ran || j.activeRuns() > 0 }
-
-// activeRuns counts the runs of a job that are not known to be over.
-func (j *job) activeRuns() int {
-	n := 0
-	for _, t := range j.tasks {
-		if t.state == placed {
-			n++
-		}
-	}
-	return n
-}
+func (j *job) hasBegun() bool { return j.ran || j.placedTasks > 0 }
 
 // forgetIfOver removes an answered job once nothing of it runs and its answer need not be
 // retained.
 func (js *Jobs) forgetIfOver(now time.Time, j *job) {
-	if j.answer == nil || j.activeRuns() > 0 {
+	if j.answer == nil || j.placedTasks > 0 {
 		return
 	}
 	retained := j.answer.Status == Completed || j.answer.Status == Failed
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -53,11 +54,8 @@
 	}
 	slices.SortFunc(holders, mesh.ID.Compare)
 	for _, h := range holders {
-		for s := 0; len(starts[h]) > 0; s++ {
-			if start, ok := starts[h][s]; ok {
-				js.emit(Action{To: h, Start: start})
-				delete(starts[h], s)
-			}
+		for _, s := range slices.Sorted(maps.Keys(starts[h])) {
+			js.emit(Action{To: h, Start: starts[h][s]})
 		}
 	}
 }
@@ -66,17 +64,16 @@
 	if j == nil || j.answer != nil {
 		return nil
 	}
-	for _, t := range j.tasks {
-		if t.state == pending && j.lastRun(t) == r {
-			return t
-		}
+	if t := j.task(r); t != nil && t.state == pending && t.runNumber == r.Number {
+		return t
 	}
 	return nil
 }
 
 func (js *Jobs) place(now time.Time, j *job, t *task, item cell.GrantedRun) {
+	j.setState(t, placed)
 	t.placedAt = now
-	t.state, t.worker, t.holder, t.fence, t.unreachableSince = placed, item.Worker, item.Holder, item.Fence, time.Time{}
+	t.worker, t.holder, t.fence, t.unreachableSince = item.Worker, item.Holder, item.Fence, time.Time{}
 	t.estimate = cmp.Or(item.Estimate, j.Steps[t.step].Estimate)
 	js.runs[item.Run] = placedTask{j, t}
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -60,7 +60,11 @@
 	text                             lease.Text
 	arrivedAt, objectiveAt, deadline time.Time
 	tasks                            []*task
-	waiters                          []Waiter
+	steps                            []step
+	// openTasks is the number of tasks that are not done, placedTasks that of those that are
+	// placed.
+	openTasks, placedTasks int
+	waiters                []Waiter
 	// requestedAt is when workers were last requested from a planner; zero once this cell's
 	// planner has answered.
 	requestedAt time.Time
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"slices"
 	"time"
 
 	"snipehub.example/cell"
@@ -46,7 +45,7 @@
 		js.waiters[w] = j
 	case j.answer.Status == Completed || j.answer.Status == Failed:
 		js.reply(w, *j.answer)
-	case j.activeRuns() > 0:
+	case j.placedTasks > 0:
 		js.reply(w, Answer{Status: Unknown, Why: "earlier_copy_ends"})
 	default:
 		delete(js.jobs, j.ID)
@@ -58,11 +57,7 @@
 	j := &job{Request: r, text: lease.NewText(r.ID, r.Spec), arrivedAt: now, waiters: []Waiter{w}}
 	j.deadline = now.Add(r.Timeout)
 	j.objectiveAt = now.Add(objective(r))
-	for s, step := range r.Steps {
-		for i := range step.Count {
-			j.tasks = append(j.tasks, &task{step: s, index: i})
-		}
-	}
+	j.addSteps()
 	js.jobs[r.ID] = j
 	js.waiters[w] = j
 	event.JobAdmitted.Log(js.log, "job", r.ID, "queue", r.Queue.Name, "tasks", len(j.tasks), "steps", len(r.Steps), "text_bytes", len(r.Spec),
@@ -90,27 +85,11 @@
 
 // requestReadySteps requests workers for all blocked tasks whose earlier steps are done.
 func (js *Jobs) requestReadySteps(now time.Time, j *job) {
-	for s := range j.Steps {
-		if !j.stepReady(s) {
-			continue
-		}
-		var unrequested []*task
-		for _, t := range j.tasks {
-			if t.step == s && t.state == blocked {
-				unrequested = append(unrequested, t)
-			}
-		}
-		js.requestWorkers(now, j, unrequested)
-	}
-}
-
-func (j *job) stepReady(s int) bool {
-	for _, t := range j.tasks {
-		if t.state != done && slices.Contains(j.Steps[s].DependsOn, t.step) {
-			return false
+	for s := range j.steps {
+		if j.steps[s].waitsFor == 0 {
+			js.requestWorkers(now, j, j.tasksIn(s, blocked))
 		}
 	}
-	return true
 }
 
 // requestWorkers requests workers from the planner for tasks of one step.
@@ -141,7 +120,7 @@
 	}
 	for _, t := range tasks {
 		if t.state != pending {
-			t.state = pending
+			j.setState(t, pending)
 			t.runNumber++
 		}
 		req.Tasks = append(req.Tasks, j.lastRun(t))
@@ -191,13 +170,7 @@
 }
 
 func (js *Jobs) repeatRequests(now time.Time, j *job) {
-	for s := range j.Steps {
-		var tasks []*task
-		for _, t := range j.tasks {
-			if t.step == s && t.state == pending {
-				tasks = append(tasks, t)
-			}
-		}
-		js.requestWorkers(now, j, tasks)
+	for s := range j.steps {
+		js.requestWorkers(now, j, j.tasksIn(s, pending))
 	}
 }
--- a/lease/task.go
+++ b/lease/task.go
@@ -27,6 +27,33 @@
 	return string(t)
 }
 
+// Place returns the step and the index in the step; ok is false if the name has none.
+func (t Task) Place() (step, index int, ok bool) {
+	rest, last, ok := cutLast(string(t))
+	if !ok {
+		return 0, 0, false
+	}
+	_, first, ok := cutLast(rest)
+	if !ok {
+		return 0, 0, false
+	}
+	step, err := strconv.Atoi(first)
+	if err != nil || step < 0 {
+		return 0, 0, false
+	}
+	index, err = strconv.Atoi(last)
+	return step, index, err == nil && index >= 0
+}
+
+// cutLast cuts s around the last dot.
+func cutLast(s string) (before, after string, ok bool) {
+	i := strings.LastIndexByte(s, '.')
+	if i < 0 {
+		return "", "", false
+	}
+	return s[:i], s[i+1:], true
+}
+
 // The forms of a task's name in messages between processes.
 const (
 	plainTask = iota
