entry, cell: the number of tasks in memory is bounded

Callers would see: with some hundred jobs of 10,000 small tasks each, of a hundred bytes a request, the process that takes them in, and the planner, exceed their memory.

Cause: a job's tasks are kept one by one, and only the tasks of a single job were bounded.

Change: a process with 30,000 tasks and a planner with 100,000 pending tasks and runs refuse further jobs of which nothing has begun, as too_many_tasks; two gauges show how many there are.

--- a/cell/admit_test.go
+++ b/cell/admit_test.go
@@ -244,3 +244,23 @@
 		}
 	}
 }
+
+// Guards against the memory of a planner following from the count of jobs that fit: tasks that
+// need a megabyte each fit by the million.
+func TestTasksOfACellAreBounded(t *testing.T) {
+	pl := newPlannerWithHolders(t, 2, 2)
+	for _, w := range pl.workers {
+		w.Resources.Memory = 1 << 30
+	}
+	refused := 0
+	for i := range 30 {
+		req := newRequest(fmt.Sprintf("j%02d", i), 10_000)
+		req.Resources, req.Objective = lease.Resources{Memory: 1}, time.Hour
+		pl.Request(ms(700+i), memberID(1), req)
+		_, refusals := place(pl, 700+i)
+		refused += len(refusals)
+	}
+	if n := pl.countTasks(); n != maxTasks || refused != 20 {
+		t.Errorf("%d tasks, %d jobs refused; want %d and 20", n, refused, maxTasks)
+	}
+}
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -149,10 +149,13 @@
 	members   map[mesh.ID]*member
 	// requesters holds the data centre of each process that may send requests: the members,
 	// and processes of other cells.
-	requesters   map[mesh.ID]string
-	workers      map[string]*worker
-	pending      map[stepKey]*pendingRequest
-	owners       jobOwners
+	requesters map[mesh.ID]string
+	workers    map[string]*worker
+	pending    map[stepKey]*pendingRequest
+	owners     jobOwners
+	// tasks is the number of pending tasks and runs as of the last tick, and of those
+	// requested since then.
+	tasks        int
 	requestQueue requestQueue
 	// bySpeed is the workers, fastest first, as of the last tick.
 	bySpeed []*worker
@@ -221,6 +224,7 @@
 	pl.requestQueue = requestQueue{order: pl.policy.Order}
 	pl.admission = admissionState{controller: admission.NewController()}
 	pl.bySpeed, pl.byID = nil, nil
+	pl.tasks = 0
 	pl.listRead, pl.listAsOf, pl.listLate = false, time.Time{}, false
 	pl.mayReassign, pl.hadQuorum, pl.foundHeld = false, false, false
 	pl.awaitListUntil = time.Time{}
@@ -414,6 +418,7 @@
 			}
 		}
 	}
+	pl.tasks = pl.countTasks()
 	pl.owners.expire(now)
 	pl.checkListAge(now)
 	pl.forgetUnlisted(now)
@@ -424,4 +429,16 @@
 	pl.needsPlanning = true
 }
 
+// countTasks returns the number of pending tasks and of runs.
+func (pl *Planner) countTasks() int {
+	n := 0
+	for _, p := range pl.pending {
+		n += len(p.Tasks)
+	}
+	for _, w := range pl.workers {
+		n += len(w.runs)
+	}
+	return n
+}
+
 func (pl *Planner) emit(a Action) { pl.actions = append(pl.actions, a) }
--- a/cell/request.go
+++ b/cell/request.go
@@ -21,9 +21,10 @@
 			pl.dropRequest(p)
 		}
 		p = &pendingRequest{Request: req, stepKey: k, owner: from, arrivedAt: now.Add(-req.Age), objective: now.Add(req.Objective), deadline: now.Add(req.Timeout), requestedAt: now}
-		if !pl.admit(now, p) {
+		if pl.refuseTooMany(p) || !pl.admit(now, p) {
 			return
 		}
+		pl.tasks += len(p.Tasks)
 		pl.pending[k] = p
 		pl.requestQueue.add(p)
 	} else {
@@ -35,6 +36,24 @@
 	pl.needsPlanning = true
 }
 
+// maxTasks bounds the pending tasks and the runs of a cell, which take some 250 bytes each. The
+// largest cell has some ten thousand at its peak.
+const maxTasks = 100_000
+
+// reasonTooManyTasks is the reason of a refusal because the cell has as many tasks as it may.
+const reasonTooManyTasks = "too_many_tasks"
+
+// refuseTooMany refuses a job of which nothing has begun if there are too many tasks, and
+// reports whether it did.
+func (pl *Planner) refuseTooMany(p *pendingRequest) bool {
+	if p.Begun || pl.tasks+len(p.Tasks) <= maxTasks {
+		return false
+	}
+	pl.counts.Refused[reasonTooManyTasks]++
+	pl.emit(Action{To: p.owner, Refusal: &Refusal{Job: p.job, Reason: reasonTooManyTasks, RetryAfter: maxRetryAfter + RetryJitter(p.job)}})
+	return true
+}
+
 // mergeRuns adds the runs of more to those of have, replacing older runs of the same
 // tasks.
 func mergeRuns(have, more []lease.Run) []lease.Run {
--- a/cell/view.go
+++ b/cell/view.go
@@ -20,6 +20,8 @@
 	// ListAge is how long ago the platform's worker list was current for certain.
 	ListAge time.Duration  `json:"list_age"`
 	Queues  map[string]int `json:"queues"`
+	// Tasks is the number of pending tasks and of runs.
+	Tasks int `json:"tasks"`
 	// OwnedJobs is the number of jobs whose process the planner knows.
 	OwnedJobs int `json:"owned_jobs"`
 	// Admission is the levels of the queues of which not all jobs are admitted.
@@ -43,7 +45,7 @@
 
 // View returns the planner's state for operators.
 func (pl *Planner) View(now time.Time) View {
-	v := View{Waiting: len(pl.pending), OwnedJobs: len(pl.owners.byJob), Queues: make(map[string]int), ListAge: pl.ListAge(now), Admission: pl.admission.levels.Queues}
+	v := View{Waiting: len(pl.pending), OwnedJobs: len(pl.owners.byJob), Tasks: pl.tasks, Queues: make(map[string]int), ListAge: pl.ListAge(now), Admission: pl.admission.levels.Queues}
 	for _, p := range pl.pending {
 		v.Queues[p.Queue] += len(p.Tasks)
 	}
--- a/entry/end.go
+++ b/entry/end.go
@@ -175,6 +175,11 @@
 	}
 	retained := j.answer.Status == Completed || j.answer.Status == Failed
 	if !retained || now.Sub(j.answeredAt) > answerRetention {
-		delete(js.jobs, j.ID)
+		js.forget(j)
 	}
 }
+
+func (js *Jobs) forget(j *job) {
+	delete(js.jobs, j.ID)
+	js.tasks -= len(j.tasks)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,6 +51,15 @@
 	MaxPerWorker int
 }
 
+// taskCount returns the number of tasks of all steps.
+func (r Request) taskCount() int {
+	n := 0
+	for _, s := range r.Steps {
+		n += s.Count
+	}
+	return n
+}
+
 // Status is the final answer to a job.
 type Status int
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -20,6 +20,9 @@
 	// answerRetention is how long the answer of a job is kept for a late copy of its
 	// request.
 	answerRetention = 4 * time.Second
+	// maxTasks bounds the tasks of all jobs of a process, which take some 300 bytes each. A
+	// request of a hundred bytes can ask for 10,000.
+	maxTasks = 30_000
 )
 
 type state int
@@ -102,7 +105,9 @@
 	refusedBy map[mesh.ID]time.Time
 	delay     delay
 	// levels holds what each planner admits.
-	levels  map[mesh.ID]receivedLevels
+	levels map[mesh.ID]receivedLevels
+	// tasks is the number of tasks of all jobs.
+	tasks   int
 	actions []Action
 	counts  Counts
 }
@@ -145,6 +150,9 @@
 	return a
 }
 
+// Tasks returns the number of tasks of all jobs, including jobs that are answered but remembered.
+func (js *Jobs) Tasks() int { return js.tasks }
+
 // Len returns the number of jobs that are not answered.
 func (js *Jobs) Len() int {
 	n := 0
--- a/entry/large_test.go
+++ b/entry/large_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"log/slog"
 	"syscall"
 	"testing"
@@ -76,3 +77,28 @@
 	}
 	return ends
 }
+
+// Guards against memory that follows from the count of a job: a hundred requests of a hundred
+// bytes, for 10,000 tasks each, took more memory than a VM has.
+func TestTasksOfAProcessAreBounded(t *testing.T) {
+	js := New(slog.New(slog.DiscardHandler))
+	js.SetPlanner(ms(0), planner)
+	job := func(i int) Request {
+		r := request(10_000)
+		r.ID = fmt.Sprintf("%016x", i)
+		return r
+	}
+	for i := range 100 {
+		js.Submit(ms(0), Waiter(i), job(i))
+	}
+	got := takeActions(js)
+	if js.Tasks() > maxTasks || len(got.answers) != 97 || got.answers[0].Answer.Status != Refused || got.answers[0].Answer.RetryAfter < minRetryAfter {
+		t.Fatalf("%d tasks, %d answers; want 30,000 at most and the other jobs refused", js.Tasks(), len(got.answers))
+	}
+	js.Cancel(ms(1), job(0).ID)
+	takeActions(js)
+	js.Submit(ms(2), 1000, job(1000))
+	if got := takeActions(js); len(got.requests) != 1 {
+		t.Errorf("%d requests after a job has ended, want the next one admitted", len(got.requests))
+	}
+}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -20,13 +20,18 @@
 		// The caller would be given the answer of another caller's job. Nor can its job
 		// start under this id: its tasks would have the names of tasks that may still
 		// run.
-		event.JobAnswered.Log(js.log, "job", r.ID, "queue", r.Queue.Name, "status", Refused, "why", idInUse, "after_ms", answerRetention.Milliseconds(), "age_ms", 0)
-		js.reply(w, Answer{Status: Refused, Why: idInUse, RetryAfter: answerRetention})
+		js.refuseUnadmitted(w, r, idInUse, answerRetention)
 	default:
 		js.join(now, w, j, r)
 	}
 }
 
+// refuseUnadmitted refuses a request that does not become a job.
+func (js *Jobs) refuseUnadmitted(w Waiter, r Request, why string, retryAfter time.Duration) {
+	event.JobAnswered.Log(js.log, "job", r.ID, "queue", r.Queue.Name, "status", Refused, "why", why, "after_ms", retryAfter.Milliseconds(), "age_ms", 0)
+	js.reply(w, Answer{Status: Refused, Why: why, RetryAfter: retryAfter})
+}
+
 // idInUse is the reason of a refusal because another job has the id.
 const idInUse = "id_in_use"
 
@@ -48,16 +53,24 @@
 	case j.placedTasks > 0:
 		js.reply(w, Answer{Status: Unknown, Why: "earlier_copy_ends"})
 	default:
-		delete(js.jobs, j.ID)
+		js.forget(j)
 		js.admit(now, w, r)
 	}
 }
 
+// tooManyTasks is the reason of a refusal because this process has as many tasks as it may.
+const tooManyTasks = "too_many_tasks"
+
 func (js *Jobs) admit(now time.Time, w Waiter, r Request) {
+	if js.tasks+r.taskCount() > maxTasks {
+		js.refuseUnadmitted(w, r, tooManyTasks, minRetryAfter+cell.RetryJitter(r.ID))
+		return
+	}
 	j := &job{Request: r, text: lease.NewText(r.ID, r.Spec), arrivedAt: now, waiters: []Waiter{w}}
 	j.deadline = now.Add(r.Timeout)
 	j.objectiveAt = now.Add(objective(r))
 	j.addSteps()
+	js.tasks += len(j.tasks)
 	js.jobs[r.ID] = j
 	js.waiters[w] = j
 	event.JobAdmitted.Log(js.log, "job", r.ID, "queue", r.Queue.Name, "tasks", len(j.tasks), "steps", len(r.Steps), "text_bytes", len(r.Spec),
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -16,7 +16,7 @@
 // coreStats is the state of the core that is exported as metrics. Counters are totals
 // since the start.
 type coreStats struct {
-	sessions, held, jobs int
+	sessions, held, jobs, tasks int
 	// otherCellSessions are those of the sessions that are with other cells.
 	otherCellSessions, listed, listedInCell int
 	isPlanner                               bool
@@ -44,6 +44,7 @@
 
 		held:       len(c.held),
 		jobs:       c.entry.Len(),
+		tasks:      c.entry.Tasks(),
 		isPlanner:  c.IsPlanner(),
 		planned:    copiedCounts(c.cell.Counts()),
 		ended:      copied(c.entry.Counts().Ended),
@@ -102,9 +103,11 @@
 	m.Gauge(meter.CatalogVersion, float64(n.catalogs.Current().Version))
 	m.Gauge(meter.StoreAge, n.storeAge()[topicOperator].Seconds())
 	m.Gauge(meter.OpenJobs, float64(stats.jobs))
+	m.Gauge(meter.JobTasks, float64(stats.tasks))
 	m.Gauge(meter.WorkersHeld, float64(stats.held))
 	m.Gauge(meter.Planning, float64(compareBool(stats.isPlanner, false)))
 	m.Gauge(meter.PlannerWaiting, float64(stats.view.Waiting))
+	m.Gauge(meter.PlannerTasks, float64(stats.view.Tasks))
 	m.Gauge(meter.PlannerOwnedJobs, float64(stats.view.OwnedJobs))
 	m.Gauge(meter.PlannerWorkers, float64(stats.view.Workers))
 	m.Gauge(meter.PlannerFreeCores, stats.view.FreeCores)
