lease: a start at a replaced worker reports all its runs lost

Callers would see: jobs with runs on a worker that was replaced go on 2.1 s later if a start finds that out before a hold call does.

Cause: the holding was closed, and only the run of the start reported; the owners of the others waited until a lease would have expired.

Change: all runs are reported lost, as after a hold call.

--- a/lease/start.go
+++ b/lease/start.go
@@ -104,6 +104,7 @@
 		wl.startRefused(now, e, c, r.Reason)
 	case r.Verdict == OtherIncarnation:
 		wl.end(now, e, End{Run: e.Run, Outcome: NeverStarted, Why: NotHeld})
+		wl.loseAllRuns(now)
 		wl.close("worker_gone")
 	default:
 		wl.resolveStart(now, e)
--- a/lease/start_test.go
+++ b/lease/start_test.go
@@ -221,3 +221,20 @@
 	}
 	_ = poll
 }
+
+// Guards against the other runs of a worker that a start finds to have been replaced being
+// reported to nobody: their jobs waited until their owners gave the holder up.
+func TestStartAtAnotherIncarnation(t *testing.T) {
+	wl, _, first := newRunningLease(t)
+	wl.Start(ms(20), alice, order("b", 1))
+	s := takeActions(wl).starts[0]
+	wl.StartAnswered(ms(21), s, Result{Verdict: OtherIncarnation})
+	reports := takeActions(wl).reports
+	if len(reports) != 2 || !wl.Closed() {
+		t.Fatalf("reported %+v, closed: %v; want the ends of both runs, and the holding closed", reports, wl.Closed())
+	}
+	wantEnd(t, reports[:1], alice, NeverStarted, NotHeld)
+	if e := reports[1].End; e.Run != first.Run || e.Outcome != Lost {
+		t.Errorf("reported %+v, want the run that was there lost", e)
+	}
+}
