peer: an error of accept does not end a listener

Callers would see: a process that once had no free descriptor accepts no connection any more, of callers or of other processes, until its restart.

Cause: the loops ended with the first error of accept. The mesh closed its listener, and the callers' service waited for servers that end with the process.

Change: peer.Accept repeats attempts that fail, with a backoff; the three loops use it, and event 824 tells of it.

--- a/event/table.go
+++ b/event/table.go
@@ -83,6 +83,7 @@
 	MemberSilent       ID = 821
 	ProbeFailed        ID = 822
 	QuorumChanged      ID = 823
+	AcceptFailed       ID = 824
 
 	PlannerChosen          ID = 900
 	PlannerBegan           ID = 901
@@ -198,6 +199,7 @@
 	{MemberSilent, slog.LevelInfo, "process does not answer probes", "A process that the planner can't reach has not answered its probe, although the store accepts records. It no longer counts towards the quorum, and its record is deleted; if it lives, it writes its record again as soon as it reads that.", "0.5"},
 	{ProbeFailed, slog.LevelWarn, "probe failed", "A probe could not be written to the partition given, or its records not be read; it is repeated. Until one succeeds, processes that are gone count towards the quorum.", "0.5"},
 	{QuorumChanged, slog.LevelInfo, "quorum changed", "This process reaches more than half of the processes that the store lists for its cell, or no longer does: listed and reachable say how many there are of each, without those that are stopping. A planner without a quorum gives no worker to a holder.", "0.5"},
+	{AcceptFailed, slog.LevelWarn, "connections can't be accepted", "The listener given failed to accept a connection, for instance because the process has no free descriptor. It is tried again, after a second at the longest; connections wait meanwhile.", "0.5"},
 	{PlannerChosen, slog.LevelInfo, "planner chosen", "This process has elected the planner given for the cell, from the members that it can reach.", "0.2"},
 	{PlannerBegan, slog.LevelInfo, "planning begins", "This process plans for the cell from now on.", "0.2"},
 	{PlannerEnded, slog.LevelInfo, "planning ends", "Another process plans from now on.", "0.2"},
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"snipehub.example/event"
 	"snipehub.example/peer"
 )
 
@@ -219,7 +220,7 @@
 	context.AfterFunc(ctx, func() { _ = m.ln.Close() })
 	m.wg.Go(func() { m.dialLoop(ctx) })
 	for {
-		c, err := m.ln.Accept()
+		c, err := peer.Accept(ctx, m.ln, func(err error) { event.AcceptFailed.Log(m.log, "listener", "peers", "error", err) })
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/node/callers.go
+++ b/node/callers.go
@@ -15,6 +15,7 @@
 	"snipehub.example/entry"
 	"snipehub.example/event"
 	"snipehub.example/meter"
+	"snipehub.example/peer"
 )
 
 // Catalog returns the routes and pools in force.
@@ -159,7 +160,7 @@
 
 // accept accepts one connection and passes it to the current server.
 func (a *callerAcceptor) accept(ctx context.Context) error {
-	c, err := a.node.ln.callers.Accept()
+	c, err := peer.Accept(ctx, a.node.ln.callers, func(err error) { event.AcceptFailed.Log(a.node.log, "listener", "callers", "error", err) })
 	if err != nil {
 		return err
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -62,7 +62,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.ln.Close() })
 	defer stop()
 	for {
-		c, err := s.ln.Accept()
+		c, err := Accept(ctx, s.ln, func(err error) { event.AcceptFailed.Log(s.log, "listener", "peers", "error", err) })
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
