node: jobs are reported with the workers

Cause: a planner was told the jobs of a member once. One that lost the member for a moment, as when the layout of cells changes, would not be told again, and could not say of any job that it does not exist.

Change: the complete reports, sent to a new planner and every five seconds, name the jobs as well; the message of its own is gone. Lookups are repeated in a fixed order.

--- a/cell/message.go
+++ b/cell/message.go
@@ -125,9 +125,19 @@
 	Serial uint64 `cbor:"6,keyasint,omitzero"`
 }
 
-// Report is the state of a holder's workers.
+// Report is the state of a process's workers and, from time to time, of its jobs.
 type Report struct {
 	// Full is set if States covers all workers that the sender holds.
 	Full   bool          `cbor:"1,keyasint,omitzero"`
 	States []lease.State `cbor:"2,keyasint,omitzero"`
+	// AllJobs is set if Jobs is all jobs of the sender that have no answer yet. Processes of
+	// earlier releases don't set it.
+	AllJobs bool       `cbor:"3,keyasint,omitzero"`
+	Jobs    []OwnedJob `cbor:"4,keyasint,omitzero"`
+}
+
+// OwnedJob is a job of the sender, and the time left to its deadline.
+type OwnedJob struct {
+	Job     string        `cbor:"1,keyasint,omitzero"`
+	Timeout time.Duration `cbor:"2,keyasint,omitzero"`
 }
--- a/cell/owners.go
+++ b/cell/owners.go
@@ -18,18 +18,6 @@
 	expireOwnersInterval = time.Second
 )
 
-// OwnedJobs tells a new planner all jobs of a process that have no answer yet. A process of
-// an earlier release doesn't send it.
-type OwnedJobs struct {
-	Jobs []OwnedJob `cbor:"1,keyasint,omitzero"`
-}
-
-// OwnedJob is a job and the time left to its deadline.
-type OwnedJob struct {
-	Job     string        `cbor:"1,keyasint,omitzero"`
-	Timeout time.Duration `cbor:"2,keyasint,omitzero"`
-}
-
 // jobOwners are the processes that have accepted jobs, so that a request about a job finds its
 // process whichever one it reaches. Owners stay known until the job's deadline, since the
 // planner is not told when a job ends.
@@ -77,19 +65,6 @@
 	}
 }
 
-// OwnedJobs records the jobs of a process that has begun to use this planner.
-func (pl *Planner) OwnedJobs(now time.Time, from mesh.ID, owned OwnedJobs) {
-	if !pl.active {
-		return
-	}
-	for _, j := range owned.Jobs {
-		pl.noteOwner(now, j.Job, from, j.Timeout)
-	}
-	if m := pl.members[from]; m != nil {
-		m.toldJobs = true
-	}
-}
-
 // Owner returns the process that has accepted a job.
 func (pl *Planner) Owner(job string) (mesh.ID, bool) {
 	o, ok := pl.owners.byJob[job]
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -205,7 +205,7 @@
 type member struct {
 	mesh.Member
 	reported bool
-	// toldJobs is set once the member has sent its jobs.
+	// toldJobs is set once the member has reported all its jobs.
 	toldJobs bool
 }
 
--- a/cell/report.go
+++ b/cell/report.go
@@ -9,12 +9,18 @@
 	"snipehub.example/mesh"
 )
 
-// Report applies a holder's report on its workers.
+// Report applies a member's report on its workers and jobs.
 func (pl *Planner) Report(now time.Time, from mesh.ID, r Report) {
 	m := pl.members[from]
 	if !pl.active || m == nil {
 		return
 	}
+	if r.AllJobs {
+		m.toldJobs = true
+	}
+	for _, j := range r.Jobs {
+		pl.noteOwner(now, j.Job, from, j.Timeout)
+	}
 	firstFull := r.Full && !m.reported
 	if r.Full {
 		m.reported = true
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -153,6 +153,17 @@
 // Tasks returns the number of tasks of all jobs, including jobs that are answered but remembered.
 func (js *Jobs) Tasks() int { return js.tasks }
 
+// OwnedJobs returns all jobs that are not answered, for the planner: requests about them that
+// reach other processes find this one through it.
+func (js *Jobs) OwnedJobs(now time.Time) (owned []cell.OwnedJob) {
+	for _, j := range js.sortedJobs() {
+		if j.answer == nil {
+			owned = append(owned, cell.OwnedJob{Job: j.ID, Timeout: j.deadline.Sub(now)})
+		}
+	}
+	return owned
+}
+
 // Len returns the number of jobs that are not answered.
 func (js *Jobs) Len() int {
 	n := 0
--- a/entry/message.go
+++ b/entry/message.go
@@ -67,12 +67,11 @@
 
 // Action is what Jobs asks its driver to do. One of the pointers is set.
 type Action struct {
-	// To is the destination of a message; zero means this cell's planner, for Request,
-	// Withdraw and Owned.
+	// To is the destination of a message; zero means this cell's planner, for Request and
+	// Withdraw.
 	To       mesh.ID
 	Request  *cell.Request
 	Withdraw *cell.Withdrawal
-	Owned    *cell.OwnedJobs
 	Start    *Start
 	Stop     *Stop
 	Claim    *Claim
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -162,7 +162,6 @@
 	}
 	// The previous planner's answer times say nothing of this one's.
 	js.delay.plannerTime = 0
-	js.sendOwnedJobs(now)
 	for _, j := range js.sortedJobs() {
 		if j.answer == nil && j.otherPlanner == (mesh.ID{}) {
 			js.repeatRequests(now, j)
@@ -170,18 +169,6 @@
 	}
 }
 
-// sendOwnedJobs tells the planner which jobs are here, so that requests about them that reach
-// other processes find this one.
-func (js *Jobs) sendOwnedJobs(now time.Time) {
-	owned := &cell.OwnedJobs{}
-	for _, j := range js.sortedJobs() {
-		if j.answer == nil {
-			owned.Jobs = append(owned.Jobs, cell.OwnedJob{Job: j.ID, Timeout: j.deadline.Sub(now)})
-		}
-	}
-	js.emit(Action{Owned: owned})
-}
-
 func (js *Jobs) repeatRequests(now time.Time, j *job) {
 	for s := range j.steps {
 		js.requestWorkers(now, j, j.tasksIn(s, pending))
--- a/node/core.go
+++ b/node/core.go
@@ -212,8 +212,6 @@
 		c.send(now, c.plannerFor(now, a.To), Message{Request: a.Request})
 	case a.Withdraw != nil:
 		c.send(now, c.plannerFor(now, a.To), Message{Withdraw: a.Withdraw})
-	case a.Owned != nil:
-		c.send(now, c.plannerFor(now, a.To), Message{OwnedJobs: a.Owned})
 	case a.Start != nil:
 		c.watch(a.To)
 		c.send(now, a.To, Message{Start: a.Start})
@@ -310,8 +308,6 @@
 		c.cell.Withdraw(*m.Withdraw)
 	case m.Report != nil:
 		c.cell.Report(now, from, *m.Report)
-	case m.OwnedJobs != nil:
-		c.cell.OwnedJobs(now, from, *m.OwnedJobs)
 	case m.JobQuery != nil:
 		c.answerJobQuery(now, from, *m.JobQuery)
 	case m.JobReply != nil:
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -254,7 +255,8 @@
 // updateLookups repeats the attempts that could not tell, and gives up lookups that take too
 // long.
 func (c *Core) updateLookups(now time.Time) {
-	for number, l := range c.lookups {
+	for _, number := range slices.Sorted(maps.Keys(c.lookups)) {
+		l := c.lookups[number]
 		c.dropUnreachable(now, number, l)
 		switch {
 		case c.lookups[number] != l:
--- a/node/message.go
+++ b/node/message.go
@@ -36,9 +36,8 @@
 	Levels             *admission.Levels    `cbor:"22,keyasint,omitzero"`
 	// Addresses are those of the processes of the recipient's cell.
 	Addresses []netip.AddrPort `cbor:"23,keyasint,omitzero"`
-	OwnedJobs *cell.OwnedJobs  `cbor:"24,keyasint,omitzero"`
-	JobQuery  *JobQuery        `cbor:"25,keyasint,omitzero"`
-	JobReply  *JobReply        `cbor:"26,keyasint,omitzero"`
+	JobQuery  *JobQuery        `cbor:"24,keyasint,omitzero"`
+	JobReply  *JobReply        `cbor:"25,keyasint,omitzero"`
 }
 
 // Disconnect ends a session with a member.
--- a/node/report.go
+++ b/node/report.go
@@ -14,7 +14,7 @@
 	// fullReportInterval is how often a holder sends the planner the list of all held
 	// workers, in case the two have diverged.
 	fullReportInterval = time.Second
-	// describeInterval is how often the complete states are sent. A session loses no
+	// describeInterval is how often the complete states, and all jobs, are sent. A session loses no
 	// messages, and a new planner is sent everything at once, so this only repairs what
 	// should not happen. Sent every second, they were a third of what a planner received.
 	describeInterval = 5 * time.Second
@@ -26,7 +26,7 @@
 )
 
 // report sends the planner the states of workers that have changed and, at intervals, of
-// all workers. It also removes the leases that are closed and notifies the owners of runs
+// all workers, and all jobs. It also removes the leases that are closed and notifies the owners of runs
 // on these workers.
 func (c *Core) report(now time.Time) {
 	if c.planner == (mesh.ID{}) || now.Sub(c.reportedAt) < c.entry.PlannerDelay()/reportsPerPlannerDelay {
@@ -34,6 +34,9 @@
 	}
 	r := &cell.Report{Full: now.Sub(c.fullReportAt) >= fullReportInterval}
 	describe := c.fullReportAt.IsZero() || r.Full && now.Sub(c.describedAt) >= describeInterval
+	if describe {
+		r.AllJobs, r.Jobs = true, c.entry.OwnedJobs(now)
+	}
 	for _, id := range c.heldIDs() {
 		wl := c.held[id]
 		if s, ok := reportedState(now, wl, r.Full, describe); ok {
