node: a stopping process that is out of sight may have a job

Callers would see: "no such job" for a job of a process that stops as planned and is cut off meanwhile, while it runs the job to its end.

Cause: a process that had announced its stop counted as gone as soon as its session ended, although it goes on with its jobs for the grace period. Found by reading the change.

Change: it may have jobs for as long as the store lists it.

Measured: TestJobOfAStoppingProcessOutOfSight failed before ("absent while the process is out of sight, want it undetermined").

--- a/node/lookup.go
+++ b/node/lookup.go
@@ -186,11 +186,8 @@
 }
 
 // mayLive reports whether a process of this cell that is out of reach may live: the store lists
-// it, and it did not announce its stop.
-func (c *Core) mayLive(id mesh.ID) bool {
-	_, left := c.left[id]
-	return !left && c.cellRecords[id.Address].ID == id
-}
+// it. One that stops as planned goes on with its jobs, and deletes its record meanwhile.
+func (c *Core) mayLive(id mesh.ID) bool { return c.cellRecords[id.Address].ID == id }
 
 // anyMissing reports whether any process of this cell that is out of reach may live.
 func (c *Core) anyMissing() bool {
--- a/node/lookup_test.go
+++ b/node/lookup_test.go
@@ -258,3 +258,16 @@
 		t.Error("there is only one cell")
 	}
 }
+
+// Guards against "no such job" for a job of a process that stops as planned and is cut off
+// meanwhile: it goes on with its jobs until the end of its grace period.
+func TestJobOfAStoppingProcessOutOfSight(t *testing.T) {
+	cl := threeMembers()
+	cl.submit(member(3).ID, "j")
+	cl.cores[member(3).ID].Advertise(ms(cl.now), func(m *mesh.Member) { m.Leaving = true })
+	cl.run(100)
+	cl.lose(member(3).ID)
+	if s := cl.locate(member(2).ID, "j", true); s.Knowledge != entry.Undetermined {
+		t.Errorf("%v while the process is out of sight, want it undetermined", s.Knowledge)
+	}
+}
