node: answers to probes do not count as renewals

Callers would see: a process that is cut off from the others, but not from the store, takes the workers of all others after 90 s, and runs on them are lost.

Cause: a process removes others that have not renewed their records while it renewed its own four times. It renews its own early when it is probed, every 5 s, and these counted if they were 30 s apart, while others renew within 75 s, and within minutes in a large deployment. Found by reading the change.

Change: own renewals count only if they are an average pause apart, which grows with the number of processes.

Measured: TestAnswersToProbesAreNoRenewals failed before ("999 were removed after 1m30s, though each may miss a renewal within 10m25s").

--- a/node/probe.go
+++ b/node/probe.go
@@ -216,7 +216,7 @@
 		switch {
 		case r.Offset > start.offset:
 			delete(p.begun, a)
-		case answersProbes || time.Since(start.at) > p.node.maxRenewalPause()+probeTimeout:
+		case answersProbes || time.Since(start.at) > longestRenewalPause(p.node.records.count())+probeTimeout:
 			out = append(out, a)
 		}
 	}
--- a/node/probe_test.go
+++ b/node/probe_test.go
@@ -88,7 +88,7 @@
 			for i := range 3 {
 				parts[i%2].appendRecord(10+i, memberRecord{})
 			}
-			time.Sleep(n.maxRenewalPause())
+			time.Sleep(longestRenewalPause(n.records.count()))
 			if hasQuorum(n) {
 				t.Error("a process that reaches no other one has a quorum")
 				return
--- a/node/records.go
+++ b/node/records.go
@@ -17,10 +17,6 @@
 	// one that was not renewed meanwhile. Time is measured in own renewals because they
 	// prove that the store accepts records: while it is unreachable, no process is removed.
 	maxMissedRenewals = 3
-	// minRenewalGap is the least time between two own renewals that are counted. An attempt
-	// that timed out may have been carried out, and is repeated at once: counted alike, the
-	// attempts of the first second would remove all live processes.
-	minRenewalGap = renewInterval / 2
 )
 
 // recordTracker tracks the processes that the store lists. It does no I/O. It is safe for
@@ -104,11 +100,14 @@
 	return changed || len(gone) > 0, gone
 }
 
-// countRenewal counts an own renewal, and removes the processes that have missed too many. In
+// countRenewal counts an own renewal, and removes the processes that have missed too many. One
+// that follows the last counted one by less than the average pause is not counted: an attempt
+// that timed out may have been carried out and is repeated at once, and a process that is probed
+// renews its record early. Counted alike, they would remove live processes. In
 // a partition that was not read since the last one, renewals can't be seen: it may be
 // unavailable while the own one is not.
 func (r *recordTracker) countRenewal(readAt time.Time) (gone []goneMember) {
-	if readAt.Sub(r.countedAt) < minRenewalGap {
+	if readAt.Sub(r.countedAt) < averageRenewalPause(r.countLocked()) {
 		return nil
 	}
 	lastCounted := r.countedAt
@@ -175,6 +174,10 @@
 func (r *recordTracker) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.countLocked()
+}
+
+func (r *recordTracker) countLocked() int {
 	n := 0
 	for _, records := range r.parts {
 		n += len(records)
--- a/node/records_test.go
+++ b/node/records_test.go
@@ -131,3 +131,24 @@
 		t.Errorf("listed are %v, want this process alone after its partition was read without a renewal", got)
 	}
 }
+
+// Guards against a process that is cut off, and renews its record early because it is probed,
+// taking the others for gone: it would have a quorum by itself, and take their workers. In a
+// large deployment they renew their records only each few minutes.
+func TestAnswersToProbesAreNoRenewals(t *testing.T) {
+	for _, processes := range []int{8, 200, 1000} {
+		r := newRecordTracker(vmAddr(1), 0)
+		var others []netip.AddrPort
+		for i := range processes - 1 {
+			others = append(others, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(i % 250)}), 7000))
+		}
+		r.apply(ms(0), 0, true, renewed(append(others, vmAddr(1))...))
+		longest := longestRenewalPause(processes)
+		for at := time.Duration(0); at < 2*longest; at += minProbePause {
+			if _, gone := r.apply(ms(0).Add(at), 0, false, renewed(vmAddr(1))); len(gone) != 0 {
+				t.Errorf("%d processes: %d were removed after %v, though each may miss a renewal within %v", processes, len(gone), at, 2*longest)
+				break
+			}
+		}
+	}
+}
--- a/node/register.go
+++ b/node/register.go
@@ -180,15 +180,16 @@
 // renewalPause draws the time until the next renewal, three to five quarters of the average.
 // Large deployments renew at longer intervals.
 func (n *Node) renewalPause() time.Duration {
-	average := n.averageRenewalPause()
+	average := averageRenewalPause(n.records.count())
 	return average*3/4 + rand.N(average/2)
 }
 
-// maxRenewalPause returns the longest time between two renewals of a process.
-func (n *Node) maxRenewalPause() time.Duration { return n.averageRenewalPause() * 5 / 4 }
+// longestRenewalPause returns the longest time between two renewals of a process, for a number
+// of processes.
+func longestRenewalPause(processes int) time.Duration { return averageRenewalPause(processes) * 5 / 4 }
 
-func (n *Node) averageRenewalPause() time.Duration {
-	return max(renewInterval, time.Duration(n.records.count())*time.Second/maxRenewalRate)
+func averageRenewalPause(processes int) time.Duration {
+	return max(renewInterval, time.Duration(processes)*time.Second/maxRenewalRate)
 }
 
 // maintainRecord writes this process's record, takes its number from the record's place,
