cell: unlisted workers that take tasks suit a job

Callers would see: jobs refused as no_suitable_worker for some seconds after the platform's list of workers was lost, although the workers have holders and take tasks.

Cause: the new refusal at once looked at listed workers alone. Found by reading the change.

Change: workers that take tasks count as well.

Measured: TestUnlistedWorkersThatAnswerSuit failed before ("Reason: no_suitable_worker, want the job to wait for the worker").

--- a/cell/admit.go
+++ b/cell/admit.go
@@ -50,15 +50,15 @@
 	}
 }
 
-// refuseUnsuitable refuses the jobs that none of the listed workers could run even if it were
-// idle, and returns the other requests. Those of jobs that have begun stay pending.
+// refuseUnsuitable refuses the jobs that no worker that is listed, or takes tasks, could run even
+// if it were idle, and returns the other requests. Those of jobs that have begun stay pending.
 func (pl *Planner) refuseUnsuitable(now time.Time, queue []*pendingRequest) []*pendingRequest {
 	if !pl.listRead || now.Sub(pl.startedAt) < workerDiscoveryGrace {
 		return queue
 	}
 	workers := pl.sortedWorkers()
 	return slices.DeleteFunc(queue, func(p *pendingRequest) bool {
-		if slices.ContainsFunc(workers, func(w *worker) bool { return w.listed && w.suits(p) }) {
+		if slices.ContainsFunc(workers, func(w *worker) bool { return (w.listed || w.acceptsTasks()) && w.suits(p) }) {
 			return false
 		}
 		if !p.Begun {
@@ -120,8 +120,8 @@
 	// reasonNoWorkers is the reason when no worker that the job may run on accepts tasks: none
 	// is known, or none has a holder.
 	reasonNoWorkers = "no_workers"
-	// reasonNoSuitableWorker is the reason when the platform lists no worker that has the
-	// pool, the label and the resources that the job needs.
+	// reasonNoSuitableWorker is the reason when no worker that is listed, or takes tasks, has
+	// the pool, the label and the resources that the job needs.
 	reasonNoSuitableWorker = "no_suitable_worker"
 	// reasonEvacuated is the reason when all workers that would accept tasks are in data
 	// centres that are being evacuated.
--- a/cell/admit_test.go
+++ b/cell/admit_test.go
@@ -264,3 +264,21 @@
 		t.Errorf("%d tasks, %d jobs refused; want %d and 20", n, refused, maxTasks)
 	}
 }
+
+// Guards against jobs being refused as if no worker existed while the platform's list is lost
+// for a moment, as when its store forgets its history: the workers that have holders go on.
+func TestUnlistedWorkersThatAnswerSuit(t *testing.T) {
+	pl := newPlannerWithHolders(t, 2, 1)
+	pl.UpdateWorkers(ms(1900), memberID(0), WorkerList{Full: true})
+	first := newRequest("first", 2)
+	pl.Request(ms(2000), memberID(1), first)
+	if grants, _ := place(pl, 2000); len(grants) != 2 {
+		t.Fatalf("%d grants, want 2", len(grants))
+	}
+	next := newRequest("next", 1)
+	next.Objective = time.Second
+	pl.Request(ms(2020), memberID(1), next)
+	if _, refused := place(pl, 2020); len(refused) != 0 {
+		t.Errorf("refusals %+v, want the job to wait for the worker", refused)
+	}
+}
