entry: tasks of jobs that are over do not count

Callers would see: too_many_tasks at a busy process although hardly any jobs are at work, since the tasks of finished jobs counted for the four seconds for which the answer is remembered.

Cause: tasks were freed with the answer. Found by reading the change.

Change: they are freed once nothing of the job runs.

Measured: TestFinishedJobsHaveNoTasks failed before ("2 tasks; want the answer remembered, and none").

--- a/entry/end.go
+++ b/entry/end.go
@@ -173,6 +173,7 @@
 	if j.answer == nil || j.placedTasks > 0 {
 		return
 	}
+	js.dropTasks(j)
 	retained := j.answer.Status == Completed || j.answer.Status == Failed
 	if !retained || now.Sub(j.answeredAt) > answerRetention {
 		js.forget(j)
@@ -180,6 +181,12 @@
 }
 
 func (js *Jobs) forget(j *job) {
+	js.dropTasks(j)
 	delete(js.jobs, j.ID)
+}
+
+// dropTasks frees the tasks of a job that is over.
+func (js *Jobs) dropTasks(j *job) {
 	js.tasks -= len(j.tasks)
+	j.tasks, j.steps = nil, nil
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -20,7 +20,7 @@
 	// answerRetention is how long the answer of a job is kept for a late copy of its
 	// request.
 	answerRetention = 4 * time.Second
-	// maxTasks bounds the tasks of all jobs of a process, which take some 300 bytes each. A
+	// maxTasks bounds the tasks of the jobs of a process that are not over, which take some 300 bytes each. A
 	// request of a hundred bytes can ask for 10,000.
 	maxTasks = 30_000
 )
@@ -106,7 +106,7 @@
 	delay     delay
 	// levels holds what each planner admits.
 	levels map[mesh.ID]receivedLevels
-	// tasks is the number of tasks of all jobs.
+	// tasks is the number of tasks of the jobs that are not over.
 	tasks   int
 	actions []Action
 	counts  Counts
@@ -150,7 +150,7 @@
 	return a
 }
 
-// Tasks returns the number of tasks of all jobs, including jobs that are answered but remembered.
+// Tasks returns the number of tasks of the jobs that have no answer or still run.
 func (js *Jobs) Tasks() int { return js.tasks }
 
 // OwnedJobs returns all jobs that are not answered, for the planner: requests about them that
--- a/entry/large_test.go
+++ b/entry/large_test.go
@@ -102,3 +102,15 @@
 		t.Errorf("%d requests after a job has ended, want the next one admitted", len(got.requests))
 	}
 }
+
+// Guards against tasks of finished jobs counting as long as their answer is remembered: a busy
+// process would refuse jobs although hardly any are at work.
+func TestFinishedJobsHaveNoTasks(t *testing.T) {
+	js, req := newRunningJobs(t, request(2))
+	for _, r := range req.Tasks {
+		js.Ended(ms(20), holder, Ended{Worker: "w", End: lease.End{Run: r, Outcome: lease.Done}})
+	}
+	if s := js.State(jobID); s.Status != Completed || js.Tasks() != 0 {
+		t.Errorf("state %+v, %d tasks; want the answer remembered, and none", s, js.Tasks())
+	}
+}
--- a/meter/table.go
+++ b/meter/table.go
@@ -202,6 +202,6 @@
 	{919, PlannerPasses, Counter, "passes", nil, "Passes over the pending requests that this process has made as the planner; at most 500 a second while requests wait.", "0.3"},
 	{920, JobsLocated, Counter, "requests", byCode, "Requests for the state of a job, or to cancel one; the code is present, absent (410) or undetermined (503).", "0.5"},
 	{921, PlannerOwnedJobs, Gauge, "jobs", nil, "Jobs whose process this one knows as the planner; 100,000 at the most.", "0.5"},
-	{922, JobTasks, Gauge, "tasks", nil, "Tasks of the jobs that this process has accepted; 30,000 at the most, then jobs are refused as too_many_tasks.", "0.5"},
+	{922, JobTasks, Gauge, "tasks", nil, "Tasks of the jobs of this process that have no answer or still run; 30,000 at the most, then jobs are refused as too_many_tasks.", "0.5"},
 	{923, PlannerTasks, Gauge, "tasks", nil, "Pending tasks and runs of the cell, at the planner; from 100,000 on, jobs are refused as too_many_tasks.", "0.5"},
 }
