cell: the count of a step's tasks changes with grants of that step only

Read as a newcomer: a grant of another step raised the count as well. It is not looked at again in the same pass, so nothing was decided by it.

--- a/cell/place.go
+++ b/cell/place.go
@@ -20,8 +20,8 @@
 	holderMember *member
 	// probe is set if the worker is ejected and takes a single probe task.
 	probe bool
-	// stepTasks is the number of tasks of a step on the worker. It is counted when a request
-	// with MaxPerWorker first considers the candidate.
+	// stepTasks is the number of tasks of step on the worker, counted when a request with
+	// MaxPerWorker first considers the candidate.
 	step      stepKey
 	stepTasks int
 }
@@ -207,7 +207,9 @@
 		}
 		h.countTask(c)
 		c.free = c.free.Minus(p.Resources)
-		c.stepTasks++
+		if c.step == p.stepKey {
+			c.stepTasks++
+		}
 		if c.probe {
 			c.free = lease.Resources{}
 			c.nextProbe = now.Add(c.probeInterval)
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -20,8 +20,8 @@
 	// answerRetention is how long the answer of a job is kept for a late copy of its
 	// request.
 	answerRetention = 4 * time.Second
-	// maxTasks bounds the tasks of the jobs of a process that are not over, which take some 300 bytes each. A
-	// request of a hundred bytes can ask for 10,000.
+	// maxTasks bounds the tasks of the jobs of a process that are not over, which take some 300
+	// bytes each. A request of a hundred bytes can ask for 10,000.
 	maxTasks = 30_000
 )
 
