node: a job of a process out of sight may exist until its deadline

Callers would see: "no such job" for a job whose process is cut off and not listed, as one that has deleted its record to stop as planned, or that has just joined, while the job runs on. And 503 for some seconds after a process has restarted, although its jobs are gone.

Cause: whether an owner out of reach may live was taken from the list of records.

Change: such a job may exist until its deadline, unless another process is reachable at its owner's address.

Measured: two cases of TestJobOfALostProcess failed before ("no longer listed: absent, want it undetermined"; "has restarted: undetermined, want it absent").

--- a/node/lookup.go
+++ b/node/lookup.go
@@ -167,32 +167,29 @@
 }
 
 // knowledgeInCell returns what this process knows as the planner of a job that it does not have:
-// the owner, if that is to be asked.
+// the owner, if that is to be asked. An owner of this cell that is out of reach may go on with
+// the job until the job's deadline, whether the store lists it or not: it may have deleted its
+// record to stop as planned, or have joined so recently that it was not read yet.
 func (c *Core) knowledgeInCell(now time.Time, job string) (entry.Knowledge, mesh.ID) {
 	owner, known := c.cell.Owner(job)
 	_, reachable := c.members[owner]
 	switch {
-	case known && reachable:
+	case known && (reachable || c.layout.divided && !c.inOwnCell(owner)):
 		return entry.Undetermined, owner
-	case known && owner != c.self.ID && c.mayLive(owner):
-		return entry.Undetermined, mesh.ID{}
-	case known:
+	case known && (owner == c.self.ID || c.isReplaced(owner)):
 		// The owner has ended the job, or has ended itself.
 		return entry.Absent, mesh.ID{}
-	case c.quorum && !c.anyMissing() && c.cell.KnowsAllJobs(now):
+	case !known && c.quorum && len(c.missing) == 0 && c.cell.KnowsAllJobs(now):
 		return entry.Absent, mesh.ID{}
 	}
 	return entry.Undetermined, mesh.ID{}
 }
 
-// mayLive reports whether a process of this cell that is out of reach may live: the store lists
-// it. One that stops as planned goes on with its jobs, and deletes its record meanwhile.
-func (c *Core) mayLive(id mesh.ID) bool { return c.cellRecords[id.Address].ID == id }
-
-// anyMissing reports whether any process of this cell that is out of reach may live.
-func (c *Core) anyMissing() bool {
-	for a := range c.missing {
-		if c.mayLive(c.cellRecords[a].ID) {
+// isReplaced reports whether another process is reachable at a process's address, which only one
+// at a time can bind.
+func (c *Core) isReplaced(id mesh.ID) bool {
+	for o := range c.members {
+		if o.Address == id.Address && o != id {
 			return true
 		}
 	}
--- a/node/lookup_test.go
+++ b/node/lookup_test.go
@@ -194,22 +194,43 @@
 	}
 }
 
-// Guards against "no such job" for a job whose process is out of sight and may go on with it,
-// and against withholding it once that process is known to be gone.
+// Guards against "no such job" for a job whose process is out of sight and may go on with it, and
+// against withholding it once the process is known to be gone or the job's deadline has passed.
 func TestJobOfALostProcess(t *testing.T) {
-	for _, job := range []string{"j", "unknown"} {
-		cl := threeMembers()
-		cl.submit(member(3).ID, "j")
-		cl.lose(member(3).ID)
-		if s := cl.locate(member(2).ID, job, true); s.Knowledge != entry.Undetermined {
-			t.Errorf("%s: %v while a process is out of sight, want it undetermined", job, s.Knowledge)
-		}
+	gone := func(cl *cluster) {
 		delete(cl.cores, member(3).ID)
 		for _, c := range cl.cores {
 			c.SetRecorded(ms(cl.now), []mesh.Member{member(1), member(2)}, true)
 		}
-		if s := cl.locate(member(2).ID, job, true); s.Knowledge != entry.Absent {
-			t.Errorf("%s: %v after the process is gone, want it absent", job, s.Knowledge)
+	}
+	restarted := func(cl *cluster) {
+		delete(cl.cores, member(3).ID)
+		next := member(3)
+		next.ID.Boot, next.Number = 33, 33
+		for _, c := range cl.cores {
+			c.MemberUp(ms(cl.now), next, 2)
+		}
+	}
+	tests := []struct {
+		name   string
+		job    string
+		happen func(cl *cluster)
+		want   entry.Knowledge
+	}{
+		{"job out of sight", "j", func(*cluster) {}, entry.Undetermined},
+		{"unknown job, process out of sight", "unknown", func(*cluster) {}, entry.Undetermined},
+		{"job, its process no longer listed", "j", gone, entry.Undetermined},
+		{"unknown job, process no longer listed", "unknown", gone, entry.Absent},
+		{"job, its process has restarted", "j", restarted, entry.Absent},
+		{"job after its deadline", "j", func(cl *cluster) { gone(cl); cl.run(22_000) }, entry.Absent},
+	}
+	for _, tt := range tests {
+		cl := threeMembers()
+		cl.submit(member(3).ID, "j")
+		cl.lose(member(3).ID)
+		tt.happen(cl)
+		if s := cl.locate(member(2).ID, tt.job, true); s.Knowledge != tt.want {
+			t.Errorf("%s: %v, want it %v", tt.name, s.Knowledge, tt.want)
 		}
 	}
 }
