review: case 8, tasks start at a minion that came back as another kind

Tried: three minions of 24 crash for 1.5 s and start again under their ids with another label, three times.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Crashes minions, which start again under their ids as minions of another kind.
+# It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+# TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/snipehubd ] && [ -x target/review-trial ] || exit 2
+exec target/review-trial label review/8
