--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -29,6 +29,7 @@
 	"label":  labelTrial,
 	"thaw":   thawTrial,
 	"roll":   rollTrial,
+	"late":   lateTrial,
 }
 
 // The exit codes.
--- a/review/trial/world.go
+++ b/review/trial/world.go
@@ -28,6 +28,8 @@
 	minionCPU int
 	// guards is set if the minions reject what does not fit.
 	guards bool
+	// lateShare is the share of the orders that are carried out late.
+	lateShare float64
 	// kind returns the kind of a minion.
 	kind  func(i int) string
 	judge judge
@@ -67,7 +69,7 @@
 	for i := range d.minions {
 		m := &minion{
 			id: fmt.Sprintf("i-%04x", 0x51a0+i*37), address: fmt.Sprintf("%s:%d", w.ip(2), portMinion+i), zone: zones[i%len(zones)],
-			rack: fmt.Sprintf("r%d-%d", i%len(zones), i/(8*len(zones))), cpu: d.minionCPU, guards: d.guards, store: w.store, rec: rec, judge: d.judge,
+			rack: fmt.Sprintf("r%d-%d", i%len(zones), i/(8*len(zones))), cpu: d.minionCPU, guards: d.guards, lateShare: d.lateShare, store: w.store, rec: rec, judge: d.judge,
 		}
 		if err := m.boot(d.kind(i)); err != nil {
 			return w, err
