cell, lease, platform: what is known of a worker belongs to one of its incarnations

Cause: the ID was taken for the name of one incarnation. The planner granted by the labels and the capacity of the former incarnation until it read the list again, the holder compared neither, a start could be the first call that the new incarnation got, and a drain held for the ID for ever.

Change: a worker's description carries the incarnation that wrote it (born), a holder reports the one that runs. A grant that rests on a description names its incarnation; the holder refuses it for any other one, and the start is sent on a connection on which that incarnation has answered. Until list and holder agree, the planner gives a worker only tasks to which its description makes no difference. A drain belongs to an incarnation. Events 940 and 941.

Why it holds at any size: no step relies on a time or on the order of messages; a connection ends with the process that has accepted it.

--- a/cell/assign.go
+++ b/cell/assign.go
@@ -140,7 +140,7 @@
 
 // assignWorker chooses the holder of a worker, updates load, and sends the assignment.
 func (pl *Planner) assignWorker(now time.Time, w *worker, load map[mesh.ID]float64) {
-	if !w.listed || w.draining && len(w.runs) == 0 || now.Sub(w.releasedAt) < w.assignBackoff() {
+	if !w.listed || w.drains() && len(w.runs) == 0 || now.Sub(w.releasedAt) < w.assignBackoff() {
 		return
 	}
 	m := pl.chooseHolder(now, w, load)
@@ -154,9 +154,9 @@
 }
 
 func (pl *Planner) sendAssignment(now time.Time, w *worker) {
-	w.assignedAt = now
+	w.assignedAt, w.describedAt = now, now
 	event.WorkerAssigned.Log(pl.log, "worker", w.ID, "member", w.holder, "former", w.formerHolder, "floor", w.fence, "list_age_ms", pl.ListAge(now).Milliseconds())
-	pl.emit(Action{To: w.holder, Assignment: &Assignment{Worker: w.Worker, MinFence: w.fence, Speed: w.speed, Draining: w.draining}})
+	pl.emit(Action{To: w.holder, Assignment: &Assignment{Worker: w.Worker, MinFence: w.fence, Speed: w.speed, Draining: w.drains()}})
 }
 
 // chooseHolder returns the member with the least load for its size in the worker's data
--- a/cell/message.go
+++ b/cell/message.go
@@ -59,6 +59,9 @@
 	// Estimate is the expected time on a worker of average speed, if it differs from that
 	// of the Request because the worker is not on the rack that holds the data.
 	Estimate time.Duration `cbor:"6,keyasint,omitzero"`
+	// Incarnation is the only incarnation of the worker that may run it, because the worker
+	// was chosen by its description; 0 if any may.
+	Incarnation int64 `cbor:"7,keyasint,omitzero"`
 }
 
 // Refusal refuses workers to a job.
@@ -102,9 +105,16 @@
 	Worker string `cbor:"1,keyasint,omitzero"`
 }
 
-// Drain tells a holder that a worker accepts no new tasks.
+// Drain tells a holder that an incarnation of a worker accepts no new tasks; 0 stands for the
+// one that runs.
 type Drain struct {
-	Worker string `cbor:"1,keyasint,omitzero"`
+	Worker      string `cbor:"1,keyasint,omitzero"`
+	Incarnation int64  `cbor:"2,keyasint,omitzero"`
+}
+
+// Description tells a holder what the newest known incarnation of a worker is like.
+type Description struct {
+	Worker lease.Worker `cbor:"1,keyasint,omitzero"`
 }
 
 // WorkerList is the platform's worker list, or changes of it, forwarded by the member that
--- a/cell/place.go
+++ b/cell/place.go
@@ -70,7 +70,7 @@
 
 // takesNew reports whether a worker is to get new tasks at all: it does not drain, and its
 // data centre is not being evacuated.
-func (w *worker) takesNew() bool { return !w.draining && !w.evacuated }
+func (w *worker) takesNew() bool { return !w.drains() && !w.evacuated }
 
 func minCPU(queue []*pendingRequest) int {
 	least := queue[0].Resources.CPU
@@ -215,6 +215,9 @@
 			c.nextProbe = now.Add(c.probeInterval)
 		}
 		it := GrantedRun{Run: r, Worker: c.ID, Holder: c.holder, Fence: c.fence}
+		if pl.needsDescription(p) {
+			it.Incarnation = c.Incarnation
+		}
 		estimate := p.Estimate
 		if rackFactor := pl.rackFactor(p.Rack, c.worker); rackFactor != 1 {
 			estimate = scaled(estimate, rackFactor)
@@ -286,12 +289,15 @@
 }
 
 // meetsRequirements reports whether a candidate has the pool, the label and the free
-// resources that a request needs, is not to be avoided, and has fewer tasks of the step
-// than the allowed maximum.
+// resources that a request needs, is not to be avoided, is known as what it is, and has fewer
+// tasks of the step than the allowed maximum.
 func (pl *Planner) meetsRequirements(p *pendingRequest, c *candidate) bool {
 	if !c.suits(p) || !p.Resources.Fits(c.free) || slices.Contains(p.Avoid, c.ID) {
 		return false
 	}
+	if !c.isDescribed() && pl.needsDescription(p) {
+		return false
+	}
 	return p.MaxPerWorker == 0 || c.countStepTasks(p) < p.MaxPerWorker
 }
 
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -40,9 +40,19 @@
 // worker is the planner's state of one worker.
 type worker struct {
 	lease.Worker
-	// listed is set if the platform lists the worker, draining if it accepts no new
-	// tasks.
-	listed, draining bool
+	// listed is set if the platform lists the worker.
+	listed bool
+	// running is the incarnation that answered a holder last, 0 if that is unknown. The
+	// description may be that of another one.
+	running int64
+	// described is the incarnation whose description the holder has, describedAt when it was
+	// last sent one.
+	described   int64
+	describedAt time.Time
+	// drained is set if an incarnation accepts no new tasks: drainedIncarnation, or the one
+	// that runs if that is 0.
+	drained            bool
+	drainedIncarnation int64
 	// evacuated is set while no tasks may be started in the worker's data centre.
 	evacuated bool
 	// holder is the member that holds the worker, or zero; heldSince is when it was
@@ -136,6 +146,8 @@
 	Release    *Release
 	Drain      *Drain
 	Levels     *admission.Levels
+	// Description is sent to the holder of the worker.
+	Description *Description
 }
 
 // Planner is the planner of a cell as a deterministic state machine without I/O: it takes
@@ -198,6 +210,9 @@
 	// evacuations are the data centres in which no tasks may be started, which this process
 	// knows whether it plans or not.
 	evacuations catalog.Evacuations
+	// guardedPools are the pools whose workers reject what exceeds their capacity, which this
+	// process knows whether it plans or not.
+	guardedPools map[string]struct{}
 	// awaitListUntil is how long no tasks are granted unless the list has been read.
 	awaitListUntil time.Time
 }
@@ -361,7 +376,7 @@
 		pl.listRead = true
 	}
 	for _, w := range l.Workers {
-		pl.updateListed(w, from, l.Age)
+		pl.updateListed(now, w, from, l)
 	}
 	for _, id := range l.Removed {
 		if w := pl.workers[id]; w != nil {
@@ -372,19 +387,20 @@
 	pl.needsPlanning = true
 }
 
-// updateListed adds or updates a worker that the platform lists, as read or copied by a
-// member some time ago.
-func (pl *Planner) updateListed(l ListedWorker, from mesh.ID, age time.Duration) {
+// updateListed adds or updates a worker of a list that a member has read or copied.
+func (pl *Planner) updateListed(now time.Time, l ListedWorker, from mesh.ID, list WorkerList) {
 	w := pl.workers[l.ID]
 	if w == nil {
 		w = pl.addWorker(l.Worker)
 		event.WorkerListed.Log(pl.log, "worker", l.ID, "address", l.Address, "pool", l.Pool, "data_center", l.DataCenter, "kind", l.Kind, "rack", l.Rack, "cpu", l.Resources.CPU, "memory", l.Resources.Memory)
 	}
-	w.Worker, w.listed = l.Worker, true
-	w.evacuated = pl.evacuations.Includes(w.DataCenter)
-	if l.Draining && !w.draining {
-		w.draining = true
-		event.WorkerDraining.Log(pl.log, "worker", l.ID, "source", "list", "from", from, "read_ms_ago", age.Milliseconds())
+	w.listed = true
+	// A copy can be older than what the holder has reported; a read can not.
+	if !list.FromPlanner || !w.isDescribed() {
+		pl.describe(now, w, l.Worker)
+	}
+	if l.Draining && pl.drain(w, l.Incarnation) {
+		event.WorkerDraining.Log(pl.log, "worker", l.ID, "source", "list", "from", from, "read_ms_ago", list.Age.Milliseconds())
 		pl.sendDrain(w)
 	}
 }
@@ -401,7 +417,7 @@
 // the platform's list.
 func (pl *Planner) sendDrain(w *worker) {
 	if w.holder != (mesh.ID{}) {
-		pl.emit(Action{To: w.holder, Drain: &Drain{Worker: w.ID}})
+		pl.emit(Action{To: w.holder, Drain: &Drain{Worker: w.ID, Incarnation: w.drainedIncarnation}})
 	}
 }
 
--- a/cell/report.go
+++ b/cell/report.go
@@ -80,11 +80,11 @@
 	}
 	w.setOpen(now, s.Open)
 	w.confirmed = true
-	if w.draining && !s.Draining {
+	pl.updateIncarnation(now, w, s)
+	if w.drains() && !s.Draining {
 		pl.sendDrain(w)
 	}
-	if s.Draining && !w.draining {
-		w.draining = true
+	if s.Draining && !w.drains() && pl.drain(w, w.running) {
 		event.WorkerDraining.Log(pl.log, "worker", s.ID, "source", "holder", "from", from)
 	}
 	if s.Fence != 0 {
--- a/cell/view.go
+++ b/cell/view.go
@@ -60,7 +60,7 @@
 			For:       now.Sub(w.heldSince),
 			Fence:     w.fence,
 			Open:      w.open,
-			Draining:  w.draining,
+			Draining:  w.drains(),
 			Evacuated: w.evacuated,
 			Listed:    w.listed,
 			Runs:      len(w.runs),
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -38,7 +38,7 @@
 			s = &Start{Spec: WireText(j.text.Spec), Sum: j.text.Sum, Resources: step.Resources, Estimate: step.Estimate}
 			byStep[t.step] = s
 		}
-		s.Runs = append(s.Runs, PlacedRun{Run: item.Run, Worker: item.Worker, Estimate: item.Estimate, Fence: item.Fence})
+		s.Runs = append(s.Runs, PlacedRun{Run: item.Run, Worker: item.Worker, Estimate: item.Estimate, Fence: item.Fence, Incarnation: item.Incarnation})
 	}
 	if len(unused) > 0 {
 		js.emit(Action{To: from, Withdraw: &cell.Withdrawal{Job: g.Job, Runs: unused}})
--- a/entry/message.go
+++ b/entry/message.go
@@ -26,6 +26,9 @@
 	Estimate time.Duration `cbor:"4,keyasint,omitzero"`
 	// Fence is, in a Start, the fence of the holding for which the run was granted.
 	Fence lease.Fence `cbor:"5,keyasint,omitzero"`
+	// Incarnation is, in a Start, the only incarnation of the worker that may run it; 0 if
+	// any may.
+	Incarnation int64 `cbor:"6,keyasint,omitzero"`
 }
 
 // Stop asks a holder to stop runs.
--- a/event/table.go
+++ b/event/table.go
@@ -126,6 +126,8 @@
 	AdmissionUnlimited    ID = 937
 	JobLocated            ID = 938
 	OwnedJobsFull         ID = 939
+	WorkerRestarted       ID = 940
+	WorkerDescribed       ID = 941
 )
 
 var table = []Entry{
@@ -240,4 +242,6 @@
 	{AdmissionUnlimited, slog.LevelInfo, "admission not limited any more", "All jobs are admitted again, and have been for a second. lasted_ms is how long admission was limited.", "0.3"},
 	{JobLocated, slog.LevelInfo, "job looked up", "A request to cancel a job that another process has, or the state of a job that could not be determined. knowledge is present, absent (no process in reach has it) or undetermined (a process that may have it did not answer).", "0.5"},
 	{OwnedJobsFull, slog.LevelWarn, "too many jobs to know their processes", "The planner does not record the processes of further jobs. Until the deadlines of these have passed, requests about unknown jobs are answered as undetermined.", "0.5"},
+	{WorkerRestarted, slog.LevelInfo, "worker restarted", "The holder has heard another incarnation of the worker under the same id. Until the list of workers describes it (compare incarnation and described), the worker gets only tasks without required labels, and none in a pool that does not enforce its capacity.", "0.6"},
+	{WorkerDescribed, slog.LevelInfo, "worker described", "The planner has sent this holder the description of another incarnation of the worker.", "0.6"},
 }
--- a/lease/call.go
+++ b/lease/call.go
@@ -51,7 +51,7 @@
 	OK Verdict = iota + 1
 	// Refused: it did nothing, for the reason given.
 	Refused
-	// OtherIncarnation: another incarnation of a worker answers at the address.
+	// OtherIncarnation: a worker with another ID answers at the address.
 	OtherIncarnation
 	// NoAnswer: it may have done what it was asked to, or may do it later.
 	NoAnswer
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -123,7 +123,7 @@
 	if wl.incarnation != 0 && r.Incarnation != wl.incarnation {
 		wl.handleRestart(now, c, r)
 	}
-	wl.incarnation = r.Incarnation
+	wl.setIncarnation(r.Incarnation)
 	wl.unreported = wl.unreported || wl.failures > 0
 	wl.failures = 0
 	if c.Fence == wl.fence && !wl.usable {
@@ -162,6 +162,22 @@
 	wl.claimDeadline = now.Add(claimTimeout)
 }
 
+// setIncarnation records which incarnation has answered. What was known of another one does not
+// hold for it.
+func (wl *WorkerLease) setIncarnation(i int64) {
+	if i == wl.incarnation {
+		return
+	}
+	switch {
+	case wl.drainedIncarnation != 0:
+		wl.draining = wl.drainedIncarnation == i
+	case wl.incarnation != 0:
+		wl.draining = false
+	}
+	wl.incarnation = i
+	wl.reportFullState()
+}
+
 // handleRestart handles a restart of the worker: nothing that ran before runs any more,
 // and its clock and the numbers of its ends start over. A start in flight may have
 // reached the new incarnation, which knows no fence yet; it is either listed, or
--- /dev/null
+++ b/lease/incarnation_test.go
@@ -0,0 +1,102 @@
+package lease
+
+import "testing"
+
+// restart has the worker of a lease answer as another incarnation, with a clock that began anew.
+func restart(wl *WorkerLease, poll HoldCall, at int, incarnation int64) {
+	wl.HoldAnswered(ms(at), poll, Result{Verdict: OK, Clock: 3, Incarnation: incarnation})
+}
+
+// Guards against starts at an incarnation that the planner did not choose, and whose capacity
+// the holder does not know.
+func TestStartsAfterARestart(t *testing.T) {
+	tests := []struct {
+		name      string
+		described int64
+		order     int64
+		why       Reason
+	}{
+		{"for the former incarnation", 7, 7, Restarted},
+		{"for the new one, not described here yet", 7, 8, Restarted},
+		{"for the new one", 8, 8, ""},
+		{"for any", 7, 0, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			wl, poll := newOpenLease(t)
+			w := testWorker()
+			w.Incarnation = tt.described
+			wl.Describe(w)
+			restart(wl, poll, 10, 8)
+			takeActions(wl)
+			o := order("a", 1)
+			o.Incarnation = tt.order
+			wl.Start(ms(11), alice, o)
+			got := takeActions(wl)
+			if tt.why != "" {
+				wantEnd(t, got.reports, alice, NeverStarted, tt.why)
+				return
+			}
+			if len(got.starts) != 1 || got.starts[0].Incarnation != tt.order {
+				t.Errorf("%+v, want one start for incarnation %d", got, tt.order)
+			}
+		})
+	}
+}
+
+// Guards against a start that is sent again, because it was fenced by a round of this holder, to
+// another incarnation than before.
+func TestFencedStartIsNotSentToAnotherIncarnation(t *testing.T) {
+	wl, poll := newOpenLease(t)
+	w := testWorker()
+	w.Incarnation = 7
+	wl.Describe(w)
+	o := order("a", 1)
+	o.Incarnation = 7
+	wl.Start(ms(10), alice, o)
+	s := takeActions(wl).starts[0]
+	// The raised round stands for an unanswered start of another run.
+	wl.fence, _ = wl.fence.NextRound()
+	wl.incarnation = 8
+	wl.StartAnswered(ms(11), s, Result{Verdict: Refused, Reason: Fenced})
+	wantEnd(t, takeActions(wl).reports, alice, NeverStarted, Restarted)
+	restart(wl, poll, 12, 8)
+}
+
+// Guards against a drain that outlives its incarnation, and one that comes before its
+// incarnation is known here.
+func TestDrainAndRestart(t *testing.T) {
+	tests := []struct {
+		name  string
+		drain []int64
+		want  bool
+	}{
+		{"former incarnation", []int64{7}, false},
+		{"the one that ran", []int64{0}, false},
+		{"new incarnation, heard of before it answers", []int64{8}, true},
+		{"both", []int64{7, 8}, true},
+	}
+	for _, tt := range tests {
+		wl, poll := newOpenLease(t)
+		for _, i := range tt.drain {
+			wl.Drain(i)
+		}
+		restart(wl, poll, 10, 8)
+		if got := wl.State(ms(11)).Draining; got != tt.want {
+			t.Errorf("%s: draining %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Guards against a late description that replaces the one of the incarnation that runs.
+func TestLateDescription(t *testing.T) {
+	wl, poll := newOpenLease(t)
+	restart(wl, poll, 10, 8)
+	w := testWorker()
+	w.Incarnation = 8
+	former := w
+	former.Incarnation = 7
+	if !wl.Describe(w) || wl.Describe(former) || wl.State(ms(11)).Described != 8 {
+		t.Errorf("described is %d, want 8", wl.State(ms(11)).Described)
+	}
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -28,10 +28,10 @@
 	"snipehub.example/mesh"
 )
 
-// Worker is one incarnation of a backend server that runs tasks under leases.
+// Worker is the description of a backend server that runs tasks under leases, as one of its
+// incarnations has written it.
 type Worker struct {
-	// ID identifies this incarnation; a worker that restarts at its address usually has a
-	// new one.
+	// ID names the worker. A worker that restarts may keep its ID and be of another kind.
 	ID         string         `json:"id" cbor:"1,keyasint,omitzero"`
 	Address    netip.AddrPort `json:"address" cbor:"2,keyasint,omitzero"`
 	DataCenter string         `json:"dc" cbor:"3,keyasint,omitzero"`
@@ -40,6 +40,8 @@
 	Kind      string    `json:"kind,omitempty" cbor:"5,keyasint,omitzero"`
 	Rack      string    `json:"rack,omitempty" cbor:"6,keyasint,omitzero"`
 	Resources Resources `json:"room" cbor:"7,keyasint,omitzero"`
+	// Incarnation is the start of the incarnation in Unix milliseconds, 0 if it is unknown.
+	Incarnation int64 `json:"incarnation,omitempty" cbor:"9,keyasint,omitzero"`
 }
 
 // Resources is an amount of a worker's resources: CPU in thousandths of a core, memory in
@@ -134,6 +136,8 @@
 type Order struct {
 	Claim
 	Text
+	// Incarnation is the only incarnation of the worker that may run it, 0 if any may.
+	Incarnation int64
 }
 
 // Outcome is the outcome of a run.
@@ -176,6 +180,9 @@
 	// Evacuated: no tasks may be started in the worker's data centre.
 	Evacuated Reason = "evacuated"
 	Unhealthy Reason = "unhealthy"
+	// Restarted: the order is for an incarnation of the worker that is not known to run,
+	// or whose description the holder does not have.
+	Restarted Reason = "restarted"
 	// Late: the order had expired when it reached the worker.
 	Late Reason = "late"
 	// AlreadyStopped: the worker was told before to stop this run of the task, or a later
--- a/lease/start.go
+++ b/lease/start.go
@@ -15,7 +15,7 @@
 		wl.reportFullState()
 		return
 	}
-	e := &run{Claim: o.Claim, text: o.Text, owner: owner, state: starting, sentAt: now}
+	e := &run{Claim: o.Claim, text: o.Text, incarnation: o.Incarnation, owner: owner, state: starting, sentAt: now}
 	wl.runs[o.Run] = e
 	wl.sendStart(now, e)
 }
@@ -34,6 +34,8 @@
 	switch {
 	case wl.phase != open:
 		return NotHeld
+	case !wl.isFor(o.Incarnation):
+		return Restarted
 	case wl.closedToNew() != "":
 		return wl.closedToNew()
 	case !wl.usable:
@@ -44,6 +46,12 @@
 	return ""
 }
 
+// isFor reports whether an order for an incarnation may be sent: 0 is for any. The order rests
+// on the description of that incarnation, so the holder must have it too.
+func (wl *WorkerLease) isFor(incarnation int64) bool {
+	return incarnation == 0 || incarnation == wl.incarnation && incarnation == wl.worker.Incarnation
+}
+
 // closedToNew returns why the worker takes no new tasks for now, whatever its state: it
 // drains, or its data centre is being evacuated.
 func (wl *WorkerLease) closedToNew() Reason {
@@ -68,7 +76,7 @@
 	e.attempt++
 	until := wl.maxWorkerClock(now) + startValidity.Milliseconds()
 	wl.leaseEnd = max(wl.leaseEnd, until)
-	wl.emit(Action{Start: &StartCall{Order: Order{Claim: e.Claim, Text: e.text}, Until: until, Fence: e.fence, Attempt: e.attempt, Clock: wl.clock, Timeout: wl.nextStartTimeout(now), Sent: now}})
+	wl.emit(Action{Start: &StartCall{Order: Order{Claim: e.Claim, Text: e.text, Incarnation: e.incarnation}, Until: until, Fence: e.fence, Attempt: e.attempt, Clock: wl.clock, Timeout: wl.nextStartTimeout(now), Sent: now}})
 }
 
 func (wl *WorkerLease) nextStartTimeout(now time.Time) time.Duration {
@@ -131,6 +139,8 @@
 	}
 	sendAgain := c.Fence < wl.fence && e.state == starting && wl.phase == open
 	switch {
+	case sendAgain && !wl.isFor(e.incarnation):
+		why = Restarted
 	case sendAgain && wl.closedToNew() != "":
 		why = wl.closedToNew()
 	case sendAgain:
--- a/lease/start_test.go
+++ b/lease/start_test.go
@@ -74,7 +74,7 @@
 		close func(*WorkerLease)
 		why   Reason
 	}{
-		{"draining", func(wl *WorkerLease) { wl.Drain() }, Draining},
+		{"draining", func(wl *WorkerLease) { wl.Drain(0) }, Draining},
 		{"evacuated", func(wl *WorkerLease) { wl.SetEvacuated(true) }, Evacuated},
 	}
 	for _, tt := range tests {
@@ -123,7 +123,7 @@
 		close func(*WorkerLease)
 		why   Reason
 	}{
-		{func(wl *WorkerLease) { wl.Drain() }, Draining},
+		{func(wl *WorkerLease) { wl.Drain(0) }, Draining},
 		{func(wl *WorkerLease) { wl.SetEvacuated(true) }, Evacuated},
 	}
 	for _, tt := range tests {
--- a/lease/state.go
+++ b/lease/state.go
@@ -9,7 +9,7 @@
 type State struct {
 	ID string `json:"id" cbor:"1,keyasint,omitzero"`
 	// Partial is set if whatever is left out is unchanged since the last state of this
-	// worker: Fence and Speed if they are zero, and the runs that are neither in Runs nor
+	// worker: Fence, Speed, Incarnation and Described if they are zero, and the runs that are neither in Runs nor
 	// in Ended. With all of it in each state a planner received four times as much.
 	Partial bool `json:"-" cbor:"11,keyasint,omitzero"`
 	// Worker is set from time to time; a planner that does not know the worker waits for
@@ -28,6 +28,10 @@
 	// Ended are the runs that were removed since the last state.
 	Ended []Run `json:"ended,omitempty" cbor:"9,keyasint,omitzero"`
 	Speed Speed `json:"speed" cbor:"10,keyasint,omitzero"`
+	// Incarnation is the incarnation that answered last, Described the one whose description
+	// the holder has. Processes of earlier releases don't set them.
+	Incarnation int64 `json:"incarnation,omitempty" cbor:"12,keyasint,omitzero"`
+	Described   int64 `json:"described,omitempty" cbor:"13,keyasint,omitzero"`
 }
 
 // RunState is the state of one run on a worker.
@@ -68,6 +72,12 @@
 	if s.Fence == wl.lastReported.Fence {
 		s.Fence = 0
 	}
+	if s.Incarnation == wl.lastReported.Incarnation {
+		s.Incarnation = 0
+	}
+	if s.Described == wl.lastReported.Described {
+		s.Described = 0
+	}
 	wl.recordReported(s)
 	for _, e := range wl.sortedRuns() {
 		if !e.reported && now.Sub(e.sentAt) >= reportDelay {
@@ -87,6 +97,12 @@
 	if s.Speed != (Speed{}) {
 		wl.lastReported.Speed = s.Speed
 	}
+	if s.Incarnation != 0 {
+		wl.lastReported.Incarnation = s.Incarnation
+	}
+	if s.Described != 0 {
+		wl.lastReported.Described = s.Described
+	}
 }
 
 // State returns the full state and marks everything as reported.
@@ -121,6 +137,9 @@
 		Failures: wl.failures,
 		Ended:    wl.removedRuns,
 		Speed:    wl.speed,
+
+		Incarnation: wl.incarnation,
+		Described:   wl.worker.Incarnation,
 	}
 }
 
--- a/lease/text_test.go
+++ b/lease/text_test.go
@@ -22,7 +22,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			wl, _ := newOpenLease(t)
-			wl.Start(ms(10), alice, Order{claim("a", 1), tt.text})
+			wl.Start(ms(10), alice, Order{Claim: claim("a", 1), Text: tt.text})
 			got := takeActions(wl)
 			if sent := len(got.starts) == 1; sent != tt.sent {
 				t.Fatalf("sent %v, want %v", sent, tt.sent)
--- a/lease/workerlease.go
+++ b/lease/workerlease.go
@@ -87,7 +87,10 @@
 	Claim
 	// text is set by the start alone: a start that the worker turns down is sent again,
 	// and it must carry the same text.
-	text    Text
+	text Text
+	// incarnation is the only incarnation of the worker that may run it, 0 if any may.
+	incarnation int64
+
 	owner   Owner
 	state   state
 	fence   Fence
@@ -119,8 +122,10 @@
 	fence                  Fence
 	phase                  phase
 	closeReason            string
-	incarnation            int64
 	fenceRaises            int
+	// incarnation is that of the newest list, 0 before the first; worker may describe another
+	// one.
+	incarnation int64
 
 	// clock is the worker's clock at the local time clockAt, from the newest answer.
 	clock   int64
@@ -162,8 +167,10 @@
 	lossyUntil time.Time
 	nextHoldAt time.Time
 
-	// draining is set if the worker takes no new tasks.
-	draining bool
+	// draining is set if the worker takes no new tasks; drainedIncarnation is the incarnation
+	// of which that was said last, 0 if it is unknown.
+	draining           bool
+	drainedIncarnation int64
 	// evacuated is set while no tasks may be started in the worker's data centre.
 	evacuated bool
 
@@ -177,8 +184,9 @@
 	// lastReported is what the planner was last told of the parts that a partial report
 	// leaves out while they are unchanged.
 	lastReported struct {
-		Fence Fence
-		Speed Speed
+		Fence                  Fence
+		Speed                  Speed
+		Incarnation, Described int64
 	}
 	actions []Action
 }
@@ -274,16 +282,32 @@
 	}
 }
 
-// Drain marks the worker as draining: all further starts are refused. It reports whether
-// that is news.
-func (wl *WorkerLease) Drain() bool {
-	if wl.draining {
+// Drain marks an incarnation of the worker as draining: all further starts there are refused.
+// Incarnation 0 stands for the one that runs. It reports whether that is news.
+func (wl *WorkerLease) Drain(incarnation int64) bool {
+	wl.drainedIncarnation = incarnation
+	applies := incarnation == 0 || wl.incarnation == 0 || incarnation == wl.incarnation
+	if !applies || wl.draining {
 		return false
 	}
 	wl.draining, wl.unreported = true, true
 	return true
 }
 
+// Describe replaces the worker's description, and reports whether it did. One of the
+// incarnation that runs is not replaced by that of another.
+func (wl *WorkerLease) Describe(w Worker) bool {
+	if w == wl.worker || wl.worker.Incarnation == wl.incarnation && w.Incarnation != wl.incarnation {
+		return false
+	}
+	if w.Kind != wl.worker.Kind {
+		wl.speed = Speed{}
+	}
+	wl.worker = w
+	wl.reportFullState()
+	return true
+}
+
 // SetEvacuated sets whether starts are refused because the worker's data centre is being
 // evacuated.
 func (wl *WorkerLease) SetEvacuated(on bool) { wl.evacuated = on }
--- a/lease/workerlease_test.go
+++ b/lease/workerlease_test.go
@@ -25,7 +25,7 @@
 }
 
 func order(task Task, n int) Order {
-	return Order{claim(task, n), NewText(task.Job(), "text")}
+	return Order{Claim: claim(task, n), Text: NewText(task.Job(), "text")}
 }
 
 // listResult returns the answer to a hold call. The worker's clock runs like ours,
--- a/model/caller.go
+++ b/model/caller.go
@@ -179,6 +179,17 @@
 	}
 }
 
+// checkLabel checks that a worker on which a task begins has the label that the task requires.
+func (w *World) checkLabel(x *worker, r lease.Run) {
+	j, _, ok := w.task(r.Task)
+	if !ok {
+		return
+	}
+	if label := w.cfg.Classes[j.class].Label; label != "" && label != x.Kind && label != x.Rack {
+		w.violation("ROUTE: %s run %d requires %s and starts on %s of kind %s", r.Task, r.Number, label, x.ID, x.Kind)
+	}
+}
+
 // work returns the duration of a run at speed 1 and whether the run fails. A failing run lowers
 // the number of runs of its task that still fail.
 func (w *World) work(r lease.Run) (time.Duration, bool) {
@@ -247,7 +258,7 @@
 		Queue:   q,
 		Spec:    w.specOf(j),
 		Timeout: j.deadline.Sub(w.now),
-		Steps:   []entry.Step{{Count: j.width, Resources: lease.Resources{CPU: j.cpu, Memory: cl.Memory}, Estimate: j.estimate}},
+		Steps:   []entry.Step{{Count: j.width, Resources: lease.Resources{CPU: j.cpu, Memory: cl.Memory}, Estimate: j.estimate, Label: cl.Label}},
 	}
 	n.waiters[id] = func(a entry.Answer) { w.after(w.cfg.CallerDelay, func() { w.answered(j, a, try) }) }
 	if catalogVersion(n) == 0 {
--- a/model/fault.go
+++ b/model/fault.go
@@ -133,6 +133,34 @@
 	}
 }
 
+// RestartWorkers ends workers; they restart empty after down, under their IDs, as workers of
+// another kind.
+func RestartWorkers(first, count int, down time.Duration, k Kind) func(*World) {
+	return func(w *World) {
+		for i := range count {
+			x := w.workers[(first+i)%len(w.workers)]
+			if !x.up {
+				continue
+			}
+			x.crash()
+			w.after(down, func() {
+				x.kind, x.Kind, x.Resources, x.draining = k, k.Name, k.Resources, false
+				x.boot()
+			})
+		}
+	}
+}
+
+// DrainAndRestart makes a worker drain for a time and end; it restarts empty after down, under
+// its ID.
+func DrainAndRestart(worker int, after, down time.Duration) func(*World) {
+	return func(w *World) {
+		x := w.workers[worker%len(w.workers)]
+		x.draining, x.drainsSince = true, w.now
+		w.after(after, func() { RestartWorkers(worker, 1, down, x.kind)(w) })
+	}
+}
+
 // IsolateWorkers makes workers unreachable while they keep running.
 func IsolateWorkers(first, count int, d time.Duration) func(*World) {
 	return onWorkers(first, count, d, func(x *worker) { x.reachable = false }, func(x *worker) { x.reachable = true })
--- a/model/model.go
+++ b/model/model.go
@@ -62,6 +62,8 @@
 	// EvacuationBound is the same for starts in a data centre whose evacuation was
 	// requested.
 	EvacuationBound time.Duration
+	// Unguarded is set if workers start what they are told to, also beyond their capacity.
+	Unguarded bool
 	// Processor is the processor time that processes take; the zero value means none.
 	Processor Processor
 	// Policy is the planner's policy; the zero value is the default policy.
@@ -108,6 +110,8 @@
 	// MaxCPU.
 	CPU, MaxCPU int
 	Memory      int
+	// Label, if set, is the kind or the rack that the workers of the tasks must have.
+	Label string
 	// SpecSize is the length of a job's spec in bytes; it matters if link bandwidth is bounded.
 	SpecSize int
 	// Spread is the standard deviation of the logarithm of work, width and estimate, and
@@ -284,7 +288,7 @@
 }
 
 func (w *World) makeCatalog() *catalog.Catalog {
-	c := &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: Pool, EnforcesCapacity: true}}}
+	c := &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: Pool, EnforcesCapacity: !w.cfg.Unguarded}}}
 	for _, cl := range w.cfg.Classes {
 		q := catalog.Queue{
 			Name:      cl.Name,
--- a/model/vm.go
+++ b/model/vm.go
@@ -322,8 +322,9 @@
 }
 
 // call simulates a call to a worker. onResult gets its result, or lease.NoAnswer after the
-// timeout. A call that is lost or executed late gets no answer.
-func (n *vm) call(id string, timeout time.Duration, size int, do func(x *worker, respond func(lease.Result)), onResult func(now time.Time, r lease.Result)) {
+// timeout. A call that is lost or executed late gets no answer, nor does one that is bound to
+// another incarnation than the one that runs: its connection has ended with that one.
+func (n *vm) call(id string, incarnation int64, timeout time.Duration, size int, do func(x *worker, respond func(lease.Result)), onResult func(now time.Time, r lease.Result)) {
 	w := n.world
 	x := w.workersByID[id]
 	boots, replied := n.boots, false
@@ -349,6 +350,9 @@
 		if !x.up || !x.reachable || w.partitioned(n.dc, x.DataCenter) {
 			return
 		}
+		if incarnation != 0 && incarnation != x.incarnation() {
+			return
+		}
 		do(x, func(r lease.Result) {
 			w.after(d, func() {
 				if x.reachable && !w.partitioned(n.dc, x.DataCenter) {
@@ -360,7 +364,7 @@
 }
 
 func (n *vm) hold(id string, c lease.HoldCall) {
-	n.call(id, c.Timeout, holdBytes,
+	n.call(id, 0, c.Timeout, holdBytes,
 		func(x *worker, respond func(lease.Result)) { x.hold(c, respond) },
 		func(now time.Time, r lease.Result) { n.core.HoldAnswered(now, id, c, r) })
 }
@@ -368,13 +372,13 @@
 func (n *vm) start(id string, c lease.StartCall) {
 	n.checkDrain(id, c)
 	n.checkEvacuation(id, c)
-	n.call(id, c.Timeout, startBytes+len(c.Spec),
+	n.call(id, c.Incarnation, c.Timeout, startBytes+len(c.Spec),
 		func(x *worker, respond func(lease.Result)) { respond(x.start(c)) },
 		func(now time.Time, r lease.Result) { n.core.StartAnswered(now, id, c, r) })
 }
 
 func (n *vm) stop(id string, c lease.StopCall) {
-	n.call(id, stopTimeout, startBytes,
+	n.call(id, 0, stopTimeout, startBytes,
 		func(x *worker, respond func(lease.Result)) { respond(x.stop(c)) },
 		func(time.Time, lease.Result) {})
 }
--- a/model/worker.go
+++ b/model/worker.go
@@ -137,9 +137,14 @@
 }
 
 func (x *worker) listed() cell.ListedWorker {
-	return cell.ListedWorker{Worker: x.Worker, Draining: x.draining}
+	l := cell.ListedWorker{Worker: x.Worker, Draining: x.draining}
+	l.Incarnation = x.incarnation()
+	return l
 }
 
+// incarnation returns what distinguishes the worker's current start from others.
+func (x *worker) incarnation() int64 { return x.startedAt.UnixMilli() }
+
 // clock returns the worker's clock in milliseconds. It counts from the worker's start.
 func (x *worker) clock() int64 { return x.world.now.Sub(x.startedAt).Milliseconds() + 1 }
 
@@ -151,7 +156,7 @@
 const maxLease = time.Second
 
 func (x *worker) result(v lease.Verdict, why lease.Reason) lease.Result {
-	return lease.Result{Verdict: v, Reason: why, Clock: x.clock(), Incarnation: x.startedAt.UnixMilli()}
+	return lease.Result{Verdict: v, Reason: why, Clock: x.clock(), Incarnation: x.incarnation()}
 }
 
 // fenced reports whether a call comes from a holder that was replaced. Otherwise it records
@@ -262,11 +267,12 @@
 		x.extend(c.Until)
 		return x.result(lease.Refused, lease.AlreadyStopped)
 	}
-	if !x.used().Plus(c.Resources).Fits(x.Resources) {
+	if !x.world.cfg.Unguarded && !x.used().Plus(c.Resources).Fits(x.Resources) {
 		x.extend(c.Until)
 		x.world.result.Rejected++
 		return x.result(lease.Refused, lease.InsufficientResources)
 	}
+	x.world.checkLabel(x, c.Run)
 	x.begin(c)
 	return x.result(lease.OK, "")
 }
@@ -278,6 +284,9 @@
 	e := &execution{Run: c.Run, resources: c.Resources, began: now, total: total, fullTime: total, progressAt: now, outcome: lease.Done}
 	x.runs[c.Run] = e
 	e.span = x.world.began(x, c.Run)
+	if used := x.used(); !used.Fits(x.Resources) {
+		x.world.violation("LIMIT: %s run %d starts on %s, where %+v of %+v are in use then", c.Task, c.Number, x.ID, used, x.Resources)
+	}
 	x.extend(c.Until)
 	switch {
 	case x.health == failing || x.health == failingAll:
--- a/node/core.go
+++ b/node/core.go
@@ -237,7 +237,7 @@
 }
 
 func (c *Core) handlePlannerAction(now time.Time, a cell.Action) {
-	c.send(now, a.To, Message{Grant: a.Grant, Refusal: a.Refusal, Assignment: a.Assignment, Release: a.Release, Drain: a.Drain, Levels: a.Levels})
+	c.send(now, a.To, Message{Grant: a.Grant, Refusal: a.Refusal, Assignment: a.Assignment, Release: a.Release, Drain: a.Drain, Levels: a.Levels, Description: a.Description})
 }
 
 func (c *Core) handleLeaseAction(now time.Time, wl *lease.WorkerLease, a lease.Action) {
@@ -330,10 +330,12 @@
 	case m.Assignment != nil:
 		c.startHolding(now, *m.Assignment)
 		if m.Assignment.Draining {
-			c.drainWorker(from, m.Assignment.Worker.ID)
+			c.drainWorker(from, cell.Drain{Worker: m.Assignment.Worker.ID, Incarnation: m.Assignment.Worker.Incarnation})
 		}
 	case m.Drain != nil:
-		c.drainWorker(from, m.Drain.Worker)
+		c.drainWorker(from, *m.Drain)
+	case m.Description != nil:
+		c.describeWorker(m.Description.Worker)
 	case m.WorkerList != nil:
 		c.handleWorkerList(now, from, *m.WorkerList)
 	case m.ReadList != nil:
--- a/node/holder.go
+++ b/node/holder.go
@@ -28,10 +28,18 @@
 }
 
 // drainWorker has no more tasks started on a worker, as a planner asks.
-func (c *Core) drainWorker(planner mesh.ID, worker string) {
-	wl := c.held[worker]
-	if wl != nil && wl.Drain() {
-		event.DrainReceived.Log(c.log, "worker", worker, "planner", planner, "unanswered", wl.UnansweredStarts())
+func (c *Core) drainWorker(planner mesh.ID, d cell.Drain) {
+	wl := c.held[d.Worker]
+	if wl != nil && wl.Drain(d.Incarnation) {
+		event.DrainReceived.Log(c.log, "worker", d.Worker, "planner", planner, "unanswered", wl.UnansweredStarts())
+	}
+}
+
+// describeWorker replaces the description of a held worker by the planner's.
+func (c *Core) describeWorker(w lease.Worker) {
+	wl := c.held[w.ID]
+	if wl != nil && wl.Describe(w) {
+		event.WorkerDescribed.Log(c.log, "worker", w.ID, "incarnation", w.Incarnation, "kind", w.Kind, "rack", w.Rack, "cpu", w.Resources.CPU, "memory", w.Resources.Memory)
 	}
 }
 
@@ -87,6 +95,8 @@
 		wl.Start(now, from, lease.Order{
 			Claim: lease.Claim{Run: r.Run, Resources: s.Resources, Estimate: cmp.Or(r.Estimate, s.Estimate)},
 			Text:  lease.Text{Spec: string(s.Spec), Sum: s.Sum},
+
+			Incarnation: r.Incarnation,
 		})
 	}
 }
--- a/node/message.go
+++ b/node/message.go
@@ -38,6 +38,8 @@
 	Addresses []netip.AddrPort `cbor:"23,keyasint,omitzero"`
 	JobQuery  *JobQuery        `cbor:"24,keyasint,omitzero"`
 	JobReply  *JobReply        `cbor:"25,keyasint,omitzero"`
+	// Description is for the holder of the worker.
+	Description *cell.Description `cbor:"26,keyasint,omitzero"`
 }
 
 // Disconnect ends a session with a member.
--- a/node/operator.go
+++ b/node/operator.go
@@ -110,6 +110,7 @@
 		advertised = now.Sub(c.copy.wantedSince)
 	}
 	event.CatalogInForce.Log(c.log, "version", uint64(cat.Version), "queues", len(cat.Queues), "pools", len(cat.Pools), "source", source, "late_ms_at_most", late.Milliseconds(), "advertised_ms", advertised.Milliseconds())
+	c.cell.SetPools(cat.Pools)
 	c.resetCopy(now)
 	c.Advertise(now, func(m *mesh.Member) { m.Catalog = cat.Version })
 }
