cell: a holder that lacks a worker's description gets no grants by it

Cause: after the list named a new incarnation, the planner granted by its description at once. A holder that had not received it yet refused each grant, and the request came back as fast as messages travel, for up to 500 ms if the description was lost. The speed learned of another kind went on to the next holder.

Change: such grants wait for the holder's report that it has the description (one round trip); a planner forgets the speed with the kind.

--- a/cell/assign.go
+++ b/cell/assign.go
@@ -154,7 +154,7 @@
 }
 
 func (pl *Planner) sendAssignment(now time.Time, w *worker) {
-	w.assignedAt, w.describedAt = now, now
+	w.assignedAt, w.describedAt, w.described = now, now, w.Incarnation
 	event.WorkerAssigned.Log(pl.log, "worker", w.ID, "member", w.holder, "former", w.formerHolder, "floor", w.fence, "list_age_ms", pl.ListAge(now).Milliseconds())
 	pl.emit(Action{To: w.holder, Assignment: &Assignment{Worker: w.Worker, MinFence: w.fence, Speed: w.speed, Draining: w.drains()}})
 }
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -26,12 +26,18 @@
 	}
 }
 
-// isDescribed reports whether the description is that of the incarnation that runs, as far as
+// isCurrent reports whether the description is that of the incarnation that runs, as far as
 // both are known.
-func (w *worker) isDescribed() bool {
+func (w *worker) isCurrent() bool {
 	return w.Incarnation == 0 || w.running == 0 || w.Incarnation == w.running
 }
 
+// isDescribed reports whether the description is current and the holder has it, too; it would
+// refuse what was granted by another one.
+func (w *worker) isDescribed() bool {
+	return w.isCurrent() && (w.running == 0 || w.described == w.Incarnation)
+}
+
 // needsDescription reports whether it depends on a worker's description if tasks of the request
 // may run there.
 func (pl *Planner) needsDescription(p *pendingRequest) bool {
@@ -45,6 +51,9 @@
 	if l.Incarnation != w.Incarnation && w.drainedIncarnation == 0 {
 		w.drained = false
 	}
+	if l.Kind != w.Kind {
+		w.speed = lease.Speed{}
+	}
 	w.Worker = l
 	w.evacuated = pl.evacuations.Includes(w.DataCenter)
 	if w.described != l.Incarnation {
@@ -74,7 +83,7 @@
 	if s.Described != 0 || !s.Partial {
 		w.described = s.Described
 	}
-	if s.Worker != nil && !w.isDescribed() && s.Worker.Incarnation == w.running {
+	if s.Worker != nil && !w.isCurrent() && s.Worker.Incarnation == w.running {
 		pl.describe(now, w, *s.Worker)
 	}
 	lacksDescription := w.running != 0 && w.Incarnation == w.running && w.described != w.Incarnation
--- a/cell/incarnation_test.go
+++ b/cell/incarnation_test.go
@@ -73,7 +73,11 @@
 	req := newRequest("a", 1)
 	req.Label = "b"
 	pl.Request(ms(801), memberID(0), req)
-	grants, _ := place(pl, 801)
+	if grants, _ := place(pl, 801); len(grants) != 0 {
+		t.Errorf("grants %+v before the holder has the description", grants)
+	}
+	report(pl, 802, lease.State{ID: w.ID, Partial: true, Open: true, Described: 2})
+	grants, _ := place(pl, 802)
 	if len(grants) != 1 || grants[0].Incarnation != 2 {
 		t.Errorf("grants %+v, want one for incarnation 2", grants)
 	}
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -396,7 +396,7 @@
 	}
 	w.listed = true
 	// A copy can be older than what the holder has reported; a read can not.
-	if !list.FromPlanner || !w.isDescribed() {
+	if !list.FromPlanner || !w.isCurrent() {
 		pl.describe(now, w, l.Worker)
 	}
 	if l.Draining && pl.drain(w, l.Incarnation) {
