registry, platform: odd entries name nothing

Seen: one record of another writer whose key is not UTF-8 made the processes end their sessions with each other again and again: 107,408 log lines and 11,080 unreadable messages in 5 s with three processes.

Cause: a record's key is the one string from outside that no decoder checks, and goes on in messages that carry only UTF-8.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -17,8 +17,11 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-faster/errors"
 
@@ -38,6 +41,13 @@
 	Removed bool
 }
 
+// ValidKey reports whether a key can name something: it is text, in UTF-8, and not empty. Keys go
+// on in messages between processes, which carry nothing else. In JSON, what is not UTF-8 arrives
+// as the replacement character.
+func ValidKey(key string) bool {
+	return key != "" && utf8.ValidString(key) && !strings.ContainsRune(key, utf8.RuneError)
+}
+
 // ErrGap is returned if the store no longer keeps the requested records.
 var ErrGap = errors.New("registry: records are no longer kept")
 
@@ -174,6 +184,7 @@
 			retryDelay = minRetryDelay
 			next, full = u.Next, false
 			u.Recipient, u.Since = recipient, since
+			u.Records = f.named(u.Records)
 			since = time.Time{}
 			f.emit(ctx, u)
 			clock.Sleep(ctx, pause)
@@ -182,6 +193,17 @@
 	return ctx.Err()
 }
 
+// named returns the records whose keys can name something.
+func (f *Follower) named(records []Record) []Record {
+	return slices.DeleteFunc(records, func(r Record) bool {
+		if ValidKey(r.Key) {
+			return false
+		}
+		event.RecordUnreadable.Log(f.log, "topic", f.cfg.Name, "offset", uint64(r.Offset), "error", "the key is empty or not UTF-8")
+		return true
+	})
+}
+
 // idlePollInterval is how often a follower without a recipient checks for one. It delays
 // the first read of a process that becomes the planner.
 const idlePollInterval = 50 * time.Millisecond
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -302,3 +302,15 @@
 		})
 	}
 }
+
+// Guards against a key that messages between processes can't carry: each process that is sent it
+// would end the session, again and again. It also guards against an empty key.
+func TestKeysThatAreNotTextAreSkipped(t *testing.T) {
+	withFollower(t, nil, func(s *topic, _ *Follower, got func() string) {
+		s.append("a", "\xff\xfe", "b\xc3", "", "\uFFFD", "ö")
+		time.Sleep(100 * time.Millisecond)
+		s.append("\xed\xa0\x80", "c")
+		time.Sleep(100 * time.Millisecond)
+		want(t, got(), "|aöc")
+	})
+}
