quota, platform, node: bounds for what all callers take together

Seen: callers outside the limits could end a process, which ran out of memory: 400 connections with short header lines, bodies that stop short of their end, chunks, or whole bodies that are expensive to decode took 71 to 10,066 MB on a VM of 96 MB, and 2,000 connections more descriptors than it has.

Cause: each limit was one of a single request and counted bytes on the wire. Nothing bounded the sum over connections, what a header or a body becomes in memory, how long a body may take, or how many connections there are.

Change: package quota accounts for parsed headers, bodies and waiting jobs of all connections, within limits that follow from limits.memory_mb and limits.max_fds. Each connection has an allowance that an ordinary request does not exceed; larger ones share a pool and get 503 when it is used up. When the connections are used up, the oldest one whose request has not arrived is closed for a new one. A header is dropped once it is read, a body has the time that its caller waits, steps are decoded one by one up to the first that is not accepted, large bodies one at a time. A job that is over keeps no steps, and names count towards the planner's limit for tasks. Without the two settings everything is as before. Event 942, metrics 924 to 926.

--- a/cell/planner.go
+++ b/cell/planner.go
@@ -445,11 +445,11 @@
 	pl.needsPlanning = true
 }
 
-// countTasks returns the number of pending tasks and of runs.
+// countTasks returns the number of pending tasks and of runs, with long names counted as tasks.
 func (pl *Planner) countTasks() int {
 	n := 0
 	for _, p := range pl.pending {
-		n += len(p.Tasks)
+		n += p.weight()
 	}
 	for _, w := range pl.workers {
 		n += len(w.runs)
--- a/cell/request.go
+++ b/cell/request.go
@@ -24,7 +24,7 @@
 		if pl.refuseTooMany(p) || !pl.admit(now, p) {
 			return
 		}
-		pl.tasks += len(p.Tasks)
+		pl.tasks += p.weight()
 		pl.pending[k] = p
 		pl.requestQueue.add(p)
 	} else {
@@ -36,9 +36,19 @@
 	pl.needsPlanning = true
 }
 
-// maxTasks bounds the pending tasks and the runs of a cell, which take some 250 bytes each. The
-// largest cell has some ten thousand at its peak.
-const maxTasks = 100_000
+const (
+	// maxTasks bounds the pending tasks and the runs of a cell. The largest cell has some ten
+	// thousand at its peak.
+	maxTasks = 100_000
+	// taskBytes is what one of them takes.
+	taskBytes = 250
+)
+
+// weight returns what a request counts towards maxTasks: its tasks, and its names by what they
+// take, which a caller may make as long as a body.
+func (p *pendingRequest) weight() int {
+	return len(p.Tasks) + (len(p.Label)+len(p.Rack))/taskBytes
+}
 
 // reasonTooManyTasks is the reason of a refusal because the cell has as many tasks as it may.
 const reasonTooManyTasks = "too_many_tasks"
@@ -46,7 +56,7 @@
 // refuseTooMany refuses a job of which nothing has begun if there are too many tasks, and
 // reports whether it did.
 func (pl *Planner) refuseTooMany(p *pendingRequest) bool {
-	if p.Begun || pl.tasks+len(p.Tasks) <= maxTasks {
+	if p.Begun || pl.tasks+p.weight() <= maxTasks {
 		return false
 	}
 	pl.counts.Refused[reasonTooManyTasks]++
--- a/entry/end.go
+++ b/entry/end.go
@@ -185,8 +185,8 @@
 	delete(js.jobs, j.ID)
 }
 
-// dropTasks frees the tasks of a job that is over.
+// dropTasks frees the tasks and steps of a job that is over.
 func (js *Jobs) dropTasks(j *job) {
 	js.tasks -= len(j.tasks)
-	j.tasks, j.steps = nil, nil
+	j.tasks, j.steps, j.Steps = nil, nil, nil
 }
--- a/event/table.go
+++ b/event/table.go
@@ -128,6 +128,7 @@
 	OwnedJobsFull         ID = 939
 	WorkerRestarted       ID = 940
 	WorkerDescribed       ID = 941
+	CallersLimited        ID = 942
 )
 
 var table = []Entry{
@@ -244,4 +245,5 @@
 	{OwnedJobsFull, slog.LevelWarn, "too many jobs to know their processes", "The planner does not record the processes of further jobs. Until the deadlines of these have passed, requests about unknown jobs are answered as undetermined.", "0.5"},
 	{WorkerRestarted, slog.LevelInfo, "worker restarted", "The holder has heard another incarnation of the worker under the same id. Until the list of workers describes it (compare incarnation and described), the worker gets only tasks without required labels, and none in a pool that does not enforce its capacity.", "0.6"},
 	{WorkerDescribed, slog.LevelInfo, "worker described", "The planner has sent this holder the description of another incarnation of the worker.", "0.6"},
+	{CallersLimited, slog.LevelWarn, "callers limited", "Callers use up the connections or the memory that the VM has for them. In the last second, connections were refused (all others were serving requests), connections that waited for the rest of a request or were idle were closed for new ones, or requests were refused with 503 because they were large and the memory was used up. Ordinary requests are served. bytes and connections are in use now.", "0.6"},
 }
--- a/meter/table.go
+++ b/meter/table.go
@@ -91,6 +91,9 @@
 	PlannerOffered       Name = "planner_offered_core_ms"
 	PlannerGranted       Name = "planner_granted_core_ms"
 	PlannerPasses        Name = "planner_passes"
+	CallerConnections    Name = "caller_connections"
+	CallerBytes          Name = "caller_bytes"
+	CallersLimited       Name = "callers_limited"
 )
 
 // Kind is the type of a metric.
@@ -204,4 +207,7 @@
 	{921, PlannerOwnedJobs, Gauge, "jobs", nil, "Jobs whose process this one knows as the planner; 100,000 at the most.", "0.5"},
 	{922, JobTasks, Gauge, "tasks", nil, "Tasks of the jobs of this process that have no answer or still run; 30,000 at the most, then jobs are refused as too_many_tasks.", "0.5"},
 	{923, PlannerTasks, Gauge, "tasks", nil, "Pending tasks and runs of the cell, at the planner; from 100,000 on, jobs are refused as too_many_tasks.", "0.5"},
+	{924, CallerConnections, Gauge, "connections", nil, "Open connections of callers, if the settings have limits.memory_mb or limits.max_fds; the limit follows from these.", "0.6"},
+	{925, CallerBytes, Gauge, "bytes", nil, "Estimated memory of the requests of callers beyond 8 KB each; a quarter of limits.memory_mb at the most.", "0.6"},
+	{926, CallersLimited, Counter, "connections or requests", byCode, "What the limits have cut: connections that were refused, connections that were closed for others, and requests refused because they were too large for now.", "0.6"},
 }
--- a/node/callers.go
+++ b/node/callers.go
@@ -16,6 +16,7 @@
 	"snipehub.example/event"
 	"snipehub.example/meter"
 	"snipehub.example/peer"
+	"snipehub.example/quota"
 )
 
 // Catalog returns the routes and pools in force.
@@ -167,7 +168,9 @@
 	if l := a.node.catalogs.Current().Limits; a.connListener == nil || l != a.limits {
 		a.startServer(ctx, l)
 	}
-	a.connListener.conns <- c
+	if conn := a.node.quota.Accept(c); conn != nil {
+		a.connListener.conns <- conn
+	}
 	return nil
 }
 
@@ -182,6 +185,7 @@
 		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       l.IdleTimeout,
 	}
+	quota.Attach(s)
 	n.mu.Lock()
 	n.servers = append(n.servers, s)
 	n.mu.Unlock()
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"snipehub.example/cell"
+	"snipehub.example/event"
 	"snipehub.example/lease"
 	"snipehub.example/meter"
+	"snipehub.example/quota"
 )
 
 // metricsInterval is how often the metrics are updated; they are scraped every few
@@ -80,6 +82,7 @@
 	sub := n.clock.Subscribe(metricsInterval)
 	defer sub.Stop()
 	last := coreStats{}
+	var lastCallers quota.Counts
 	for {
 		select {
 		case <-ctx.Done():
@@ -91,6 +94,26 @@
 			n.recordMetrics(last, stats)
 			last = stats
 		}
+		callers := n.quota.Counts()
+		n.recordCallers(lastCallers, callers)
+		lastCallers = callers
+	}
+}
+
+// recordCallers records what callers take, and logs what the limits have cut.
+func (n *Node) recordCallers(last, callers quota.Counts) {
+	refused := callers.RefusedConnections - last.RefusedConnections
+	closed := callers.ClosedConnections - last.ClosedConnections
+	requests := callers.RefusedRequests - last.RefusedRequests
+	n.meter.Gauge(meter.CallerConnections, float64(callers.Connections))
+	n.meter.Gauge(meter.CallerBytes, float64(callers.Bytes))
+	n.meter.CountCode(meter.CallersLimited, "connections_refused", refused)
+	n.meter.CountCode(meter.CallersLimited, "connections_closed", closed)
+	n.meter.CountCode(meter.CallersLimited, "requests_refused", requests)
+	if refused+closed+requests > 0 {
+		l := n.quota.Limits()
+		event.CallersLimited.Log(n.log, "connections_refused", refused, "connections_closed", closed, "requests_refused", requests,
+			"connections", callers.Connections, "of", l.Connections, "bytes", callers.Bytes, "of_bytes", l.Pool)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,7 @@
 	"snipehub.example/lease"
 	"snipehub.example/mesh"
 	"snipehub.example/meter"
+	"snipehub.example/quota"
 	"snipehub.example/registry"
 )
 
@@ -51,6 +52,8 @@
 	Policy cell.Policy
 	// GracePeriod is the time from the stop request until the process is killed.
 	GracePeriod time.Duration
+	// CallerLimits bound what callers take; the zero value means no bounds.
+	CallerLimits quota.Limits
 }
 
 // Workers calls workers.
@@ -107,6 +110,7 @@
 	mesh     *mesh.Mesh[Message]
 	core     *Core
 	ln       listeners
+	quota    *quota.Quota
 
 	// work is the queue of events for the core, in the order of their arrival.
 	work chan work
@@ -177,6 +181,7 @@
 		id:             self.ID,
 		log:            log,
 		ln:             ln,
+		quota:          quota.New(cfg.CallerLimits),
 		clock:          clock.New(),
 		catalogs:       catalogs,
 		core:           NewCore(log, self, catalogs, cfg.Policy),
@@ -202,19 +207,20 @@
 func bind(cfg Config) (listeners, error) {
 	var l listeners
 	for _, b := range []struct {
-		name string
-		addr netip.AddrPort
-		to   *net.Listener
+		name   string
+		addr   netip.AddrPort
+		to     *net.Listener
+		limits quota.Limits
 	}{
-		{"callers", cfg.Callers, &l.callers},
-		{"ready", cfg.Ready, &l.ready},
-		{"peers", cfg.Peers, &l.peers},
-		{"operators", cfg.Operators, &l.operators},
+		{"callers", cfg.Callers, &l.callers, cfg.CallerLimits},
+		{"ready", cfg.Ready, &l.ready, quota.Limits{}},
+		{"peers", cfg.Peers, &l.peers, quota.Limits{}},
+		{"operators", cfg.Operators, &l.operators, quota.Limits{}},
 	} {
 		if !b.addr.IsValid() {
 			continue
 		}
-		ln, err := net.Listen("tcp", b.addr.String())
+		ln, err := b.limits.Listen(b.addr.String())
 		if err != nil {
 			return l, errors.Wrapf(err, "address for %s", b.name)
 		}
