entry: a cancelled job has an answer, and does not run again

Cause: the POST of a cancelled job was answered with 504, after which callers send the job again, and the entry forgot the job as soon as its runs had ended.

Change: the POST gets 200 with the state cancelled, and the entry keeps that answer for late copies as it keeps others.

--- a/entry/end.go
+++ b/entry/end.go
@@ -174,8 +174,7 @@
 		return
 	}
 	js.dropTasks(j)
-	retained := j.answer.Status == Completed || j.answer.Status == Failed
-	if !retained || now.Sub(j.answeredAt) > answerRetention {
+	if !j.answer.isFinal() || now.Sub(j.answeredAt) > answerRetention {
 		js.forget(j)
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,9 +73,11 @@
 	Refused
 	// Unknown: the job was given up, and tasks may have run.
 	Unknown
+	// Cancelled: a caller has cancelled the job, and nothing of it starts any more.
+	Cancelled
 )
 
-var statusNames = map[Status]string{Completed: "completed", Failed: "failed", Refused: "refused", Unknown: "unknown"}
+var statusNames = map[Status]string{Completed: "completed", Failed: "failed", Refused: "refused", Unknown: "unknown", Cancelled: "cancelled"}
 
 // String returns the status's name.
 func (s Status) String() string { return statusNames[s] }
@@ -92,6 +94,11 @@
 	RetryAfter time.Duration
 }
 
+// isFinal reports whether a copy of the request gets the same answer: the job must not run again.
+func (a Answer) isFinal() bool {
+	return a.Status == Completed || a.Status == Failed || a.Status == Cancelled
+}
+
 // Knowledge is what is known of whether a job exists.
 type Knowledge int
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -200,7 +200,7 @@
 // Cancel stops a job at its caller's request, if it is here and has no answer.
 func (js *Jobs) Cancel(now time.Time, id string) {
 	if j := js.jobs[id]; j != nil && j.answer == nil {
-		js.finish(now, j, Answer{Status: Unknown, Why: "cancelled"})
+		js.finish(now, j, Answer{Status: Cancelled, Why: "cancelled"})
 	}
 }
 
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -48,7 +48,7 @@
 		event.JobJoined.Log(js.log, "job", j.ID, "age_ms", now.Sub(j.arrivedAt).Milliseconds())
 		j.waiters = append(j.waiters, w)
 		js.waiters[w] = j
-	case j.answer.Status == Completed || j.answer.Status == Failed:
+	case j.answer.isFinal():
 		js.reply(w, *j.answer)
 	case j.placedTasks > 0:
 		js.reply(w, Answer{Status: Unknown, Why: "earlier_copy_ends"})
