entry, node: no job hangs after a refused step, or ends without an answer

Cause: the entry ignored the refusal of one step because another had begun, and nobody asked for it again. At the exit, the answers to open jobs raced with the closing of their connections.

Change: the pending steps of a job that has begun are requested again, as such; the planner refuses none of these. A process answers its open jobs before it closes connections, and refuses those that have not begun.

--- a/entry/end.go
+++ b/entry/end.go
@@ -26,7 +26,13 @@
 	} else {
 		j.refusal = r
 	}
-	if j.hasBegun() || js.requestFromOtherCell(now, j) {
+	switch {
+	case j.hasBegun():
+		// The planner keeps a request for each step. It has refused one before it could know that
+		// another step had begun, and refuses none of a job that it knows to have.
+		js.repeatRequests(now, j)
+		return
+	case js.requestFromOtherCell(now, j):
 		return
 	}
 	js.finish(now, j, Answer{Status: Refused, Why: r.Reason, RetryAfter: r.RetryAfter})
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -261,6 +261,19 @@
 	}
 }
 
+// GiveUp answers all jobs, since this process ends. Those that have not begun are refused.
+func (js *Jobs) GiveUp(now time.Time, why string) {
+	for _, j := range js.sortedJobs() {
+		switch {
+		case j.answer != nil:
+		case j.hasBegun():
+			js.finish(now, j, Answer{Status: Unknown, Why: why})
+		default:
+			js.finish(now, j, Answer{Status: Refused, Why: why, RetryAfter: minRetryAfter + cell.RetryJitter(j.ID)})
+		}
+	}
+}
+
 func (js *Jobs) emit(a Action) { js.actions = append(js.actions, a) }
 
 func compareRuns(x, y lease.Run) int {
--- a/entry/jobs_test.go
+++ b/entry/jobs_test.go
@@ -71,12 +71,18 @@
 	return out
 }
 
+// newJobs returns a Jobs with a planner.
+func newJobs() *Jobs {
+	js := New(slog.New(slog.DiscardHandler))
+	js.SetPlanner(ms(0), planner)
+	return js
+}
+
 // newSubmittedJobs returns a Jobs with one job, submitted at 0 ms, and the request to the
 // planner.
 func newSubmittedJobs(t *testing.T, r Request) (*Jobs, cell.Request) {
 	t.Helper()
-	js := New(slog.New(slog.DiscardHandler))
-	js.SetPlanner(ms(0), planner)
+	js := newJobs()
 	js.Submit(ms(0), 1, r)
 	got := takeActions(js)
 	if len(got.requests) != 1 {
--- a/node/core.go
+++ b/node/core.go
@@ -364,6 +364,9 @@
 // Submit accepts a job of a caller.
 func (c *Core) Submit(now time.Time, w entry.Waiter, r entry.Request) { c.entry.Submit(now, w, r) }
 
+// GiveUpJobs answers all jobs that callers still wait for, since this process ends.
+func (c *Core) GiveUpJobs(now time.Time) { c.entry.GiveUp(now, reasonProcessEnds) }
+
 // CallerLeft records that a caller has disconnected.
 func (c *Core) CallerLeft(now time.Time, w entry.Waiter) { c.entry.CallerLeft(now, w) }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -30,6 +30,8 @@
 	// stopReserve is the part of the time to stop that is reserved for what can't be
 	// finished: answers, and the end of the process.
 	stopReserve = time.Second
+	// answerTimeout bounds the wait for the answers to jobs that are given up.
+	answerTimeout = 250 * time.Millisecond
 	// shutdownTimeout bounds the writing of the last answers.
 	shutdownTimeout  = 500 * time.Millisecond
 	stopPollInterval = 25 * time.Millisecond
@@ -63,9 +65,20 @@
 		clock.Sleep(ctx, stopPollInterval)
 	}
 	<-recordDeleted
+	n.answerOpenJobs(ctx)
 	n.shutdown(ctx)
 }
 
+// answerOpenJobs answers the jobs that are not finished, and waits until the answers have been written.
+// Were they only given up when the process's context ends, which also closes the connections, some
+// callers would get no answer.
+func (n *Node) answerOpenJobs(ctx context.Context) {
+	n.enqueue(ctx, func(now time.Time, c *Core) { c.GiveUpJobs(now) })
+	for waited := time.Duration(0); n.openJobs.Load() > 0 && waited < answerTimeout; waited += stopPollInterval {
+		clock.Sleep(ctx, stopPollInterval)
+	}
+}
+
 // closeCallersListener closes the callers' listener. From then on, requests that arrive
 // over open connections are refused.
 //
