platform: a refused request does not keep its place while others wait for it

Seen: 1,400 clients that announce bodies of 1 GB each kept an ordinary caller out of a VM of 64 MB (30 tries, status 503): the HTTP server keeps a connection for half a second after it has answered a request whose body it has not read.

Change: where all connections are in use, such a connection is closed as soon as the answer is written.

--- a/quota/conn.go
+++ b/quota/conn.go
@@ -158,6 +158,19 @@
 	}
 }
 
+// IsInTheWay reports whether a request was answered before it has arrived whole, and the connection
+// takes the place of others: it must be closed without waiting for the caller to read the answer.
+func (c *Conn) IsInTheWay() bool {
+	if c == nil {
+		return false
+	}
+	q := c.quota
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	usedUp := q.limits.Connections > 0 && q.counts.Connections >= q.limits.Connections
+	return c.phase == closed || c.phase == reading && usedUp
+}
+
 // endRequest says that the request was answered.
 func (c *Conn) endRequest() {
 	c.inHeader.Store(true)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -115,6 +115,25 @@
 	})
 }
 
+// Guards against connections that the HTTP server keeps for half a second after a refusal, while others
+// wait for their place.
+func TestRefusedRequestIsInTheWay(t *testing.T) {
+	q := New(Limits{Connections: 2})
+	refused, _ := accept(t, q)
+	if refused.IsInTheWay() {
+		t.Error("in the way, although there is room")
+	}
+	served, _ := accept(t, q)
+	serve(served)
+	if !refused.IsInTheWay() || served.IsInTheWay() {
+		t.Errorf("in the way: refused %v, served %v", refused.IsInTheWay(), served.IsInTheWay())
+	}
+	_, _ = accept(t, q)
+	if !refused.IsInTheWay() {
+		t.Error("a connection that was closed for another one is not in the way")
+	}
+}
+
 // Guards against large requests that take more than the pool, and against refusing ordinary ones
 // when it is used up.
 func TestPoolUsedUp(t *testing.T) {
