lease: a start that finds another incarnation closes the worker until its next list

Cause: a bound start that was not sent, because another incarnation had answered on its connection, was reported as not started and nothing else. If the holder's polls had not found the restart yet, the task was granted there again as fast as messages travel.

Change: the worker takes no starts until its next list, which is asked for at once. A description is not refused while no incarnation is known.

--- a/lease/incarnation_test.go
+++ b/lease/incarnation_test.go
@@ -100,3 +100,27 @@
 		t.Errorf("described is %d, want 8", wl.State(ms(11)).Described)
 	}
 }
+
+// Guards against tasks that are granted there again and again, as fast as messages travel, because a
+// start has found another incarnation before this holder's polls have.
+func TestNothingIsStartedUntilARestartIsKnown(t *testing.T) {
+	wl, _ := newOpenLease(t)
+	w := testWorker()
+	w.Incarnation = 7
+	wl.Describe(w)
+	o := order("a", 1)
+	o.Incarnation = 7
+	wl.Start(ms(10), alice, o)
+	s := takeActions(wl).starts[0]
+	wl.State(ms(10))
+	wl.StartAnswered(ms(12), s, Result{Verdict: Refused, Reason: Restarted})
+	got := takeActions(wl)
+	wantEnd(t, got.reports, alice, NeverStarted, Restarted)
+	if s, changed := wl.Changed(ms(12)); !changed || s.Open || len(got.holds) != 1 {
+		t.Errorf("open %v, %d checks; want it closed and checked", s.Open, len(got.holds))
+	}
+	restart(wl, got.holds[0], 14, 8)
+	if s := wl.State(ms(14)); !s.Open || s.Incarnation != 8 {
+		t.Errorf("%+v, want it open as incarnation 8", s)
+	}
+}
--- a/lease/start.go
+++ b/lease/start.go
@@ -133,6 +133,8 @@
 			wl.speed.countBad(e.Run)
 		case InsufficientResources:
 			wl.handleResourcesRefused(now)
+		case Restarted:
+			wl.handleOtherIncarnation(now)
 		}
 		wl.end(now, e, End{Run: e.Run, Outcome: NeverStarted, Why: why})
 		return
@@ -164,6 +166,15 @@
 	wl.Tick(now)
 }
 
+// handleOtherIncarnation handles a start that was not sent because another incarnation is there.
+// Nothing is started until the next list, which is asked for at once.
+func (wl *WorkerLease) handleOtherIncarnation(now time.Time) {
+	wl.usable, wl.checkDue = false, true
+	wl.reportFullState()
+	wl.nextHoldAt = now
+	wl.Tick(now)
+}
+
 // reportFullState has the full state reported to the planner: it has granted a task that
 // could not be started. A new planner that was told only of the refused run, and did not
 // know the others, granted the same resources again every two milliseconds.
--- a/lease/state.go
+++ b/lease/state.go
@@ -9,8 +9,8 @@
 type State struct {
 	ID string `json:"id" cbor:"1,keyasint,omitzero"`
 	// Partial is set if whatever is left out is unchanged since the last state of this
-	// worker: Fence, Speed, Incarnation and Described if they are zero, and the runs that are neither in Runs nor
-	// in Ended. With all of it in each state a planner received four times as much.
+	// worker: Fence, Speed, Incarnation and Described if they are zero, and the runs that
+	// are neither in Runs nor in Ended. With all of it in each state a planner received four times as much.
 	Partial bool `json:"-" cbor:"11,keyasint,omitzero"`
 	// Worker is set from time to time; a planner that does not know the worker waits for
 	// it.
--- a/lease/workerlease.go
+++ b/lease/workerlease.go
@@ -297,7 +297,8 @@
 // Describe replaces the worker's description, and reports whether it did. One of the
 // incarnation that runs is not replaced by that of another.
 func (wl *WorkerLease) Describe(w Worker) bool {
-	if w == wl.worker || wl.worker.Incarnation == wl.incarnation && w.Incarnation != wl.incarnation {
+	isCurrent := wl.incarnation != 0 && wl.worker.Incarnation == wl.incarnation
+	if w == wl.worker || isCurrent && w.Incarnation != wl.incarnation {
 		return false
 	}
 	if w.Kind != wl.worker.Kind {
