quota: a header that came with the last request is not hidden by a later byte

Cause: the lines of the next request that the HTTP server had buffered were taken from the last read alone. While a request is served, the server reads one byte more, so a caller could have some 1,000 header lines (100 KB) that were not counted.

Change: the lines since the last request began are counted, up to what the server can buffer.

Measured: TestHeaderLinesCount failed before with the byte added; an ordinary header stays within the allowance after 100 others.

--- a/quota/conn.go
+++ b/quota/conn.go
@@ -50,9 +50,9 @@
 	quota *Quota
 	// inHeader is set while a header is being read.
 	inHeader atomic.Bool
-	// lastLines is the number of lines in the last data that the server may have buffered, some
-	// of which may belong to the next request.
-	lastLines atomic.Int64
+	// lines counts the lines that were read since the last request began. The server may have
+	// buffered some that belong to the next one.
+	lines atomic.Int64
 
 	// The fields below are guarded by quota.mu. place is the connection's place in the list of
 	// its phase, held what its request takes.
@@ -71,7 +71,7 @@
 		return n, err
 	}
 	lines := int64(bytes.Count(b[max(0, n-serverBufferBytes):n], []byte{'\n'}))
-	c.lastLines.Store(lines)
+	c.lines.Add(lines)
 	if c.inHeader.Load() && !c.grow(int64(n)*headerByteFactor+lines*headerLineBytes) {
 		c.writeRefusal()
 		return 0, io.EOF
@@ -268,7 +268,8 @@
 	}
 }
 
-// beginRequest says that a request has begun to arrive. Its header may have come with the last data.
+// beginRequest says that a request has begun to arrive. What has come of its header with the last
+// one, at most what the server has buffered, was not counted.
 func (c *Conn) beginRequest() {
 	c.quota.mu.Lock()
 	again := c.phase == idle
@@ -276,7 +277,8 @@
 		c.quota.setPhase(c, reading)
 	}
 	c.quota.mu.Unlock()
-	if again && !c.grow(c.lastLines.Load()*headerLineBytes) {
+	lines := min(c.lines.Swap(0), serverBufferBytes)
+	if again && !c.grow(lines*headerLineBytes) {
 		c.writeRefusal()
 		_ = c.Close()
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -213,11 +213,27 @@
 		t.Errorf("a body counts as a header: %d bytes, %v", c.Held(), err)
 	}
 	c.EndBody()
+	// The server reads a byte while a request is served, to notice that the caller has left.
+	if err := read("x"); err != nil {
+		t.Error(err)
+	}
 	c.endRequest()
 	c.beginRequest()
 	if c.Held() < 100*headerLineBytes {
 		t.Errorf("%d bytes held of a header that has come with the last body", c.Held())
 	}
+	for range 100 {
+		c.EndHeader()
+		c.EndBody()
+		c.endRequest()
+		if err := read("GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		c.beginRequest()
+	}
+	if c.Held() > Allowance {
+		t.Errorf("an ordinary header holds %d bytes after many others", c.Held())
+	}
 	var err error
 	for range 1000 {
 		if err = read(lines); err != nil {
