--- a/quota/conn.go
+++ b/quota/conn.go
@@ -60,8 +60,8 @@
 	since time.Time
 	place *list.Element
 	held  int64
-	// ending is set if it was closed for another connection and the server still handles it.
-	ending bool
+	// lingering is set if it was closed for another connection and the server still handles it.
+	lingering bool
 }
 
 // Read reads from the connection. A header that finds the pool used up is refused.
@@ -100,9 +100,9 @@
 func (c *Conn) Close() error {
 	c.quota.mu.Lock()
 	c.quota.drop(c)
-	if c.ending {
-		c.ending = false
-		c.quota.counts.Ending--
+	if c.lingering {
+		c.lingering = false
+		c.quota.counts.Lingering--
 	}
 	c.quota.mu.Unlock()
 	return c.Conn.Close()
@@ -158,9 +158,9 @@
 	}
 }
 
-// IsInTheWay reports whether a request was answered before it has arrived whole, and the connection
-// takes the place of others: it must be closed without waiting for the caller to read the answer.
-func (c *Conn) IsInTheWay() bool {
+// MustAbort reports whether the connection must be closed without waiting for the caller to read the
+// answer: its request was answered before it has arrived whole, and all connections are in use.
+func (c *Conn) MustAbort() bool {
 	if c == nil {
 		return false
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -46,9 +46,9 @@
 	// callerSocketShare is the part of the sockets that callers may take; the rest is for
 	// workers, other processes and the store.
 	callerSocketShare = 0.75
-	// maxEndingShare bounds Counts.Ending, as a part of the limit for connections: the HTTP server
-	// waits half a second before it lets go of some connections, although they are closed.
-	maxEndingShare = 0.25
+	// maxLingeringShare bounds Counts.Lingering, as a part of the limit for connections: the HTTP
+	// server keeps the goroutines of some connections for half a second after they were closed.
+	maxLingeringShare = 0.25
 	// minReadTime is how long a request that is being read keeps its part of the pool for
 	// certain. If it could lose it at once, a crowd would only have to send more.
 	minReadTime = time.Second
@@ -82,10 +82,10 @@
 
 // Counts is what a Quota has in use, and what it has done since it was created.
 type Counts struct {
-	// Connections and Bytes are in use now; Bytes are those of the pool. Ending are connections
+	// Connections and Bytes are in use now; Bytes are those of the pool. Lingering are connections
 	// that were closed for others and that the server still handles.
-	Connections, Ending int
-	Bytes               int64
+	Connections, Lingering int
+	Bytes                  int64
 	// RefusedConnections were closed at once, ClosedConnections for others while they waited for
 	// the rest of a request or were idle. RefusedRequests found the pool used up.
 	RefusedConnections, ClosedConnections, RefusedRequests int64
@@ -156,14 +156,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.limits.Connections > 0 && q.counts.Connections >= q.limits.Connections {
-		if float64(q.counts.Ending) < maxEndingShare*float64(q.limits.Connections) {
+		if float64(q.counts.Lingering) < maxLingeringShare*float64(q.limits.Connections) {
 			victim = oldest(q.reading, q.idle)
 		}
 		if victim == nil {
 			q.counts.RefusedConnections++
 			return nil, false
 		}
-		q.dropFor(victim)
+		q.evict(victim)
 	}
 	q.counts.Connections++
 	q.setPhase(c, reading)
@@ -190,12 +190,12 @@
 	q.setPhase(c, closed)
 }
 
-// dropFor drops a connection for another one. The caller holds mu.
-func (q *Quota) dropFor(victim *Conn) {
+// evict drops a connection for another one. The caller holds mu.
+func (q *Quota) evict(victim *Conn) {
 	q.drop(victim)
 	q.counts.ClosedConnections++
-	q.counts.Ending++
-	victim.ending = true
+	q.counts.Lingering++
+	victim.lingering = true
 }
 
 // setPhase moves a connection to a phase. The caller holds mu.
@@ -248,7 +248,7 @@
 	}
 	more := pooled(n) - pooled(c.held)
 	if more > 0 && q.limits.Pool > 0 {
-		victims = q.makeRoom(c, more)
+		victims = q.evictFromPool(c, more)
 		if q.counts.Bytes+more > q.limits.Pool {
 			q.counts.RefusedRequests++
 			return victims, false
@@ -258,10 +258,10 @@
 	return victims, true
 }
 
-// makeRoom drops connections until a number of bytes fits into the pool, oldest first: those that
+// evictFromPool drops connections until a number of bytes fits into the pool, oldest first: those that
 // have taken some of it and have waited for the rest of their request for minReadTime. The caller
 // holds mu.
-func (q *Quota) makeRoom(c *Conn, more int64) (victims []*Conn) {
+func (q *Quota) evictFromPool(c *Conn, more int64) (victims []*Conn) {
 	now := time.Now()
 	for e := q.reading.Front(); e != nil && q.counts.Bytes+more > q.limits.Pool; {
 		v := e.Value.(*Conn)
@@ -272,7 +272,7 @@
 		if v == c || pooled(v.held) == 0 {
 			continue
 		}
-		q.dropFor(v)
+		q.evict(v)
 		victims = append(victims, v)
 	}
 	return victims
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -92,9 +92,9 @@
 	})
 }
 
-// Guards against connections that were closed for others and pile up in the HTTP server, which lets go
-// of some only after half a second.
-func TestConnectionsThatAreEndingAreBounded(t *testing.T) {
+// Guards against connections that were closed for others and pile up in the HTTP server, which keeps
+// some for half a second.
+func TestLingeringConnectionsAreBounded(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		q := New(Limits{Connections: 4})
 		var conns []*Conn
@@ -103,13 +103,13 @@
 			conns = append(conns, c)
 		}
 		if c, _ := accept(t, q); c != nil {
-			t.Error("accepted, although as many as may be are ending")
+			t.Error("accepted, although as many as may be are lingering")
 		}
 		_ = conns[0].Close()
 		if c, _ := accept(t, q); c == nil {
-			t.Error("refused, although none is ending any more")
+			t.Error("refused, although none is lingering any more")
 		}
-		if got := q.Counts(); got.Connections != 4 || got.Ending != 1 {
+		if got := q.Counts(); got.Connections != 4 || got.Lingering != 1 {
 			t.Errorf("%+v", got)
 		}
 	})
@@ -117,20 +117,20 @@
 
 // Guards against connections that the HTTP server keeps for half a second after a refusal, while others
 // wait for their place.
-func TestRefusedRequestIsInTheWay(t *testing.T) {
+func TestRefusedRequestDoesNotLinger(t *testing.T) {
 	q := New(Limits{Connections: 2})
 	refused, _ := accept(t, q)
-	if refused.IsInTheWay() {
-		t.Error("in the way, although there is room")
+	if refused.MustAbort() {
+		t.Error("aborted, although connections are free")
 	}
 	served, _ := accept(t, q)
 	serve(served)
-	if !refused.IsInTheWay() || served.IsInTheWay() {
-		t.Errorf("in the way: refused %v, served %v", refused.IsInTheWay(), served.IsInTheWay())
+	if !refused.MustAbort() || served.MustAbort() {
+		t.Errorf("aborted: refused %v, served %v", refused.MustAbort(), served.MustAbort())
 	}
 	_, _ = accept(t, q)
-	if !refused.IsInTheWay() {
-		t.Error("a connection that was closed for another one is not in the way")
+	if !refused.MustAbort() {
+		t.Error("a connection that was closed for another one is not aborted")
 	}
 }
 
