cell: an entry without an incarnation does not replace a known description

Found on reading the change again. Cause: an entry of another writer under a worker's key, without born, set the incarnation to unknown, which turned off the comparison: tasks could be started by the labels of that entry.

Change: such an entry leaves the description as it is. Event 903 names the incarnation.

Measured: TestEntryWithoutIncarnationDoesNotReplaceADescription failed before; tests of cell and node pass.

--- a/cell/incarnation_test.go
+++ b/cell/incarnation_test.go
@@ -124,3 +124,15 @@
 		t.Error("the drain of the incarnation that runs is not known")
 	}
 }
+
+// Guards against an entry of another writer under a worker's key: without an incarnation, it would turn
+// off the comparison and have tasks started by its labels.
+func TestEntryWithoutIncarnationDoesNotReplaceADescription(t *testing.T) {
+	pl, w := newPlannerAfterRestart(t, true)
+	known := w
+	w.Incarnation, w.Kind = 0, "c"
+	pl.UpdateWorkers(ms(700), memberID(0), WorkerList{Workers: []ListedWorker{{Worker: w, Draining: true}}})
+	if got := pl.workers[w.ID]; got.Worker != known || got.drains() {
+		t.Errorf("described as %+v, drains %v; want %+v", got.Worker, got.drains(), known)
+	}
+}
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -392,9 +392,13 @@
 	w := pl.workers[l.ID]
 	if w == nil {
 		w = pl.addWorker(l.Worker)
-		event.WorkerListed.Log(pl.log, "worker", l.ID, "address", l.Address, "pool", l.Pool, "data_center", l.DataCenter, "kind", l.Kind, "rack", l.Rack, "cpu", l.Resources.CPU, "memory", l.Resources.Memory)
+		event.WorkerListed.Log(pl.log, "worker", l.ID, "address", l.Address, "pool", l.Pool, "data_center", l.DataCenter, "kind", l.Kind, "rack", l.Rack, "cpu", l.Resources.CPU, "memory", l.Resources.Memory, "incarnation", l.Incarnation)
 	}
 	w.listed = true
+	if l.Incarnation == 0 && w.Incarnation != 0 {
+		// A worker always says its incarnation, so the entry is from another writer.
+		return
+	}
 	// A copy can be older than what the holder has reported; a read can not.
 	if !list.FromPlanner || !w.isCurrent() {
 		pl.describe(now, w, l.Worker)
