cell, node: copies of the list and new planners keep known incarnations

The copies of the list that it forwards took an entry without an incarnation over, and a planner that had read it first kept it although the holder knew the worker.

Change: the copies leave it out as the planner does, and a holder's description of the incarnation that runs replaces it.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -83,7 +83,7 @@
 	if s.Described != 0 || !s.Partial {
 		w.described = s.Described
 	}
-	if s.Worker != nil && !w.isCurrent() && s.Worker.Incarnation == w.running {
+	if s.Worker != nil && w.running != 0 && s.Worker.Incarnation == w.running && w.Incarnation != w.running {
 		pl.describe(now, w, *s.Worker)
 	}
 	lacksDescription := w.running != 0 && w.Incarnation == w.running && w.described != w.Incarnation
--- a/cell/incarnation_test.go
+++ b/cell/incarnation_test.go
@@ -136,3 +136,15 @@
 		t.Errorf("described as %+v, drains %v; want %+v", got.Worker, got.drains(), known)
 	}
 }
+
+// Guards against a new planner that has read such an entry first, and keeps it although the holder knows
+// the worker.
+func TestHoldersDescriptionReplacesAnEntryWithoutIncarnation(t *testing.T) {
+	pl := newPlannerWithHolders(t, 1, 1)
+	w := testWorker(0)
+	w.Incarnation, w.Kind = 2, "b"
+	report(pl, 620, lease.State{ID: w.ID, Worker: &w, Open: true, Fence: lease.NewFence(9), Incarnation: 2, Described: 2})
+	if got := pl.workers[w.ID].Worker; got != w {
+		t.Errorf("described as %+v, want %+v", got, w)
+	}
+}
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -360,6 +360,12 @@
 	Draining bool `cbor:"8,keyasint,omitzero"`
 }
 
+// IsFromAnotherWriter reports whether an entry is not the worker's own, given what was known of it: a
+// worker always says its incarnation.
+func (l ListedWorker) IsFromAnotherWriter(known lease.Worker) bool {
+	return l.Incarnation == 0 && known.Incarnation != 0
+}
+
 // UpdateWorkers applies the platform's worker list, or changes of it, as read or copied by
 // a member.
 func (pl *Planner) UpdateWorkers(now time.Time, from mesh.ID, l WorkerList) {
@@ -395,8 +401,7 @@
 		event.WorkerListed.Log(pl.log, "worker", l.ID, "address", l.Address, "pool", l.Pool, "data_center", l.DataCenter, "kind", l.Kind, "rack", l.Rack, "cpu", l.Resources.CPU, "memory", l.Resources.Memory, "incarnation", l.Incarnation)
 	}
 	w.listed = true
-	if l.Incarnation == 0 && w.Incarnation != 0 {
-		// A worker always says its incarnation, so the entry is from another writer.
+	if l.IsFromAnotherWriter(w.Worker) {
 		return
 	}
 	// A copy can be older than what the holder has reported; a read can not.
--- a/node/list.go
+++ b/node/list.go
@@ -47,7 +47,7 @@
 		l.dropUnlisted(update.Workers, &changes)
 	}
 	for _, w := range update.Workers {
-		if have, ok := l.workers[w.ID]; !ok || have != w {
+		if have, ok := l.workers[w.ID]; !ok || have != w && !w.IsFromAnotherWriter(have.Worker) {
 			l.workers[w.ID] = w
 			changes.Workers = append(changes.Workers, w)
 		}
--- a/node/list_test.go
+++ b/node/list_test.go
@@ -299,3 +299,19 @@
 		}
 	}
 }
+
+// Guards against deputies whose copy of the list takes an entry of another writer, without an incarnation,
+// for the worker.
+func TestCopyOfTheListKeepsKnownIncarnations(t *testing.T) {
+	known := cell.ListedWorker{Worker: testWorker()}
+	known.Incarnation, known.Kind = 1, "a"
+	other := known
+	other.Incarnation, other.Kind = 0, "c"
+	var l workerList
+	from := member(1).ID
+	l.apply(from, cell.WorkerList{Workers: []cell.ListedWorker{known}})
+	changes := l.apply(from, cell.WorkerList{Full: true, Workers: []cell.ListedWorker{other}})
+	if got := l.workers[known.ID]; got != known || len(changes.Workers)+len(changes.Removed) != 0 {
+		t.Errorf("the copy has %+v and forwards %+v", got, changes)
+	}
+}
