--- a/lease/incarnation_test.go
+++ b/lease/incarnation_test.go
@@ -7,6 +7,20 @@
 	wl.HoldAnswered(ms(at), poll, Result{Verdict: OK, Clock: 3, Incarnation: incarnation})
 }
 
+// newBoundLease returns a WorkerLease with its poll and an unanswered start, which only the incarnation
+// that runs may carry out.
+func newBoundLease(t *testing.T) (*WorkerLease, HoldCall, StartCall) {
+	t.Helper()
+	wl, poll := newOpenLease(t)
+	w := testWorker()
+	w.Incarnation = 7
+	wl.Describe(w)
+	o := order("a", 1)
+	o.Incarnation = 7
+	wl.Start(ms(10), alice, o)
+	return wl, poll, takeActions(wl).starts[0]
+}
+
 // Guards against starts at an incarnation that the planner did not choose, and whose capacity
 // the holder does not know.
 func TestStartsAfterARestart(t *testing.T) {
@@ -47,14 +61,7 @@
 // Guards against a start that is sent again, because it was fenced by a round of this holder, to
 // another incarnation than before.
 func TestFencedStartIsNotSentToAnotherIncarnation(t *testing.T) {
-	wl, poll := newOpenLease(t)
-	w := testWorker()
-	w.Incarnation = 7
-	wl.Describe(w)
-	o := order("a", 1)
-	o.Incarnation = 7
-	wl.Start(ms(10), alice, o)
-	s := takeActions(wl).starts[0]
+	wl, poll, s := newBoundLease(t)
 	// The raised round stands for an unanswered start of another run.
 	wl.fence, _ = wl.fence.NextRound()
 	wl.incarnation = 8
@@ -104,14 +111,7 @@
 // Guards against tasks that are granted there again and again, as fast as messages travel, because a
 // start has found another incarnation before this holder's polls have.
 func TestNothingIsStartedUntilARestartIsKnown(t *testing.T) {
-	wl, _ := newOpenLease(t)
-	w := testWorker()
-	w.Incarnation = 7
-	wl.Describe(w)
-	o := order("a", 1)
-	o.Incarnation = 7
-	wl.Start(ms(10), alice, o)
-	s := takeActions(wl).starts[0]
+	wl, _, s := newBoundLease(t)
 	wl.State(ms(10))
 	wl.StartAnswered(ms(12), s, Result{Verdict: Refused, Reason: Restarted})
 	got := takeActions(wl)
--- a/model/fault.go
+++ b/model/fault.go
@@ -121,21 +121,19 @@
 
 // CrashWorkers ends workers; they restart empty after down.
 func CrashWorkers(first, count int, down time.Duration) func(*World) {
-	return func(w *World) {
-		for i := range count {
-			x := w.workers[(first+i)%len(w.workers)]
-			if !x.up {
-				continue
-			}
-			x.crash()
-			w.after(down, x.boot)
-		}
-	}
+	return crashWorkers(first, count, down, (*worker).boot)
 }
 
 // RestartWorkers ends workers; they restart empty after down, under their IDs, as workers of
 // another kind.
 func RestartWorkers(first, count int, down time.Duration, k Kind) func(*World) {
+	return crashWorkers(first, count, down, func(x *worker) {
+		x.kind, x.Kind, x.Resources, x.draining = k, k.Name, k.Resources, false
+		x.boot()
+	})
+}
+
+func crashWorkers(first, count int, down time.Duration, restart func(x *worker)) func(*World) {
 	return func(w *World) {
 		for i := range count {
 			x := w.workers[(first+i)%len(w.workers)]
@@ -143,10 +141,7 @@
 				continue
 			}
 			x.crash()
-			w.after(down, func() {
-				x.kind, x.Kind, x.Resources, x.draining = k, k.Name, k.Resources, false
-				x.boot()
-			})
+			w.after(down, func() { restart(x) })
 		}
 	}
 }
