--- a/quota/quota.go
+++ b/quota/quota.go
@@ -3,16 +3,16 @@
 //
 // Each connection may take an allowance, which is enough for an ordinary request and is part of
 // what a connection costs. What a request takes beyond it comes out of a pool that all share; a
-// request that finds the pool used up is refused. So a crowd of large requests is refused first,
-// and ordinary callers are served beside it. When the connections are used up, the oldest one that
+// request that finds the pool used up is refused. So large requests are refused first, and ordinary
+// callers are served beside them. When the connections are used up, the oldest one that
 // waits for the rest of a request is closed for a new one: an ordinary caller sends a request at
 // once, and a connection whose request has arrived is never closed.
 //
 // What counts is what the bytes become in memory: a header line costs far more than its bytes, and
 // a body its buffer and what it is decoded to.
 //
-// Limits: memory is estimated, not measured; garbage that was not collected yet is not counted. A
-// process sets a memory limit for the collector besides (debug.SetMemoryLimit).
+// Limits: the memory of a request is an estimate, and garbage is not part of it. A process sets a
+// memory limit for the collector besides (debug.SetMemoryLimit).
 package quota
 
 import (
@@ -50,7 +50,7 @@
 	// server keeps the goroutines of some connections for half a second after they were closed.
 	maxLingeringShare = 0.25
 	// minReadTime is how long a request that is being read keeps its part of the pool for
-	// certain. If it could lose it at once, a crowd would only have to send more.
+	// certain. Without it, large requests would evict each other as fast as they arrive.
 	minReadTime = time.Second
 )
 
