review: a pause of a holder places too many tasks of a step on a minion

A holder reports a run 250 ms after its start, and the planner forgets a grant that is not reported within 550 ms. If the holder stands still for 0.45 s in between, the planner places another task of the same step on the minion (ROUTE, anti_affinity).

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -237,6 +237,36 @@
 	return nil
 }
 
+// pausePlay: processes stand still for less than half a second, one after the other, while tasks
+// wait for minions because only one task of a step may run on each.
+var pausePlay = play{
+	layout: layout{nodesPerZone: 2, minionsPerZone: 2, guards: true, routes: lakeshoreRoutes, duration: aboutEstimate},
+	run: func(w *world, trouble bool) error {
+		l := startLoad(w, kindOfRequest{"/batch77/", 12, 20 * time.Second, func() []step {
+			return []step{{Count: 9, CPU: 2000, Memory: 64, Estimate: 900, AntiAffinity: 1}}
+		}, 0, 0})
+		time.Sleep(4 * time.Second)
+		for i := range freezes {
+			if n := w.nodes[i%len(w.nodes)]; trouble {
+				n.signal(syscall.SIGSTOP)
+				time.Sleep(freezeTime)
+				n.signal(syscall.SIGCONT)
+			}
+			time.Sleep(2 * time.Second)
+		}
+		if answers := l.end(); answers[http.StatusOK] < 50 {
+			return errNotServed
+		}
+		return nil
+	},
+}
+
+const (
+	// freezes is how many times a process stands still, and freezeTime for how long.
+	freezes    = 12
+	freezeTime = 450 * time.Millisecond
+)
+
 // mixPlay plays all sorts of disruptions at random, with jobs of several steps. It is no case,
 // but finds some.
 var mixPlay = play{
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -33,6 +33,7 @@
 	"copy":   copyPlay,
 	"lookup": lookupPlay,
 	"spread": spreadPlay,
+	"pause":  pausePlay,
 	"mix":    mixPlay,
 }
 
