lease: runs of a worker's next incarnation have a lease of their own

What callers saw: a task runs twice at once. A worker restarts within some tens of milliseconds under its ID, and a start that was on its way reaches the new incarnation. Its holder, whose calls have just got no answer, notices the restart, finds the run listed, and 50 ms later reports it lost; its owner has it started elsewhere.

Cause: when a restart is noticed, the end of the lease was set to 0, as if nothing could run under a lease yet. The start had begun one. While the worker counts as unusable, runs are taken for lost when the lease has expired, which was at once.

Change: from the first answer of a new incarnation a lease of it may last as long as any lease does. It does not depend on how long the worker was away or what was lost.

--- a/lease/hold.go
+++ b/lease/hold.go
@@ -183,7 +183,9 @@
 // reached the new incarnation, which knows no fence yet; it is either listed, or
 // unconfirmed for as long as the worker may still accept it.
 func (wl *WorkerLease) handleRestart(now time.Time, c HoldCall, r Result) {
-	wl.clock, wl.listClock, wl.leaseEnd, wl.lastEndSeen = 0, 0, 0, 0
+	wl.clock, wl.listClock, wl.lastEndSeen = 0, 0, 0
+	// A call that was meant for the former incarnation may have begun a lease of the new one.
+	wl.leaseEnd = r.Clock + leaseDuration.Milliseconds()
 	wl.unclaimedEnds = make(map[Run]Outcome)
 	for _, e := range wl.sortedRuns() {
 		here := slices.ContainsFunc(r.Running, func(l ListedRun) bool { return l.Run == e.Run })
--- a/lease/incarnation_test.go
+++ b/lease/incarnation_test.go
@@ -124,3 +124,32 @@
 		t.Errorf("%+v, want it open as incarnation 8", s)
 	}
 }
+
+// Guards against a second run of a task: its start reached the worker's next incarnation, where it
+// has a lease of its own, and the worker is not reached for a moment.
+func TestLeaseOfTheNextIncarnation(t *testing.T) {
+	wl, poll := newOpenLease(t)
+	wl.Start(ms(10), alice, order("a", 1))
+	s := takeActions(wl).starts[0]
+	wl.StartAnswered(ms(11), s, Result{Verdict: OK, Clock: 2})
+	for range unreachableThreshold {
+		wl.HoldAnswered(ms(12), takeActions(wl).holds[0], Result{Verdict: NoAnswer})
+	}
+	wl.HoldAnswered(ms(13), poll, Result{Verdict: OK, Clock: 4, Incarnation: 8, Running: []ListedRun{{Run: s.Run}}})
+	for at := 20; at < 2000; at += 10 {
+		wl.Tick(ms(at))
+		got := takeActions(wl)
+		for _, h := range got.holds {
+			wl.HoldAnswered(ms(at), h, Result{Verdict: NoAnswer})
+		}
+		if len(got.reports) == 0 {
+			continue
+		}
+		wantEnd(t, got.reports, alice, Lost, "")
+		if at < 1000 {
+			t.Errorf("reported at %d ms, before the lease that the start began can have expired", at)
+		}
+		return
+	}
+	t.Error("the run was never reported as lost")
+}
