lease: lists of a worker's former incarnation are ignored

Cause: a list of runs with another incarnation than the last one was taken for a restart, also if it is the late answer of the incarnation before, on another connection. The runs of the new incarnation, which it does not list, would be reported lost and started again while they run.

Change: an incarnation that has been replaced never comes back, so the answers of one that has been are dropped.

Measured: TestLateListOfAFormerIncarnation fails without the check.

--- a/lease/hold.go
+++ b/lease/hold.go
@@ -120,6 +120,9 @@
 
 // handleList handles a worker's list of what it runs and what has ended.
 func (wl *WorkerLease) handleList(now time.Time, c HoldCall, r Result) {
+	if _, ok := wl.formerIncarnations[r.Incarnation]; ok {
+		return
+	}
 	if wl.incarnation != 0 && r.Incarnation != wl.incarnation {
 		wl.handleRestart(now, c, r)
 	}
@@ -174,6 +177,9 @@
 	case wl.incarnation != 0:
 		wl.draining = false
 	}
+	if wl.incarnation != 0 {
+		wl.formerIncarnations[wl.incarnation] = struct{}{}
+	}
 	wl.incarnation = i
 	wl.reportFullState()
 }
--- a/lease/incarnation_test.go
+++ b/lease/incarnation_test.go
@@ -153,3 +153,19 @@
 	}
 	t.Error("the run was never reported as lost")
 }
+
+// Guards against a second run of a task: an answer of the worker's former incarnation arrives after one
+// of the next, whose runs it does not list.
+func TestLateListOfAFormerIncarnation(t *testing.T) {
+	wl, poll := newOpenLease(t)
+	wl.HoldAnswered(ms(10), HoldCall{Fence: wl.Fence()}, Result{Verdict: OK, Clock: 3, Incarnation: 8})
+	takeActions(wl)
+	wl.Start(ms(11), alice, order("a", 1))
+	wl.StartAnswered(ms(12), takeActions(wl).starts[0], Result{Verdict: OK, Clock: 5})
+	wl.HoldAnswered(ms(13), poll, listResult(ms(9), nil))
+	if got := takeActions(wl).reports; len(got) != 0 {
+		t.Errorf("reported %+v of a run that continues", got)
+	}
+	wl.HoldAnswered(ms(40), HoldCall{Fence: wl.Fence()}, Result{Verdict: OK, Clock: 33, Incarnation: 8})
+	wantEnd(t, takeActions(wl).reports, alice, Lost, "")
+}
