lease: the holder checks how many tasks of a step are on a worker

Cause: the limit was checked by the planner alone, from what it remembers of grants and reports. That memory is late by design, and empty at a new planner: it forgets grants whose reports are late (a holder stands still), runs whose grant is withdrawn by name, and all that a process does not tell it. Neither the kill nor the length of a pause is the cause. The holder, which knows every run that is or may be on its worker, checked the room only.

Change: a start carries the limit of its step, and the holder counts the runs of the step there: starting, unanswered, running, being stopped, unclaimed. It refuses the start as step_limit, reports its full state to the planner, and the owner has the task placed again, not on that worker. A start without the field, of a process of the last release, is not checked, as before.

Why it can't happen again: the check is made by the one process whose orders the worker accepts, on what runs there, after its first list; it uses no time, no other process and no store. A holder that was replaced in a pause is refused by the fence.

--- a/entry/grant.go
+++ b/entry/grant.go
@@ -35,7 +35,7 @@
 		s := byStep[t.step]
 		if s == nil {
 			step := j.Steps[t.step]
-			s = &Start{Spec: WireText(j.text.Spec), Sum: j.text.Sum, Resources: step.Resources, Estimate: step.Estimate}
+			s = &Start{Spec: WireText(j.text.Spec), Sum: j.text.Sum, Resources: step.Resources, Estimate: step.Estimate, MaxPerWorker: step.MaxPerWorker}
 			byStep[t.step] = s
 		}
 		s.Runs = append(s.Runs, PlacedRun{Run: item.Run, Worker: item.Worker, Estimate: item.Estimate, Fence: item.Fence, Incarnation: item.Incarnation})
--- a/entry/message.go
+++ b/entry/message.go
@@ -16,6 +16,9 @@
 	Runs      []PlacedRun     `cbor:"4,keyasint,omitzero"`
 	// Sum is the checksum of the job's text.
 	Sum lease.Sum `cbor:"5,keyasint,omitzero"`
+	// MaxPerWorker is the maximum number of tasks of the step on one worker; 0 means no
+	// maximum. Processes of earlier releases don't set it.
+	MaxPerWorker int `cbor:"6,keyasint,omitzero"`
 }
 
 // PlacedRun is a run and its worker.
--- a/lease/claim_test.go
+++ b/lease/claim_test.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// newLeaseWithUnclaimedRun returns a WorkerLease whose worker runs a task of a former holder, which
+// nobody has claimed by 200 ms and which is being stopped.
+func newLeaseWithUnclaimedRun(t *testing.T, task Task) *WorkerLease {
+	t.Helper()
+	wl := NewWorkerLease(ms(0), testWorker(), NewFence(9), 0, Speed{}, &PoolStats{})
+	wl.HoldAnswered(ms(0), takeActions(wl).holds[0], listResult(ms(0), []Run{{task, 1}}))
+	wl.Tick(ms(200))
+	if got := takeActions(wl); len(got.stops) != 1 {
+		t.Fatalf("stops %+v, want that of the unclaimed run", got.stops)
+	}
+	return wl
+}
+
 // A new holder gets claims for runs that ended before it took over, that continue, and
 // that it has never seen.
 func TestClaims(t *testing.T) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -13,7 +13,8 @@
 //   - a run that it reports as not started, ended or lost does not run and will not run,
 //     whatever happens to orders that are still in flight;
 //   - the tasks on a worker, including those that are being stopped and those whose start
-//     is unanswered, never take more resources than the worker has.
+//     is unanswered, never take more resources than the worker has, and are never more of a
+//     step than the order allows.
 //
 // Limits: the worker's clock is known from its answers alone, and it may run slow by
 // MaxClockDrift. A holder that can't reach the worker learns that its runs have ended
@@ -138,6 +139,9 @@
 	Text
 	// Incarnation is the only incarnation of the worker that may run it, 0 if any may.
 	Incarnation int64
+	// MaxPerWorker is the maximum number of tasks of the run's step on the worker, 0 if there
+	// is none.
+	MaxPerWorker int
 }
 
 // Outcome is the outcome of a run.
@@ -179,6 +183,8 @@
 	Draining Reason = "draining"
 	// Evacuated: no tasks may be started in the worker's data centre.
 	Evacuated Reason = "evacuated"
+	// StepLimit: as many tasks of the step as allowed are on the worker.
+	StepLimit Reason = "step_limit"
 	Unhealthy Reason = "unhealthy"
 	// Restarted: the order is for an incarnation of the worker that is not known to run,
 	// or whose description the holder does not have.
--- a/lease/start.go
+++ b/lease/start.go
@@ -42,10 +42,25 @@
 		return Unusable
 	case wl.resourcesRefused || !wl.usedResources().Plus(o.Resources).Fits(wl.worker.Resources):
 		return InsufficientResources
+	case o.MaxPerWorker > 0 && wl.tasksOfStep(o.Task.Step()) >= o.MaxPerWorker:
+		return StepLimit
 	}
 	return ""
 }
 
+// tasksOfStep returns how many runs of a step are on the worker, or may be: also those that are
+// being stopped, whose start is unanswered, or whose owner is unknown. Only the holder knows this
+// for certain; what the planner knows of the runs is late.
+func (wl *WorkerLease) tasksOfStep(step string) int {
+	n := 0
+	for r := range wl.runs {
+		if r.Task.Step() == step {
+			n++
+		}
+	}
+	return n
+}
+
 // isFor reports whether an order for an incarnation may be sent: 0 is for any. The order rests
 // on the description of that incarnation, so the holder must have it too.
 func (wl *WorkerLease) isFor(incarnation int64) bool {
--- a/lease/start_test.go
+++ b/lease/start_test.go
@@ -66,6 +66,66 @@
 	}
 }
 
+// stepOrder returns an order for a task of a step of which one task may run on a worker.
+func stepOrder(task Task) Order {
+	o := order(task, 1)
+	o.Resources, o.MaxPerWorker = Resources{CPU: 500}, 1
+	return o
+}
+
+// Guards against more tasks of a step on a worker than the job allows, when a planner that has lost
+// sight of one sends the next: whatever became of the first, it counts until it is known to be over.
+func TestStepLimit(t *testing.T) {
+	tests := []struct {
+		name  string
+		first func(wl *WorkerLease, poll HoldCall, s StartCall)
+		order Order
+		why   Reason
+	}{
+		{"starting", func(*WorkerLease, HoldCall, StartCall) {}, stepOrder("j.0.0.1"), StepLimit},
+		{"its start is unanswered", func(wl *WorkerLease, _ HoldCall, s StartCall) {
+			wl.StartAnswered(ms(90), s, Result{Verdict: NoAnswer})
+		}, stepOrder("j.0.0.1"), StepLimit},
+		{"running", func(wl *WorkerLease, _ HoldCall, s StartCall) {
+			wl.StartAnswered(ms(11), s, Result{Verdict: OK, Clock: 5011})
+		}, stepOrder("j.0.0.1"), StepLimit},
+		{"being stopped", func(wl *WorkerLease, _ HoldCall, s StartCall) {
+			wl.StartAnswered(ms(11), s, Result{Verdict: OK, Clock: 5011})
+			wl.Stop(ms(12), s.Run)
+		}, stepOrder("j.0.0.1"), StepLimit},
+		{"ended", func(wl *WorkerLease, poll HoldCall, s StartCall) {
+			wl.StartAnswered(ms(11), s, Result{Verdict: OK, Clock: 5011})
+			wl.HoldAnswered(ms(12), poll, listResult(ms(12), nil, ListedEnd{1, s.Run, Done}))
+		}, stepOrder("j.0.0.1"), ""},
+		{"of another step", func(*WorkerLease, HoldCall, StartCall) {}, stepOrder("j.0.1.0"), ""},
+		{"of another job", func(*WorkerLease, HoldCall, StartCall) {}, stepOrder("k.0.0.1"), ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			wl, poll := newOpenLease(t)
+			wl.Start(ms(10), alice, stepOrder("j.0.0.0"))
+			tt.first(wl, poll, takeActions(wl).starts[0])
+			takeActions(wl)
+			wl.Start(ms(100), alice, tt.order)
+			got := takeActions(wl)
+			if tt.why == "" && len(got.starts) != 1 {
+				t.Errorf("%+v, want a start", got)
+			}
+			if tt.why != "" {
+				wantEnd(t, got.reports, alice, NeverStarted, tt.why)
+			}
+		})
+	}
+}
+
+// Guards against the same beside the runs of a former holder, which nobody has claimed and which are
+// being stopped.
+func TestStepLimitBesideUnclaimedRuns(t *testing.T) {
+	wl := newLeaseWithUnclaimedRun(t, "j.0.0.0")
+	wl.Start(ms(201), alice, stepOrder("j.0.0.1"))
+	wantEnd(t, takeActions(wl).reports, alice, NeverStarted, StepLimit)
+}
+
 // The order to drain a worker, or the evacuation of its data centre, overtakes starts that were
 // granted before.
 func TestStartsOnAWorkerThatTakesNoNewTasks(t *testing.T) {
--- a/model/caller.go
+++ b/model/caller.go
@@ -190,6 +190,24 @@
 	}
 }
 
+// checkStepLimit checks that a worker on which a task begins has fewer tasks of the step than the
+// maximum.
+func (w *World) checkStepLimit(x *worker, r lease.Run) {
+	j, _, ok := w.task(r.Task)
+	if !ok {
+		return
+	}
+	limit, n := w.cfg.Classes[j.class].MaxPerWorker, 0
+	for o := range x.runs {
+		if o.Task.Step() == r.Task.Step() {
+			n++
+		}
+	}
+	if limit > 0 && n >= limit {
+		w.violation("ROUTE: %s run %d starts on %s, which has %d tasks of the step", r.Task, r.Number, x.ID, n)
+	}
+}
+
 // work returns the duration of a run at speed 1 and whether the run fails. A failing run lowers
 // the number of runs of its task that still fail.
 func (w *World) work(r lease.Run) (time.Duration, bool) {
@@ -258,7 +276,7 @@
 		Queue:   q,
 		Spec:    w.specOf(j),
 		Timeout: j.deadline.Sub(w.now),
-		Steps:   []entry.Step{{Count: j.width, Resources: lease.Resources{CPU: j.cpu, Memory: cl.Memory}, Estimate: j.estimate, Label: cl.Label}},
+		Steps:   []entry.Step{{Count: j.width, Resources: lease.Resources{CPU: j.cpu, Memory: cl.Memory}, Estimate: j.estimate, Label: cl.Label, MaxPerWorker: cl.MaxPerWorker}},
 	}
 	n.waiters[id] = func(a entry.Answer) { w.after(w.cfg.CallerDelay, func() { w.answered(j, a, try) }) }
 	if catalogVersion(n) == 0 {
--- a/model/model.go
+++ b/model/model.go
@@ -112,6 +112,8 @@
 	Memory      int
 	// Label, if set, is the kind or the rack that the workers of the tasks must have.
 	Label string
+	// MaxPerWorker is the maximum number of tasks of a job on one worker; 0 means no maximum.
+	MaxPerWorker int
 	// SpecSize is the length of a job's spec in bytes; it matters if link bandwidth is bounded.
 	SpecSize int
 	// Spread is the standard deviation of the logarithm of work, width and estimate, and
--- a/model/worker.go
+++ b/model/worker.go
@@ -273,6 +273,7 @@
 		return x.result(lease.Refused, lease.InsufficientResources)
 	}
 	x.world.checkLabel(x, c.Run)
+	x.world.checkStepLimit(x, c.Run)
 	x.begin(c)
 	return x.result(lease.OK, "")
 }
--- a/node/holder.go
+++ b/node/holder.go
@@ -96,7 +96,8 @@
 			Claim: lease.Claim{Run: r.Run, Resources: s.Resources, Estimate: cmp.Or(r.Estimate, s.Estimate)},
 			Text:  lease.Text{Spec: string(s.Spec), Sum: s.Sum},
 
-			Incarnation: r.Incarnation,
+			Incarnation:  r.Incarnation,
+			MaxPerWorker: s.MaxPerWorker,
 		})
 	}
 }
