cell, entry: a withdrawal names the worker whose grant is not used

A new planner is asked for pending tasks twice within a millisecond. It grants from the first request, and the second, sent before that grant arrived, adds the tasks again.

Cause: the entry returned the second grant by the name of the run, and the planner dropped the run from every worker on which it was not reported yet, also from the one where it runs. For up to 250 ms it placed the rest of the step there.

Change: a withdrawal names the worker of each run. A second grant of the worker that is used is not returned at all. A planner takes a withdrawal without workers, of the last release, as before.

Measured: TestWithdrawalNamesTheWorker and TestRequestGrantedTwice failed before.

--- a/cell/message.go
+++ b/cell/message.go
@@ -86,6 +86,10 @@
 type Withdrawal struct {
 	Job  string      `cbor:"1,keyasint,omitzero"`
 	Runs []lease.Run `cbor:"2,keyasint,omitzero"`
+	// Workers are the workers granted to the runs, in the same order: a run may have been
+	// granted another worker as well, which is used. Processes of earlier releases don't set
+	// it.
+	Workers []string `cbor:"3,keyasint,omitzero"`
 }
 
 // Assignment assigns a worker to a member, which is to hold it.
--- a/cell/planner_test.go
+++ b/cell/planner_test.go
@@ -94,6 +94,46 @@
 	return grants, refusals
 }
 
+// Guards against a planner that forgets a run: a task was granted two workers, and its process withdraws
+// the grant that it does not use, while the run has not been reported yet.
+func TestWithdrawalNamesTheWorker(t *testing.T) {
+	tests := []struct {
+		name string
+		wd   func(unused GrantedRun) Withdrawal
+		want int
+	}{
+		{"with the worker", func(u GrantedRun) Withdrawal {
+			return Withdrawal{Job: "a", Runs: []lease.Run{u.Run}, Workers: []string{u.Worker}}
+		}, 1},
+		{"of a process of an earlier release", func(u GrantedRun) Withdrawal {
+			return Withdrawal{Job: "a", Runs: []lease.Run{u.Run}}
+		}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			pl := newPlannerWithHolders(t, 2, 2)
+			req := newRequest("a", 1)
+			req.MaxPerWorker = 1
+			var granted []GrantedRun
+			for range 2 {
+				pl.Request(ms(700), memberID(1), req)
+				g, _ := place(pl, 700)
+				granted = append(granted, g...)
+			}
+			if len(granted) != 2 || granted[0].Worker == granted[1].Worker {
+				t.Fatalf("granted %+v, want two workers", granted)
+			}
+			pl.Withdraw(tt.wd(granted[1]))
+			next := newRequest("a", 3)
+			next.Tasks, next.MaxPerWorker = next.Tasks[1:], 1
+			pl.Request(ms(701), memberID(1), next)
+			if g, _ := place(pl, 701); len(g) != tt.want {
+				t.Errorf("granted %+v, want %d", g, tt.want)
+			}
+		})
+	}
+}
+
 // Two grants are made before the holder has reported the first. If grants did not count
 // as used, every worker would be granted twice, and half of the starts would be refused.
 func TestGrantsCountAtOnce(t *testing.T) {
--- a/cell/request.go
+++ b/cell/request.go
@@ -92,16 +92,26 @@
 		}
 		return
 	}
-	for _, w := range pl.workers {
-		for _, r := range wd.Runs {
-			if w.runs[r].unreported {
-				w.dropRun(r)
+	for i, r := range wd.Runs {
+		switch {
+		case len(wd.Workers) != len(wd.Runs):
+			for _, w := range pl.workers {
+				w.dropGrant(r)
 			}
+		case pl.workers[wd.Workers[i]] != nil:
+			pl.workers[wd.Workers[i]].dropGrant(r)
 		}
 	}
 	pl.needsPlanning = true
 }
 
+// dropGrant drops the grant of a run unless its holder has reported the run.
+func (w *worker) dropGrant(r lease.Run) {
+	if w.runs[r].unreported {
+		w.dropRun(r)
+	}
+}
+
 // dropRequest deletes a pending request.
 func (pl *Planner) dropRequest(p *pendingRequest) {
 	delete(pl.pending, p.stepKey)
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -18,12 +18,16 @@
 	if j != nil {
 		js.plannerAnswered(now, j, g.Waited)
 	}
-	var unused []lease.Run
+	unused := &cell.Withdrawal{Job: g.Job}
 	starts := make(map[mesh.ID]map[int]*Start)
 	for _, item := range g.Items {
 		t := js.pendingTask(j, item.Run)
 		if t == nil {
-			unused = append(unused, item.Run)
+			// A request that is sent twice can be granted twice, even the same worker.
+			if !js.isPlacedOn(item.Worker, item.Run) {
+				unused.Runs = append(unused.Runs, item.Run)
+				unused.Workers = append(unused.Workers, item.Worker)
+			}
 			continue
 		}
 		js.place(now, j, t, item)
@@ -40,8 +44,8 @@
 		}
 		s.Runs = append(s.Runs, PlacedRun{Run: item.Run, Worker: item.Worker, Estimate: item.Estimate, Fence: item.Fence, Incarnation: item.Incarnation})
 	}
-	if len(unused) > 0 {
-		js.emit(Action{To: from, Withdraw: &cell.Withdrawal{Job: g.Job, Runs: unused}})
+	if len(unused.Runs) > 0 {
+		js.emit(Action{To: from, Withdraw: unused})
 	}
 	js.sendStarts(starts)
 }
@@ -70,6 +74,12 @@
 	return nil
 }
 
+// isPlacedOn reports whether a run was placed on a worker and has not ended.
+func (js *Jobs) isPlacedOn(worker string, r lease.Run) bool {
+	p, ok := js.runs[r]
+	return ok && p.t.worker == worker
+}
+
 func (js *Jobs) place(now time.Time, j *job, t *task, item cell.GrantedRun) {
 	j.setState(t, placed)
 	t.placedAt = now
--- a/entry/jobs_test.go
+++ b/entry/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -313,3 +314,32 @@
 		t.Errorf("answered %+v", got.answers)
 	}
 }
+
+// Guards against a planner that forgets a run, because the process that uses its grant withdraws a
+// second one: the request was sent twice.
+func TestRequestGrantedTwice(t *testing.T) {
+	tests := []struct {
+		name   string
+		second string
+		want   []string
+	}{
+		{"the same worker", "w", nil},
+		{"another worker", "v", []string{"v"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			js, req := newRunningJobs(t, request(1))
+			js.Grant(ms(2), planner, grantAll(req, tt.second))
+			var got []string
+			for _, w := range takeActions(js).withdraws {
+				if len(w.Workers) != len(w.Runs) {
+					t.Errorf("%+v does not name the worker of each run", w)
+				}
+				got = append(got, w.Workers...)
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("withdrew the grants of %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
