lease: nothing is started beside a run of unknown needs in unguarded pools

Cause: a new holder finds runs whose owner died with the former one. A worker lists names, no needs. Unclaimed runs are stopped, and until that has taken effect they counted as nothing, at the holder and in what it tells the planner.

Change: what a run of unknown needs takes may be all of the worker. While there is one and the pool does not enforce its capacity, the holder starts nothing (unknown_needs) and reports the worker as not open. It ends with a claim, a repeated order, or the listed end of the run; the stop is repeated until then. Event 943 names runs that are stopped because nobody has claimed them. A pool that is not known yet counts as one that does not enforce. Pools that do are served as before.

Why it can't happen again: the sum is taken from the worker's own list, and a part of it that nobody knows is taken for the largest that it can be, however long that lasts and whoever is lost.

--- a/event/table.go
+++ b/event/table.go
@@ -129,6 +129,7 @@
 	WorkerRestarted       ID = 940
 	WorkerDescribed       ID = 941
 	CallersLimited        ID = 942
+	UnclaimedRunStopped   ID = 943
 )
 
 var table = []Entry{
@@ -246,4 +247,5 @@
 	{WorkerRestarted, slog.LevelInfo, "worker restarted", "The holder has heard another incarnation of the worker under the same id. Until the list of workers describes it (compare incarnation and described), the worker gets only tasks without required labels, and none in a pool that does not enforce its capacity.", "0.6"},
 	{WorkerDescribed, slog.LevelInfo, "worker described", "The planner has sent this holder the description of another incarnation of the worker.", "0.6"},
 	{CallersLimited, slog.LevelWarn, "callers limited", "Callers use up the connections or the memory that the VM has for them. In the last second, connections were refused (all others were serving requests), connections that waited for the rest of a request or were idle were closed for new ones, or requests were refused with 503 because they were large and the memory was used up. Ordinary requests are served. bytes and connections are in use now.", "0.6"},
+	{UnclaimedRunStopped, slog.LevelInfo, "unclaimed run stopped", "The worker runs a task that no process has claimed from its holder: the process that accepted the job is gone. The holder has it stopped, again until its end is listed. Until then no task is started beside it if the worker's pool does not enforce its capacity (925 with unknown_needs).", "0.2"},
 }
--- a/lease/call.go
+++ b/lease/call.go
@@ -40,6 +40,8 @@
 type StopCall struct {
 	Run
 	Fence Fence
+	// Unclaimed is set if the run is stopped because no owner has claimed it.
+	Unclaimed bool
 }
 
 // Verdict is the outcome of a call.
--- a/lease/claim.go
+++ b/lease/claim.go
@@ -27,8 +27,7 @@
 func (wl *WorkerLease) claim(owner Owner, c Claim) {
 	if e, ok := wl.runs[c.Run]; ok {
 		e.owner, e.orphan = owner, false
-		e.Claim = c
-		e.reported, wl.unreported = false, true
+		wl.describeRun(e, c)
 		return
 	}
 	if outcome, ok := wl.unclaimedEnds[c.Run]; ok {
@@ -43,6 +42,12 @@
 	wl.reportToOwner(owner, End{Run: c.Run, Outcome: Lost})
 }
 
+// describeRun sets what the owner says of its run.
+func (wl *WorkerLease) describeRun(e *run, c Claim) {
+	e.Claim, e.needsUnknown = c, false
+	e.reported, wl.unreported = false, true
+}
+
 func (wl *WorkerLease) hasOrphans() bool {
 	for _, e := range wl.runs {
 		if e.orphan {
--- a/lease/claim_test.go
+++ b/lease/claim_test.go
@@ -40,9 +40,9 @@
 
 // newLeaseWithUnclaimedRun returns a WorkerLease whose worker runs a task of a former holder, which
 // nobody has claimed by 200 ms and which is being stopped.
-func newLeaseWithUnclaimedRun(t *testing.T, task Task) *WorkerLease {
+func newLeaseWithUnclaimedRun(t *testing.T, task Task, enforcesCapacity bool) *WorkerLease {
 	t.Helper()
-	wl := NewWorkerLease(ms(0), testWorker(), NewFence(9), 0, Speed{}, &PoolStats{})
+	wl := NewWorkerLease(ms(0), testWorker(), NewFence(9), 0, Speed{}, &PoolStats{EnforcesCapacity: enforcesCapacity})
 	wl.HoldAnswered(ms(0), takeActions(wl).holds[0], listResult(ms(0), []Run{{task, 1}}))
 	wl.Tick(ms(200))
 	if got := takeActions(wl); len(got.stops) != 1 {
@@ -51,6 +51,49 @@
 	return wl
 }
 
+// Guards against tasks beyond the capacity of a worker that does not guard it: what an unclaimed run
+// takes is unknown, so nothing is started beside it, by this holder or by grants of the planner.
+func TestStartsBesideUnclaimedRuns(t *testing.T) {
+	ended := func(wl *WorkerLease) {
+		wl.HoldAnswered(ms(240), HoldCall{Fence: wl.Fence()}, listResult(ms(240), nil, ListedEnd{1, Run{"a", 1}, Stopped}))
+	}
+	tests := []struct {
+		name     string
+		enforces bool
+		event    func(wl *WorkerLease)
+		cpu      int
+		why      Reason
+	}{
+		{"it is being stopped", false, func(*WorkerLease) {}, 1000, UnknownNeeds},
+		{"its stop got no answer", false, func(wl *WorkerLease) { wl.Tick(ms(1000)) }, 1000, UnknownNeeds},
+		{"it is over", false, ended, 60000, ""},
+		{"it is claimed late", false, func(wl *WorkerLease) { wl.Claim(ms(210), bob, []Claim{claim("a", 1)}) }, 1000, ""},
+		{"it is claimed late and fills the worker", false, func(wl *WorkerLease) { wl.Claim(ms(210), bob, []Claim{claim("a", 1)}) }, 60000, InsufficientResources},
+		{"its order is given once more", false, func(wl *WorkerLease) { wl.Start(ms(210), bob, order("a", 1)) }, 60000, InsufficientResources},
+		{"the worker guards its capacity", true, func(*WorkerLease) {}, 60000, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			wl := newLeaseWithUnclaimedRun(t, "a", tt.enforces)
+			tt.event(wl)
+			takeActions(wl)
+			if s := wl.State(ms(1001)); s.Open != (tt.why != UnknownNeeds) {
+				t.Errorf("the planner is told open %v", s.Open)
+			}
+			o := order("b", 1)
+			o.Resources.CPU = tt.cpu
+			wl.Start(ms(1001), alice, o)
+			got := takeActions(wl)
+			if tt.why == "" && len(got.starts) != 1 {
+				t.Errorf("%+v, want a start", got)
+			}
+			if tt.why != "" {
+				wantEnd(t, got.reports, alice, NeverStarted, tt.why)
+			}
+		})
+	}
+}
+
 // A new holder gets claims for runs that ended before it took over, that continue, and
 // that it has never seen.
 func TestClaims(t *testing.T) {
--- a/lease/hold.go
+++ b/lease/hold.go
@@ -264,7 +264,7 @@
 // by an order that was carried out late. If tasks may already be started, or the worker
 // is being released, the run is stopped.
 func (wl *WorkerLease) adopt(now time.Time, l ListedRun, clock int64) {
-	e := &run{Claim: Claim{Run: l.Run}, state: running, orphan: true, adopted: true, sentAt: now, confirmedAt: now, progressedAt: now, clock: clock, percent: l.Percent}
+	e := &run{Claim: Claim{Run: l.Run}, state: running, orphan: true, needsUnknown: true, adopted: true, sentAt: now, confirmedAt: now, progressedAt: now, clock: clock, percent: l.Percent}
 	wl.runs[l.Run] = e
 	if wl.phase == open || wl.phase == releasing {
 		wl.stop(now, e)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -185,7 +185,10 @@
 	Evacuated Reason = "evacuated"
 	// StepLimit: as many tasks of the step as allowed are on the worker.
 	StepLimit Reason = "step_limit"
-	Unhealthy Reason = "unhealthy"
+	// UnknownNeeds: the worker, which does not guard its capacity, runs a task of which nobody
+	// has said what it needs.
+	UnknownNeeds Reason = "unknown_needs"
+	Unhealthy    Reason = "unhealthy"
 	// Restarted: the order is for an incarnation of the worker that is not known to run,
 	// or whose description the holder does not have.
 	Restarted Reason = "restarted"
--- a/lease/speed.go
+++ b/lease/speed.go
@@ -95,6 +95,9 @@
 // PoolStats is what is known of all workers of a pool together. The worker leases of one
 // process share it.
 type PoolStats struct {
+	// EnforcesCapacity is set if the workers refuse starts that exceed their capacity, and unset
+	// while that is unknown.
+	EnforcesCapacity bool
 	// ReportsProgress is set if workers report the progress of their runs. Where none
 	// does, a run without progress is not stalled.
 	ReportsProgress bool
--- a/lease/start.go
+++ b/lease/start.go
@@ -28,6 +28,9 @@
 		return
 	}
 	e.owner, e.orphan = owner, false
+	if e.needsUnknown {
+		wl.describeRun(e, o.Claim)
+	}
 }
 
 func (wl *WorkerLease) refusalReason(o Order) Reason {
@@ -40,6 +43,8 @@
 		return wl.closedToNew()
 	case !wl.usable:
 		return Unusable
+	case wl.hasUnknownUsage():
+		return UnknownNeeds
 	case wl.resourcesRefused || !wl.usedResources().Plus(o.Resources).Fits(wl.worker.Resources):
 		return InsufficientResources
 	case o.MaxPerWorker > 0 && wl.tasksOfStep(o.Task.Step()) >= o.MaxPerWorker:
--- a/lease/start_test.go
+++ b/lease/start_test.go
@@ -121,7 +121,7 @@
 // Guards against the same beside the runs of a former holder, which nobody has claimed and which are
 // being stopped.
 func TestStepLimitBesideUnclaimedRuns(t *testing.T) {
-	wl := newLeaseWithUnclaimedRun(t, "j.0.0.0")
+	wl := newLeaseWithUnclaimedRun(t, "j.0.0.0", true)
 	wl.Start(ms(201), alice, stepOrder("j.0.0.1"))
 	wantEnd(t, takeActions(wl).reports, alice, NeverStarted, StepLimit)
 }
--- a/lease/state.go
+++ b/lease/state.go
@@ -131,7 +131,7 @@
 	return State{
 		ID:       wl.worker.ID,
 		Fence:    wl.fence,
-		Open:     wl.phase == open && wl.usable && !wl.resourcesRefused,
+		Open:     wl.phase == open && wl.usable && !wl.resourcesRefused && !wl.hasUnknownUsage(),
 		Released: wl.phase == closed,
 		Draining: wl.draining,
 		Failures: wl.failures,
--- a/lease/workerlease.go
+++ b/lease/workerlease.go
@@ -107,8 +107,9 @@
 	// reported is set if the planner knows of the run and, if sampled is set, of the
 	// speed learned from it.
 	reported bool
-	// orphan is set while the owner is unknown.
-	orphan bool
+	// orphan is set while the owner is unknown, needsUnknown while the resources are: the
+	// worker lists neither.
+	orphan, needsUnknown bool
 	// stopSentAt is when the last stop was sent.
 	stopSentAt time.Time
 }
@@ -126,10 +127,10 @@
 	// incarnation is that of the newest list, 0 before the first; worker may describe another
 	// one.
 	incarnation int64
-
 	// formerIncarnations have been replaced by others. Their answers can arrive later on another
 	// connection, and don't describe what runs now.
 	formerIncarnations map[int64]struct{}
+
 	// clock is the worker's clock at the local time clockAt, from the newest answer.
 	clock   int64
 	clockAt time.Time
@@ -233,7 +234,22 @@
 	return wl.clockAt.Add(max(left, 0) + leaseEndMargin)
 }
 
-// usedResources returns the resources that all runs take together.
+// hasUnknownUsage reports whether the runs may take all resources of the worker, for all that is
+// known: one has no owner who could say what it needs, and its worker would start more than fits.
+// Such a run is claimed, or stopped and then listed as ended.
+func (wl *WorkerLease) hasUnknownUsage() bool {
+	if wl.pool.EnforcesCapacity {
+		return false
+	}
+	for _, e := range wl.runs {
+		if e.needsUnknown {
+			return true
+		}
+	}
+	return false
+}
+
+// usedResources returns the resources that all runs of known needs take together.
 func (wl *WorkerLease) usedResources() Resources {
 	var r Resources
 	for _, e := range wl.runs {
@@ -272,7 +288,7 @@
 	}
 	e.state, e.stopSentAt = stopping, now
 	wl.unreported = true
-	wl.emit(Action{Stop: &StopCall{Run: e.Run, Fence: wl.fence}})
+	wl.emit(Action{Stop: &StopCall{Run: e.Run, Fence: wl.fence, Unclaimed: e.orphan}})
 }
 
 // OwnerLost stops the runs of a process that was lost. Its callers may retry at another
--- a/node/core.go
+++ b/node/core.go
@@ -248,6 +248,9 @@
 	case a.Start != nil:
 		c.out = append(c.out, Output{Worker: w, Start: a.Start})
 	case a.Stop != nil:
+		if a.Stop.Unclaimed {
+			event.UnclaimedRunStopped.Log(c.log, "worker", w.ID, "task", a.Stop.Task, "run", a.Stop.Number, "fence", uint64(a.Stop.Fence))
+		}
 		c.out = append(c.out, Output{Worker: w, Stop: a.Stop})
 	case a.Report != nil:
 		if a.Report.End.Why == lease.TextDiffers {
--- a/node/holder.go
+++ b/node/holder.go
@@ -65,12 +65,19 @@
 func (c *Core) statsOf(pool string) *lease.PoolStats {
 	stats := c.poolStats[pool]
 	if stats == nil {
-		stats = &lease.PoolStats{}
+		stats = &lease.PoolStats{EnforcesCapacity: c.enforcesCapacity(pool)}
 		c.poolStats[pool] = stats
 	}
 	return stats
 }
 
+// enforcesCapacity reports whether the workers of a pool are known to refuse starts that exceed
+// their capacity.
+func (c *Core) enforcesCapacity(pool string) bool {
+	p, _ := c.catalogs.Current().Pool(pool)
+	return p.EnforcesCapacity
+}
+
 func (c *Core) releaseWorker(now time.Time, worker string) {
 	if wl := c.held[worker]; wl != nil {
 		wl.Release(now)
--- a/node/operator.go
+++ b/node/operator.go
@@ -111,6 +111,9 @@
 	}
 	event.CatalogInForce.Log(c.log, "version", uint64(cat.Version), "queues", len(cat.Queues), "pools", len(cat.Pools), "source", source, "late_ms_at_most", late.Milliseconds(), "advertised_ms", advertised.Milliseconds())
 	c.cell.SetPools(cat.Pools)
+	for name, stats := range c.poolStats {
+		stats.EnforcesCapacity = c.enforcesCapacity(name)
+	}
 	c.resetCopy(now)
 	c.Advertise(now, func(m *mesh.Member) { m.Catalog = cat.Version })
 }
