node: a planned stop answers requests about jobs

Cause: the stop waits for open jobs; the requests that look a job up, which take up to 1.5 s while a process that may have the job is out of sight, were not counted.

Change: the stop waits for them as for jobs, and at the end of its time, when it gives up what is open, it answers them with 503. Those that come later find what is here, or get 503 at once.

Why it can't happen again: what the stop waits for, and what it answers before it closes connections, is every request that a caller waits for.

What remains: for up to 10 s after a planned removal the planner does not know that the process is gone for good, and such requests get 503 in place of 410.

--- a/node/callers.go
+++ b/node/callers.go
@@ -29,8 +29,8 @@
 
 // Submit accepts a job and blocks until it has an answer or the caller disconnects.
 func (n *Node) Submit(ctx context.Context, r entry.Request) entry.Answer {
-	n.openJobs.Add(1)
-	defer n.openJobs.Add(-1)
+	n.openRequests.Add(1)
+	defer n.openRequests.Add(-1)
 	if n.refusing.Load() {
 		n.meter.CountCode(meter.LeasedJobs, entry.Refused.String(), 1)
 		event.JobAnswered.Log(n.log, "job", r.ID, "queue", r.Queue.Name, "status", entry.Refused, "why", reasonProcessEnds, "age_ms", 0)
@@ -84,6 +84,8 @@
 
 // locate looks a job up, and cancels it if cancel is set.
 func (n *Node) locate(ctx context.Context, id string, cancel bool) entry.JobState {
+	n.openRequests.Add(1)
+	defer n.openRequests.Add(-1)
 	states := make(chan entry.JobState, 1)
 	n.mu.Lock()
 	n.lastWaiter++
--- a/node/core.go
+++ b/node/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -107,9 +108,11 @@
 	fullReportAt, describedAt time.Time
 	// reportedAt is when the planner was last sent any report.
 	reportedAt time.Time
-	// lookups are the searches for jobs that are not here.
+	// lookups are the searches for jobs that are not here. ending is set once this process
+	// answers them at once, because it ends.
 	lookups    map[uint64]*lookup
 	lastLookup uint64
+	ending     bool
 	out        []Output
 }
 
@@ -367,8 +370,15 @@
 // Submit accepts a job of a caller.
 func (c *Core) Submit(now time.Time, w entry.Waiter, r entry.Request) { c.entry.Submit(now, w, r) }
 
-// GiveUpJobs answers all jobs that callers still wait for, since this process ends.
-func (c *Core) GiveUpJobs(now time.Time) { c.entry.GiveUp(now, reasonProcessEnds) }
+// GiveUp answers all jobs and lookups that callers still wait for, since this process ends. Lookups
+// that begin later find only what is here.
+func (c *Core) GiveUp(now time.Time) {
+	c.entry.GiveUp(now, reasonProcessEnds)
+	c.ending = true
+	for _, number := range slices.Sorted(maps.Keys(c.lookups)) {
+		c.endLookup(now, number, entry.JobState{})
+	}
+}
 
 // CallerLeft records that a caller has disconnected.
 func (c *Core) CallerLeft(now time.Time, w entry.Waiter) { c.entry.CallerLeft(now, w) }
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -96,6 +96,10 @@
 		c.endLookup(now, number, s)
 		return
 	}
+	if c.ending {
+		c.endLookup(now, number, entry.JobState{})
+		return
+	}
 	queries := c.lookupQueries(l)
 	l.asked, l.undetermined, l.retryAt = make(map[mesh.ID]struct{}), false, time.Time{}
 	for id := range queries {
--- a/node/lookup_test.go
+++ b/node/lookup_test.go
@@ -184,6 +184,25 @@
 	}
 }
 
+// Guards against lookups that a process leaves without an answer at its end, since they take longer
+// than it has left.
+func TestLookupsEndWithTheProcess(t *testing.T) {
+	cl := threeMembers()
+	first := cl.cores[member(1).ID]
+	cl.lose(member(3).ID)
+	first.Locate(ms(cl.now), 7, "j", true)
+	cl.run(100)
+	if len(cl.located) != 0 {
+		t.Fatalf("located %+v while a process that may have the job is missing", cl.located)
+	}
+	first.GiveUp(ms(cl.now))
+	first.Locate(ms(cl.now), 8, "j", true)
+	cl.deliver()
+	if len(cl.located) != 2 || cl.located[0].State.Knowledge != entry.Undetermined || cl.located[1].State.Knowledge != entry.Undetermined {
+		t.Errorf("located %+v at the end, want two undetermined", cl.located)
+	}
+}
+
 // Guards against "no such job" being withheld where all processes are in sight.
 func TestUnknownJobIsAbsent(t *testing.T) {
 	cl := threeMembers()
--- a/node/node.go
+++ b/node/node.go
@@ -119,13 +119,13 @@
 	root context.Context
 
 	// stopping is set once a planned stop has begun, and refusing once new jobs are
-	// refused. openJobs counts the jobs that callers wait for.
+	// refused. openRequests counts the jobs and lookups that callers wait for.
 	stopping, refusing atomic.Bool
 	// closingListener is set while the callers' listener is being closed, and
 	// listenerClosed is closed afterwards.
 	closingListener atomic.Bool
 	listenerClosed  chan struct{}
-	openJobs        atomic.Int64
+	openRequests    atomic.Int64
 	// quorum is set if more than half of the processes that the store lists are reachable;
 	// startedAt is when this process started, as the time since boot.
 	quorum atomic.Bool
--- a/node/stop.go
+++ b/node/stop.go
@@ -37,7 +37,7 @@
 	stopPollInterval = 25 * time.Millisecond
 )
 
-// stop ends the process without interrupting jobs. The workers are transferred to other
+// stop ends the process without interrupting requests. The workers are transferred to other
 // holders, which finish the jobs that callers still wait for here, and new callers are
 // served until the load balancer has redirected them. Each answer closes its connection;
 // idle connections stay open until the end, because a caller may be writing a request on
@@ -59,22 +59,22 @@
 	}()
 	for time.Since(begun) < n.cfg.GracePeriod-stopReserve {
 		idle, _ := query(ctx, n, func(_ time.Time, c *Core) bool { return c.Idle() })
-		if idle && n.openJobs.Load() == 0 {
+		if idle && n.openRequests.Load() == 0 {
 			break
 		}
 		clock.Sleep(ctx, stopPollInterval)
 	}
 	<-recordDeleted
-	n.answerOpenJobs(ctx)
+	n.answerOpenRequests(ctx)
 	n.shutdown(ctx)
 }
 
-// answerOpenJobs answers the jobs that are not finished, and waits until the answers have been written.
-// Were they only given up when the process's context ends, which also closes the connections, some
-// callers would get no answer.
-func (n *Node) answerOpenJobs(ctx context.Context) {
-	n.enqueue(ctx, func(now time.Time, c *Core) { c.GiveUpJobs(now) })
-	for waited := time.Duration(0); n.openJobs.Load() > 0 && waited < answerTimeout; waited += stopPollInterval {
+// answerOpenRequests answers the jobs and lookups that are not finished, and waits until the answers have
+// been written. Were they only given up when the process's context ends, which also closes the
+// connections, some callers would get no answer.
+func (n *Node) answerOpenRequests(ctx context.Context) {
+	n.enqueue(ctx, func(now time.Time, c *Core) { c.GiveUp(now) })
+	for waited := time.Duration(0); n.openRequests.Load() > 0 && waited < answerTimeout; waited += stopPollInterval {
 		clock.Sleep(ctx, stopPollInterval)
 	}
 }
