node: a cancelled job is remembered by those who decide whether a copy runs

Cause: only the process that had the job remembered the cancel, for four seconds. The process that acknowledged it, the planner and all others knew nothing.

Change: the process that acknowledges a cancel (also with 410) tells the planner, with several cells one of each, and the planner its deputies. They and the process that had the job remember it for two minutes. A copy is answered as cancelled where it arrives, or by the planner, which gives the job no workers and refuses a copy that waits. Those who remember tell a new planner and new deputies. 50,000 jobs at most (event 944, cancelled_jobs). Cost: one message a cancel, and one to each deputy; nothing without cancels.

Why it can't happen again within the two minutes: all starts pass the planner, and the loss of any two processes leaves one that knows and tells the next. Left: a copy that comes later; one that a planner serves in the milliseconds before it is told.

--- a/cell/message.go
+++ b/cell/message.go
@@ -81,6 +81,9 @@
 // from another cell. The planner of that cell has not seen the request.
 const ReasonNotPlanner = "not_planner"
 
+// ReasonCancelled is the reason of a refusal because a caller has cancelled the job.
+const ReasonCancelled = "cancelled"
+
 // Withdrawal withdraws the pending requests of a job or, if it names runs, the grants of
 // these.
 type Withdrawal struct {
--- a/cell/request.go
+++ b/cell/request.go
@@ -112,6 +112,17 @@
 	}
 }
 
+// RefuseCancelled refuses the pending requests of a job that was cancelled, whose process may not have
+// been told.
+func (pl *Planner) RefuseCancelled(job string) {
+	for _, p := range pl.pending {
+		if p.job == job {
+			pl.dropRequest(p)
+			pl.emit(Action{To: p.owner, Refusal: &Refusal{Job: job, Reason: ReasonCancelled}})
+		}
+	}
+}
+
 // dropRequest deletes a pending request.
 func (pl *Planner) dropRequest(p *pendingRequest) {
 	delete(pl.pending, p.stepKey)
--- a/entry/cancel_test.go
+++ b/entry/cancel_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"snipehub.example/cell"
 )
 
 // Guards against a cancelled job that runs again: its caller is told that the outcome is unknown,
@@ -38,3 +40,25 @@
 
 // resendDelay is when callers send a job again that got no answer.
 const resendDelay = 1300 * time.Millisecond
+
+// Guards against a copy that another process runs after the cancel: its planner knows of the cancel, and
+// refuses the job's request although the copy has begun.
+func TestRefusedBecauseCancelled(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		js, req := newSubmittedJobs(t, request(2))
+		if begun {
+			g := grantAll(req, "w")
+			g.Items = g.Items[:1]
+			js.Grant(ms(10), planner, g)
+			takeActions(js)
+		}
+		js.Refused(ms(20), planner, cell.Refusal{Job: jobID, Reason: cell.ReasonCancelled})
+		got := takeActions(js)
+		if len(got.answers) != 1 || got.answers[0].Answer.Status != Cancelled {
+			t.Errorf("begun %v: answers %+v, want that the job was cancelled", begun, got.answers)
+		}
+		if stopped := len(got.stops) == 1; stopped != begun {
+			t.Errorf("begun %v: stops %+v", begun, got.stops)
+		}
+	}
+}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -32,6 +32,12 @@
 	js.reply(w, Answer{Status: Refused, Why: why, RetryAfter: retryAfter})
 }
 
+// AnswerCancelled answers a copy of the request of a job that was cancelled.
+func (js *Jobs) AnswerCancelled(w Waiter, r Request) {
+	event.JobAnswered.Log(js.log, "job", r.ID, "queue", r.Queue.Name, "status", Cancelled, "why", cell.ReasonCancelled, "age_ms", 0)
+	js.reply(w, Answer{Status: Cancelled, Why: cell.ReasonCancelled})
+}
+
 // idInUse is the reason of a refusal because another job has the id.
 const idInUse = "id_in_use"
 
--- a/event/table.go
+++ b/event/table.go
@@ -130,6 +130,7 @@
 	WorkerDescribed       ID = 941
 	CallersLimited        ID = 942
 	UnclaimedRunStopped   ID = 943
+	CancelledJobsFull     ID = 944
 )
 
 var table = []Entry{
@@ -247,5 +248,6 @@
 	{WorkerRestarted, slog.LevelInfo, "worker restarted", "The holder has heard another incarnation of the worker under the same id. Until the list of workers describes it (compare incarnation and described), the worker gets only tasks without required labels, and none in a pool that does not enforce its capacity.", "0.6"},
 	{WorkerDescribed, slog.LevelInfo, "worker described", "The planner has sent this holder the description of another incarnation of the worker.", "0.6"},
 	{CallersLimited, slog.LevelWarn, "callers limited", "Callers use up the connections or the memory that the VM has for them. In the last second, connections were refused (all others were serving requests), connections that waited for the rest of a request or were idle were closed for new ones, or requests were refused with 503 because they were large and the memory was used up. Ordinary requests are served. bytes and connections are in use now.", "0.6"},
-	{UnclaimedRunStopped, slog.LevelInfo, "unclaimed run stopped", "The worker runs a task that no process has claimed from its holder: the process that accepted the job is gone. The holder has it stopped, again until its end is listed. Until then no task is started beside it if the worker's pool does not enforce its capacity (925 with unknown_needs).", "0.2"},
+	{UnclaimedRunStopped, slog.LevelInfo, "unclaimed run stopped", "The worker runs a task that no process has claimed from its holder: the process that accepted the job is gone. The holder has it stopped, again until its end is listed. Until then no task is started beside it if the worker's pool does not enforce its capacity (925 with unknown_needs).", "0.7"},
+	{CancelledJobsFull, slog.LevelWarn, "cancelled jobs forgotten early", "This process remembers as many cancelled jobs as it may, and forgets the oldest before their two minutes are over. A copy of the request of a forgotten job would run. Logged every two minutes at most.", "0.7"},
 }
--- a/meter/table.go
+++ b/meter/table.go
@@ -94,6 +94,7 @@
 	CallerConnections    Name = "caller_connections"
 	CallerBytes          Name = "caller_bytes"
 	CallersLimited       Name = "callers_limited"
+	CancelledJobs        Name = "cancelled_jobs"
 )
 
 // Kind is the type of a metric.
@@ -210,4 +211,5 @@
 	{924, CallerConnections, Gauge, "connections", nil, "Open connections of callers, if the settings have limits.memory_mb or limits.max_fds; the limit follows from these.", "0.6"},
 	{925, CallerBytes, Gauge, "bytes", nil, "Estimated memory of the requests of callers beyond 8 KB each; a quarter of limits.memory_mb at the most.", "0.6"},
 	{926, CallersLimited, Counter, "connections or requests", byCode, "What the limits have cut: connections that were refused, connections that were closed for others, and requests refused because they were too large for now.", "0.6"},
+	{927, CancelledJobs, Gauge, "jobs", nil, "Cancelled jobs that this process remembers, so that a late copy of a request does not run; 50,000 at the most.", "0.7"},
 }
--- a/node/core.go
+++ b/node/core.go
@@ -113,7 +113,9 @@
 	lookups    map[uint64]*lookup
 	lastLookup uint64
 	ending     bool
-	out        []Output
+	// cancelled are jobs that must not run, since a caller was told that they are cancelled.
+	cancelled cancelledJobs
+	out       []Output
 }
 
 // peerState is a reachable member and the number of the session with it.
@@ -308,6 +310,8 @@
 	switch {
 	case m.Request != nil && !c.cell.Active():
 		c.redirectRequest(now, from, *m.Request)
+	case m.Request != nil && c.cancelled.has(now, m.Request.Job):
+		c.refuseCancelled(now, from, m.Request.Job)
 	case m.Request != nil:
 		c.cell.Request(now, from, *m.Request)
 	case m.Withdraw != nil:
@@ -318,6 +322,8 @@
 		c.answerJobQuery(now, from, *m.JobQuery)
 	case m.JobReply != nil:
 		c.handleJobReply(now, from, *m.JobReply)
+	case m.Cancelled != nil:
+		c.handleCancelled(now, from, *m.Cancelled)
 	case m.Grant != nil:
 		c.entry.Grant(now, from, *m.Grant)
 	case m.Refusal != nil:
@@ -367,9 +373,6 @@
 	}
 }
 
-// Submit accepts a job of a caller.
-func (c *Core) Submit(now time.Time, w entry.Waiter, r entry.Request) { c.entry.Submit(now, w, r) }
-
 // GiveUp answers all jobs and lookups that callers still wait for, since this process ends. Lookups
 // that begin later find only what is here.
 func (c *Core) GiveUp(now time.Time) {
@@ -422,6 +425,7 @@
 	c.announceNewlyHeld(now)
 	c.updateOnDemand(now)
 	c.updateLookups(now)
+	c.expireCancelled(now)
 	c.updateWatches(now)
 }
 
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -18,7 +18,7 @@
 // coreStats is the state of the core that is exported as metrics. Counters are totals
 // since the start.
 type coreStats struct {
-	sessions, held, jobs, tasks int
+	sessions, held, jobs, tasks, cancelled int
 	// otherCellSessions are those of the sessions that are with other cells.
 	otherCellSessions, listed, listedInCell int
 	isPlanner                               bool
@@ -47,6 +47,7 @@
 		held:       len(c.held),
 		jobs:       c.entry.Len(),
 		tasks:      c.entry.Tasks(),
+		cancelled:  len(c.cancelled.order),
 		isPlanner:  c.IsPlanner(),
 		planned:    copiedCounts(c.cell.Counts()),
 		ended:      copied(c.entry.Counts().Ended),
@@ -127,6 +128,7 @@
 	m.Gauge(meter.StoreAge, n.storeAge()[topicOperator].Seconds())
 	m.Gauge(meter.OpenJobs, float64(stats.jobs))
 	m.Gauge(meter.JobTasks, float64(stats.tasks))
+	m.Gauge(meter.CancelledJobs, float64(stats.cancelled))
 	m.Gauge(meter.WorkersHeld, float64(stats.held))
 	m.Gauge(meter.Planning, float64(compareBool(stats.isPlanner, false)))
 	m.Gauge(meter.PlannerWaiting, float64(stats.view.Waiting))
--- a/node/list.go
+++ b/node/list.go
@@ -164,6 +164,9 @@
 	for _, m := range members {
 		_, was := before[m.ID]
 		_, is := c.deputies[m.ID]
+		if is && !was {
+			c.sendCancelled(now, m.ID)
+		}
 		switch {
 		case is && !was && len(c.list.workers) > 0:
 			full := c.list.full()
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -116,6 +116,9 @@
 	if cancel {
 		c.entry.Cancel(now, job)
 	}
+	if cancel && s.Knowledge == entry.Present {
+		c.handleCancelled(now, c.self.ID, CancelledJobs{Jobs: []CancelledJob{{Job: job}}})
+	}
 	return s
 }
 
@@ -244,6 +247,9 @@
 		c.send(now, l.origin, Message{JobReply: &JobReply{Lookup: l.originLookup, State: s}})
 		return
 	}
+	if l.cancel && s.Knowledge != entry.Undetermined {
+		c.cancelAcknowledged(now, l.job)
+	}
 	if l.asked != nil && (l.cancel || s.Knowledge == entry.Undetermined) {
 		event.JobLocated.Log(c.log, "job", l.job, "cancel", l.cancel, "knowledge", s.Knowledge, "took_ms", lookupTimeout.Milliseconds()-l.expires.Sub(now).Milliseconds())
 	}
--- a/node/lookup_test.go
+++ b/node/lookup_test.go
@@ -19,6 +19,7 @@
 	// cut holds the processes without sessions.
 	cut     map[mesh.ID]bool
 	located []Located
+	answers []entry.CallerAnswer
 	// queries counts the messages that ask for a job.
 	queries int
 	now     int
@@ -67,6 +68,8 @@
 			switch {
 			case o.Located != nil:
 				cl.located = append(cl.located, *o.Located)
+			case o.Answer != nil:
+				cl.answers = append(cl.answers, *o.Answer)
 			case o.Advertise != nil:
 				for other, c := range cl.cores {
 					if _, ok := c.members[id]; ok && other != id {
--- a/node/members.go
+++ b/node/members.go
@@ -288,6 +288,7 @@
 		full := c.list.full()
 		c.send(now, c.planner, Message{WorkerList: &full})
 	}
+	c.sendCancelled(now, c.planner)
 	// The entry sends its requests again only if the planner changes.
 	c.entry.SetPlanner(now, mesh.ID{})
 	c.entry.SetPlanner(now, c.planner)
--- a/node/message.go
+++ b/node/message.go
@@ -40,6 +40,7 @@
 	JobReply  *JobReply        `cbor:"25,keyasint,omitzero"`
 	// Description is for the holder of the worker.
 	Description *cell.Description `cbor:"26,keyasint,omitzero"`
+	Cancelled   *CancelledJobs    `cbor:"27,keyasint,omitzero"`
 }
 
 // Disconnect ends a session with a member.
