--- a/model/outage_test.go
+++ b/model/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -73,13 +74,27 @@
 
 // A data centre is cut off from the others and from the store for two seconds. Callers on both
 // sides are still served by the workers of their side, except for what was in progress across
-// the cut.
+// the cut. One large job is some 4% of what a data centre is owed on such a day, so the bound
+// holds for the mean of several days, less two standard errors.
 func TestDataCenterCutOff(t *testing.T) {
-	cfg := lightDay(2)
-	cfg.Faults = []Fault{{3 * time.Second, IsolateDataCenter("detroit", false, 2*time.Second)}}
-	r := play(t, cfg)
-	if r.Parts.DataCenter < 0.85 || r.Worth > 0.999 {
-		t.Errorf("worth %.3f, of the worst data centre %.3f", r.Worth, r.Parts.DataCenter)
+	t.Parallel()
+	const days = 24
+	var sum, squares float64
+	for seed := range uint64(days) {
+		cfg := lightDay(seed + 1)
+		cfg.Faults = []Fault{{3 * time.Second, IsolateDataCenter("detroit", false, 2*time.Second)}}
+		r := play(t, cfg)
+		if r.Worth > 0.999 {
+			t.Errorf("seed %d: worth %.3f, the cut has had no effect", cfg.Seed, r.Worth)
+		}
+		sum += r.Parts.DataCenter
+		squares += r.Parts.DataCenter * r.Parts.DataCenter
+	}
+	mean := sum / days
+	stderr := math.Sqrt((squares/days - mean*mean) / (days - 1))
+	t.Logf("worth of the worst data centre %.3f ± %.3f", mean, stderr)
+	if mean-2*stderr < 0.85 {
+		t.Errorf("worth of the worst data centre %.3f ± %.3f, want 0.85 beyond two standard errors", mean, stderr)
 	}
 }
 
