lease: late lists are told by the time of their call, not by a list of incarnations

Found on reading the change: the incarnations that a worker has had were remembered for as long as the holding lasts, so a worker that restarts again and again made that grow without a limit.

Change: an answer with another incarnation to a call that was sent before the current one was first heard is dropped. Nothing is remembered but one time. If it was an even newer incarnation, the next call finds it.

--- a/lease/hold.go
+++ b/lease/hold.go
@@ -120,13 +120,13 @@
 
 // handleList handles a worker's list of what it runs and what has ended.
 func (wl *WorkerLease) handleList(now time.Time, c HoldCall, r Result) {
-	if _, ok := wl.formerIncarnations[r.Incarnation]; ok {
+	if r.Incarnation != wl.incarnation && c.Sent.Before(wl.incarnationSince) {
 		return
 	}
 	if wl.incarnation != 0 && r.Incarnation != wl.incarnation {
 		wl.handleRestart(now, c, r)
 	}
-	wl.setIncarnation(r.Incarnation)
+	wl.setIncarnation(now, r.Incarnation)
 	wl.unreported = wl.unreported || wl.failures > 0
 	wl.failures = 0
 	if c.Fence == wl.fence && !wl.usable {
@@ -167,7 +167,7 @@
 
 // setIncarnation records which incarnation has answered. What was known of another one does not
 // hold for it.
-func (wl *WorkerLease) setIncarnation(i int64) {
+func (wl *WorkerLease) setIncarnation(now time.Time, i int64) {
 	if i == wl.incarnation {
 		return
 	}
@@ -177,10 +177,7 @@
 	case wl.incarnation != 0:
 		wl.draining = false
 	}
-	if wl.incarnation != 0 {
-		wl.formerIncarnations[wl.incarnation] = struct{}{}
-	}
-	wl.incarnation = i
+	wl.incarnation, wl.incarnationSince = i, now
 	wl.reportFullState()
 }
 
--- a/lease/incarnation_test.go
+++ b/lease/incarnation_test.go
@@ -158,7 +158,7 @@
 // of the next, whose runs it does not list.
 func TestLateListOfAFormerIncarnation(t *testing.T) {
 	wl, poll := newOpenLease(t)
-	wl.HoldAnswered(ms(10), HoldCall{Fence: wl.Fence()}, Result{Verdict: OK, Clock: 3, Incarnation: 8})
+	wl.HoldAnswered(ms(10), HoldCall{Fence: wl.Fence(), Sent: ms(9)}, Result{Verdict: OK, Clock: 3, Incarnation: 8})
 	takeActions(wl)
 	wl.Start(ms(11), alice, order("a", 1))
 	wl.StartAnswered(ms(12), takeActions(wl).starts[0], Result{Verdict: OK, Clock: 5})
--- a/lease/workerlease.go
+++ b/lease/workerlease.go
@@ -127,9 +127,9 @@
 	// incarnation is that of the newest list, 0 before the first; worker may describe another
 	// one.
 	incarnation int64
-	// formerIncarnations have been replaced by others. Their answers can arrive later on another
-	// connection, and don't describe what runs now.
-	formerIncarnations map[int64]struct{}
+	// incarnationSince is when it was first heard. Another one that answers an earlier call is the
+	// one before, whose answer comes late on another connection.
+	incarnationSince time.Time
 
 	// clock is the worker's clock at the local time clockAt, from the newest answer.
 	clock   int64
@@ -200,7 +200,7 @@
 // worker may be above minFence, including those of this process (HighestFence).
 func NewWorkerLease(now time.Time, w Worker, own, minFence Fence, speed Speed, stats *PoolStats) *WorkerLease {
 	fence := own.Above(minFence)
-	wl := &WorkerLease{worker: w, speed: speed, pool: stats, firstFence: fence, fence: fence, phase: connecting, runs: make(map[Run]*run), unreachableOwners: make(map[Owner]time.Time), unclaimedEnds: make(map[Run]Outcome), formerIncarnations: make(map[int64]struct{}), nextHoldAt: now}
+	wl := &WorkerLease{worker: w, speed: speed, pool: stats, firstFence: fence, fence: fence, phase: connecting, runs: make(map[Run]*run), unreachableOwners: make(map[Owner]time.Time), unclaimedEnds: make(map[Run]Outcome), nextHoldAt: now}
 	wl.Tick(now)
 	return wl
 }
