node: cancels stay in their cells, and copies get the job's true answer

- With several cells, each planner was told the cancels of the whole deployment: some 160 bytes a cancel (computed), so 156 a second would take the 25 KB/s that control may take.
Now the planners of the job's cell and of the process that acknowledges are told.
- A process of the last release asks again at once for a job that has begun when it is refused, and would be refused again, without end.
Requests for a job that has begun are not refused any more; the process is told that the job is cancelled, which an old one ignores.
- A job that was completed or failed before its cancel was acknowledged was answered to copies as cancelled.
The answer goes along, and copies get it.
- A second cancel of a job counted from the first.

A process that is told of a cancel ends a copy of its own.

Measured: TestRequestsForACancelledJobEnd, TestCopyOfACompletedJob and TestEndOfACopy fail with the refusal of begun jobs, or the status, taken out.

--- a/cell/request.go
+++ b/cell/request.go
@@ -112,15 +112,18 @@
 	}
 }
 
-// RefuseCancelled refuses the pending requests of a job that was cancelled, whose process may not have
-// been told.
-func (pl *Planner) RefuseCancelled(job string) {
+// DropRequests drops the pending requests of a job, and returns the processes that made them.
+func (pl *Planner) DropRequests(job string) (owners []mesh.ID) {
 	for _, p := range pl.pending {
-		if p.job == job {
-			pl.dropRequest(p)
-			pl.emit(Action{To: p.owner, Refusal: &Refusal{Job: job, Reason: ReasonCancelled}})
+		if p.job != job {
+			continue
+		}
+		pl.dropRequest(p)
+		if !slices.Contains(owners, p.owner) {
+			owners = append(owners, p.owner)
 		}
 	}
+	return owners
 }
 
 // dropRequest deletes a pending request.
--- a/entry/end.go
+++ b/entry/end.go
@@ -16,10 +16,6 @@
 	if j == nil || j.answer != nil || j.otherPlanner != (mesh.ID{}) && from != j.otherPlanner {
 		return
 	}
-	if r.Reason == cell.ReasonCancelled {
-		js.finish(now, j, Answer{Status: Cancelled, Why: r.Reason})
-		return
-	}
 	if r.Reason == cell.ReasonNotPlanner {
 		js.redirected(now, j, r.Planner)
 		return
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -198,9 +198,13 @@
 }
 
 // Cancel stops a job at its caller's request, if it is here and has no answer.
-func (js *Jobs) Cancel(now time.Time, id string) {
+func (js *Jobs) Cancel(now time.Time, id string) { js.EndCopy(now, id, Cancelled) }
+
+// EndCopy ends a job that was cancelled elsewhere, if a copy of it is here and has no answer. status is
+// the final answer that the job had before the cancel, if any.
+func (js *Jobs) EndCopy(now time.Time, id string, status Status) {
 	if j := js.jobs[id]; j != nil && j.answer == nil {
-		js.finish(now, j, Answer{Status: Cancelled, Why: "cancelled"})
+		js.finish(now, j, answerOfCopy(status))
 	}
 }
 
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -32,10 +32,21 @@
 	js.reply(w, Answer{Status: Refused, Why: why, RetryAfter: retryAfter})
 }
 
-// AnswerCancelled answers a copy of the request of a job that was cancelled.
-func (js *Jobs) AnswerCancelled(w Waiter, r Request) {
-	event.JobAnswered.Log(js.log, "job", r.ID, "queue", r.Queue.Name, "status", Cancelled, "why", cell.ReasonCancelled, "age_ms", 0)
-	js.reply(w, Answer{Status: Cancelled, Why: cell.ReasonCancelled})
+// AnswerCopy answers a copy of the request of a job that was cancelled. status is the final answer that
+// the job had before, if any.
+func (js *Jobs) AnswerCopy(w Waiter, r Request, status Status) {
+	a := answerOfCopy(status)
+	event.JobAnswered.Log(js.log, "job", r.ID, "queue", r.Queue.Name, "status", a.Status, "why", a.Why, "age_ms", 0)
+	js.reply(w, a)
+}
+
+// answerOfCopy returns the answer to a copy of a job that was cancelled: it is cancelled, unless it had
+// been answered otherwise before.
+func answerOfCopy(status Status) Answer {
+	if status != Completed && status != Failed {
+		status = Cancelled
+	}
+	return Answer{Status: status, Why: cell.ReasonCancelled}
 }
 
 // idInUse is the reason of a refusal because another job has the id.
--- a/node/core.go
+++ b/node/core.go
@@ -311,7 +311,7 @@
 	case m.Request != nil && !c.cell.Active():
 		c.redirectRequest(now, from, *m.Request)
 	case m.Request != nil && c.cancelled.has(now, m.Request.Job):
-		c.refuseCancelled(now, from, m.Request.Job)
+		c.refuseCancelled(now, from, *m.Request)
 	case m.Request != nil:
 		c.cell.Request(now, from, *m.Request)
 	case m.Withdraw != nil:
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -117,7 +117,7 @@
 		c.entry.Cancel(now, job)
 	}
 	if cancel && s.Knowledge == entry.Present {
-		c.handleCancelled(now, c.self.ID, CancelledJobs{Jobs: []CancelledJob{{Job: job}}})
+		c.jobCancelled(now, job, s.Status)
 	}
 	return s
 }
@@ -247,8 +247,8 @@
 		c.send(now, l.origin, Message{JobReply: &JobReply{Lookup: l.originLookup, State: s}})
 		return
 	}
-	if l.cancel && s.Knowledge != entry.Undetermined {
-		c.cancelAcknowledged(now, l.job)
+	if l.cancel && l.asked != nil && s.Knowledge != entry.Undetermined {
+		c.jobCancelled(now, l.job, s.Status)
 	}
 	if l.asked != nil && (l.cancel || s.Knowledge == entry.Undetermined) {
 		event.JobLocated.Log(c.log, "job", l.job, "cancel", l.cancel, "knowledge", s.Knowledge, "took_ms", lookupTimeout.Milliseconds()-l.expires.Sub(now).Milliseconds())
--- a/node/ondemand.go
+++ b/node/ondemand.go
@@ -30,7 +30,7 @@
 // needsSession reports whether a message must wait until a session with a process of another
 // cell has been opened: it is the first about a job.
 func (c *Core) needsSession(to mesh.ID, m Message) bool {
-	if m.Request == nil && m.Start == nil && m.JobQuery == nil && m.Cancelled == nil || !c.layout.divided {
+	if m.Request == nil && m.Start == nil && m.JobQuery == nil || !c.layout.divided {
 		return false
 	}
 	_, connected := c.members[to]
