--- a/model/outage_test.go
+++ b/model/outage_test.go
@@ -78,7 +78,7 @@
 // holds for the mean of several days, less two standard errors.
 func TestDataCenterCutOff(t *testing.T) {
 	t.Parallel()
-	const days = 24
+	const days = 10
 	var sum, squares float64
 	for seed := range uint64(days) {
 		cfg := lightDay(seed + 1)
